--- /dev/null
+++ b/crates/baobabctl/src/show.rs
@@ -0,0 +1,234 @@
+//! Asks a node and prints what it says.
+
+use fleet::{clock::Stamp, member::State, status::Fleet, timeline::Event};
+use serde::{Deserialize, de::DeserializeOwned};
+use std::{net::SocketAddr, thread, time::Duration};
+
+use crate::End;
+
+/// Time for an answer; the node itself waits up to 2 s for each group of other nodes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Time between two looks when following.
+const FOLLOW: Duration = Duration::from_secs(1);
+
+/// How answers are printed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Form {
+    /// For people.
+    Text,
+    /// For programs.
+    Json,
+}
+
+#[derive(Debug, Deserialize)]
+struct Explanation {
+    service: String,
+    known: bool,
+    revision: u64,
+    profile: Option<String>,
+    upstreams: Vec<Candidate>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Candidate {
+    instance: String,
+    data_centre: String,
+    eligible: bool,
+    reason: String,
+    in_flight: usize,
+    latency_ms: Option<f64>,
+}
+
+/// Prints the fleet; the answer is no while a node is behind, silent or holds a refused version.
+pub(crate) fn status(node: SocketAddr, form: Form) -> End {
+    let Some(text) = fetch(node, "/fleet") else { return End::No };
+    let Some(fleet) = parse::<Fleet>(&text) else { return End::No };
+    if form == Form::Json {
+        println!("{text}");
+    } else {
+        print_fleet(&fleet);
+    }
+    let newest = newest_revision(&fleet);
+    let settled = fleet.silent.is_empty()
+        && fleet.answered.iter().all(|n| n.version.revision == newest)
+        && fleet.answered.iter().all(|n| n.rejected.iter().all(|r| r.version.revision < newest));
+    if settled { End::Done } else { End::No }
+}
+
+/// Prints how a node would route calls to a service; the answer is no if it would refuse them.
+pub(crate) fn explain(node: SocketAddr, service: &str, form: Form) -> End {
+    let Some(text) = fetch(node, &format!("/explain?service={service}")) else { return End::No };
+    let Some(explanation) = parse::<Explanation>(&text) else { return End::No };
+    if form == Form::Json {
+        println!("{text}");
+    } else {
+        print_explanation(&explanation);
+    }
+    let routable = explanation.known && explanation.upstreams.iter().any(|u| u.eligible);
+    if routable { End::Done } else { End::No }
+}
+
+/// Prints the events of all reachable nodes.
+pub(crate) fn timeline(node: SocketAddr, form: Form) -> End {
+    let Some(events) = events_after(node, Stamp::default()) else { return End::No };
+    events.iter().for_each(|event| print_event(event, form));
+    End::Done
+}
+
+/// Prints events as they happen, until interrupted.
+pub(crate) fn follow(node: SocketAddr, form: Form) -> End {
+    let mut last = Stamp::default();
+    loop {
+        let Some(events) = events_after(node, last) else { return End::No };
+        for event in &events {
+            print_event(event, form);
+            last = last.max(event.stamp);
+        }
+        thread::sleep(FOLLOW);
+    }
+}
+
+fn events_after(node: SocketAddr, stamp: Stamp) -> Option<Vec<Event>> {
+    let after = serde_json::to_string(&stamp).ok()?;
+    parse(&fetch(node, &format!("/timeline?after={after}"))?)
+}
+
+fn fetch(node: SocketAddr, path: &str) -> Option<String> {
+    let answer = attohttpc::get(format!("http://{node}{path}")).timeout(PATIENCE).send();
+    let text = answer.and_then(attohttpc::Response::error_for_status).and_then(|a| a.text());
+    text.map_err(|e| eprintln!("baobabctl: {node}: {e}")).ok()
+}
+
+fn parse<T: DeserializeOwned>(text: &str) -> Option<T> {
+    let parsed = serde_json::from_str(text);
+    parsed.map_err(|e| eprintln!("baobabctl: the node's answer is not understood: {e}")).ok()
+}
+
+fn newest_revision(fleet: &Fleet) -> u64 {
+    fleet.answered.iter().map(|n| n.version.revision).max().unwrap_or(0)
+}
+
+fn print_fleet(fleet: &Fleet) {
+    let newest = newest_revision(fleet);
+    println!("newest version in force: revision {newest}");
+    println!(
+        "{:<20} {:<14} {:<14} {:<12} {:<18} note",
+        "instance", "data centre", "service", "state", "version"
+    );
+    for node in &fleet.answered {
+        let behind = newest - node.version.revision;
+        let mut notes = Vec::new();
+        if behind > 0 {
+            notes.push(format!("behind by {behind} revisions"));
+        }
+        if let Some(revision) = node.stale_source {
+            notes.push(format!("the platform serves only revision {revision}"));
+        }
+        if node.reader_rank < fleet::source::READERS {
+            notes.push("reads the platform".to_owned());
+        }
+        println!(
+            "{:<20} {:<14} {:<14} {:<12} {:<18} {}",
+            node.instance,
+            node.data_centre,
+            node.service,
+            state_name(node.state),
+            node.version.to_string(),
+            notes.join(", ")
+        );
+    }
+    for member in &fleet.silent {
+        println!(
+            "{:<20} {:<14} {:<14} {:<12} {:<18} does not answer",
+            member.instance,
+            member.data_centre,
+            member.service,
+            state_name(member.state),
+            "-"
+        );
+    }
+    print_rejected(fleet);
+}
+
+fn print_rejected(fleet: &Fleet) {
+    let mut seen = Vec::new();
+    for node in &fleet.answered {
+        for rejected in node.rejected.iter().filter(|r| !seen.contains(&r.version)) {
+            println!("rejected by {}: version {}", node.instance, rejected.version);
+            rejected.faults.iter().for_each(|fault| println!("  {fault}"));
+        }
+        seen.extend(node.rejected.iter().map(|r| r.version));
+    }
+}
+
+fn print_explanation(explanation: &Explanation) {
+    let Explanation { service, known, revision, profile, upstreams } = explanation;
+    if !known {
+        println!("{service}: not in revision {revision}; calls are answered not-run");
+        return;
+    }
+    let profile = profile.as_deref().unwrap_or("-");
+    println!("{service}: profile {profile} of revision {revision}");
+    if upstreams.is_empty() {
+        println!("no upstream is known; calls are answered not-run");
+    }
+    for upstream in upstreams {
+        let mark = if upstream.eligible { "eligible" } else { "not eligible" };
+        let latency = upstream.latency_ms.map_or("-".to_owned(), |ms| format!("{ms:.2} ms"));
+        println!(
+            "{:<20} {:<14} {:<12} in flight {:<4} latency {:<10} {}",
+            upstream.instance,
+            upstream.data_centre,
+            mark,
+            upstream.in_flight,
+            latency,
+            upstream.reason
+        );
+    }
+}
+
+fn print_event(event: &Event, form: Form) {
+    let Ok(mut value) = serde_json::to_value(event) else { return };
+    if form == Form::Json {
+        println!("{value}");
+        return;
+    }
+    let mut details = Vec::new();
+    if let Some(fields) = value.as_object_mut() {
+        for name in ["stamp", "node", "event"] {
+            fields.remove(name);
+        }
+        details.extend(fields.iter().map(|(name, value)| format!("{name}={value}")));
+    }
+    println!(
+        "{} {:<20} {:<14} {}",
+        clock_text(event.stamp.wall_ms()),
+        event.node,
+        event_name(event),
+        details.join(" ")
+    );
+}
+
+fn event_name(event: &Event) -> String {
+    let value = serde_json::to_value(event).ok();
+    let name = value.as_ref().and_then(|v| v.get("event")).and_then(|v| v.as_str());
+    name.unwrap_or("").to_owned()
+}
+
+/// Returns the time of day in UTC.
+fn clock_text(ms: u64) -> String {
+    let seconds = ms / 1_000;
+    let (hour, minute, second) = (seconds / 3_600 % 24, seconds / 60 % 60, seconds % 60);
+    format!("{hour:02}:{minute:02}:{second:02}.{:03}Z", ms % 1_000)
+}
+
+fn state_name(state: State) -> &'static str {
+    match state {
+        State::Live => "live",
+        State::Suspect => "suspect",
+        State::Unreachable => "unreachable",
+        State::Leaving => "leaving",
+        State::Gone => "gone",
+    }
+}
--- /dev/null
+++ b/crates/baobabrelayd/src/main.rs
@@ -0,0 +1,87 @@
+//! The daemon: reads its settings, starts a node and stops it in an orderly way.
+
+use node::{Node, settings};
+use pico_args::Arguments;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use std::{fs, process::ExitCode};
+
+const HELP: &str = "\
+baobabrelayd: carries calls to the services of a mesh, beside one upstream
+
+usage: baobabrelayd --settings FILE [--check]
+
+  --settings FILE  JSON settings; docs/SETTINGS.md lists them
+  --check          checks the settings, prints every fault and exits
+  --help           prints this text
+  --version        prints the version
+
+SIGTERM or SIGINT is a planned stop: no new work, calls in hand are finished.
+exit status: 0 done, 1 the node could not start, 2 usage or settings wrong
+";
+
+const USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    if arguments.contains("--version") {
+        println!("baobabrelayd {}", node::VERSION);
+        return ExitCode::SUCCESS;
+    }
+    let check = arguments.contains("--check");
+    let file: String = match arguments.value_from_str("--settings") {
+        Ok(file) => file,
+        Err(error) => return usage(&error.to_string()),
+    };
+    let rest = arguments.finish();
+    if !rest.is_empty() {
+        return usage(&format!("unknown argument {:?}", rest[0]));
+    }
+    let settings = match read(&file) {
+        Ok(settings) => settings,
+        Err(faults) => {
+            faults.iter().for_each(|fault| eprintln!("{fault}"));
+            return ExitCode::from(USAGE);
+        }
+    };
+    if check {
+        println!("{file}: no faults");
+        return ExitCode::SUCCESS;
+    }
+    run(&settings)
+}
+
+fn read(file: &str) -> Result<settings::Settings, Vec<String>> {
+    let text = fs::read_to_string(file).map_err(|e| vec![format!("{file}: {e}")])?;
+    settings::read(file, &text).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+fn run(settings: &settings::Settings) -> ExitCode {
+    let signals = Signals::new([SIGTERM, SIGINT]);
+    let started = Node::start(settings);
+    match (signals, started) {
+        (Ok(mut signals), Ok(node)) => {
+            signals.forever().next();
+            node.stop();
+            ExitCode::SUCCESS
+        }
+        (Err(error), _) => fail(&error.to_string()),
+        (_, Err(error)) => fail(&error.to_string()),
+    }
+}
+
+fn usage(reason: &str) -> ExitCode {
+    eprintln!("baobabrelayd: {reason}; see --help");
+    ExitCode::from(USAGE)
+}
+
+fn fail(reason: &str) -> ExitCode {
+    eprintln!("baobabrelayd: {reason}");
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/fleet/src/control.rs
@@ -0,0 +1,448 @@
+//! The state machine that owns all control state of a node.
+//!
+//! Invariant *one door*: [`Control::apply`] is the only way to change it. It takes one event and
+//! the time, and returns what is to be done; it never waits. The node's control thread drives it
+//! with real sockets, tests and benches with a virtual clock.
+
+mod fleet;
+mod version;
+
+use model::{
+    config::{Snapshot, Version},
+    time::Time,
+};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    clock::{Clock, Now, Stamp},
+    fence::Fence,
+    member::{Record, State},
+    message::{Beat, Request, Response, Sender, Sync},
+    plan::{Epidemic, Plan},
+    probe::{self, Prober},
+    roster::Roster,
+    source::{self, Answer, Duty, Query, Role, Topic},
+    status,
+    timeline::{Event as Note, Kind, Ring},
+    view::View,
+};
+
+/// How long a pull of the configuration may take.
+const PULL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long an exchange of records may take.
+const SYNC_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Least time between two exchanges of records started by one node.
+const SYNC_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Least time between two rounds of unasked announcements of membership changes.
+const HOT_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Nodes to which a node announces that it leaves or stops.
+const FAREWELLS: usize = 8;
+
+/// Contacts that a starting node asks for records at once.
+const FIRST_CONTACTS: usize = 3;
+
+/// Settings of a [`Control`].
+pub struct Settings {
+    /// How this node begins: address, instance, service, data centre, incarnation.
+    pub own: Record,
+    /// Addresses of nodes to ask first; may be stale or empty.
+    pub contacts: Vec<SocketAddr>,
+    /// How long a starting node listens to peers before it turns to the platform.
+    pub join_wait: Duration,
+    /// Bound of the random time added to `join_wait`, so that a herd does not call at once.
+    pub start_jitter: Duration,
+    /// How new versions are passed on.
+    pub plan: Box<dyn Plan>,
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Product version told to operators.
+    pub product: String,
+}
+
+impl Settings {
+    /// Returns the usual settings for a node that begins as `own`.
+    pub fn new(own: Record) -> Self {
+        Settings {
+            own,
+            contacts: Vec::new(),
+            join_wait: Duration::from_millis(400),
+            start_jitter: Duration::from_millis(1_200),
+            plan: Box::new(Epidemic::default()),
+            seed: 0,
+            product: String::new(),
+        }
+    }
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed; comes every 50 to 100 ms.
+    Tick,
+    /// The process did not run for the given time.
+    Woke(Duration),
+    /// Another node asks; the reply is among the effects.
+    Asked(Request),
+    /// Another node's answer to a request of this node.
+    Answered(SocketAddr, Response),
+    /// A request to another node failed.
+    Lost(SocketAddr, Lost),
+    /// The platform's answer.
+    Source(Answer),
+    /// Something that traffic wants remembered.
+    Note(Kind),
+    /// The node is to take no more work.
+    Leave,
+    /// The node has finished its work and stops.
+    Stop,
+}
+
+/// A request that got no usable answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Lost {
+    /// Which kind of request.
+    pub asked: Asked,
+    /// What was wrong with the answer, if there was one.
+    pub malformed: Option<String>,
+}
+
+/// Kinds of requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Asked {
+    /// A beat.
+    Beat,
+    /// A pull.
+    Pull,
+    /// An exchange of records.
+    Sync,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// Send a request and report what comes of it.
+    Send(SocketAddr, Request, Duration),
+    /// Answer the request that this call of `apply` was about.
+    Reply(Response),
+    /// Call the platform and report what comes of it.
+    Read(Query),
+    /// Route by this configuration from now on.
+    InForce(Arc<Snapshot>),
+    /// Route to these upstreams from now on.
+    View(Arc<View>),
+    /// Take no more work.
+    Drain,
+}
+
+/// All control state of a node.
+pub struct Control {
+    settings: Settings,
+    clock: Clock,
+    ring: Ring,
+    random: SmallRng,
+    roster: Roster,
+    fence: Fence,
+    duty: Duty,
+    prober: Prober,
+    contacts: Vec<SocketAddr>,
+    listed: BTreeMap<SocketAddr, String>,
+    listing_revision: u64,
+    source_revision: u64,
+    stale_source: Option<u64>,
+    conflicts: BTreeSet<Version>,
+    offers: BTreeMap<SocketAddr, Version>,
+    pulling: Option<SocketAddr>,
+    settled_at: Time,
+    settled: bool,
+    sync_due: Time,
+    hot: bool,
+    hot_due: Time,
+    view_stale: bool,
+    effects: Vec<Effect>,
+}
+
+impl Control {
+    /// Creates the state of a starting node.
+    pub fn new(settings: Settings, now: Now) -> Self {
+        let mut random = SmallRng::seed_from_u64(settings.seed);
+        let begin = now.time + settings.join_wait;
+        let jitter = settings.start_jitter.mul_f64(random.random_range(0.0..1.0));
+        let roster = Roster::new(settings.own.clone(), now.time);
+        let contacts =
+            settings.contacts.iter().copied().filter(|&a| a != settings.own.address).collect();
+        let mut control = Control {
+            clock: Clock::default(),
+            ring: Ring::default(),
+            roster,
+            fence: Fence::default(),
+            duty: Duty::new(begin + jitter),
+            prober: Prober::new(begin),
+            contacts,
+            listed: BTreeMap::new(),
+            listing_revision: 0,
+            source_revision: 0,
+            stale_source: None,
+            conflicts: BTreeSet::new(),
+            offers: BTreeMap::new(),
+            pulling: None,
+            settled_at: begin,
+            settled: false,
+            sync_due: now.time,
+            hot: false,
+            hot_due: now.time,
+            view_stale: true,
+            effects: Vec::new(),
+            random,
+            settings,
+        };
+        let incarnation = control.roster.own().incarnation;
+        control.note(Kind::Started { incarnation }, now);
+        control.greet(now);
+        control
+    }
+
+    /// Takes one event into account and returns what is to be done, in order.
+    pub fn apply(&mut self, event: Event, now: Now) -> Vec<Effect> {
+        match event {
+            Event::Tick => self.tick(now),
+            Event::Woke(pause) => self.wake(pause, now),
+            Event::Asked(request) => self.answer(request, now),
+            Event::Answered(peer, response) => self.hear(peer, response, now),
+            Event::Lost(peer, lost) => self.lose(peer, lost, now),
+            Event::Source(answer) => self.hear_source(answer, now),
+            Event::Note(kind) => self.note(kind, now),
+            Event::Leave => self.leave(now),
+            Event::Stop => self.stop(now),
+        }
+        self.spread_news(now);
+        self.publish_view();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns the snapshot in force.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        self.fence.snapshot()
+    }
+
+    /// Returns the table of nodes.
+    pub fn roster(&self) -> &Roster {
+        &self.roster
+    }
+
+    /// Returns the events after `stamp`.
+    pub fn events_after(&self, stamp: Stamp) -> Vec<Note> {
+        self.ring.after(stamp)
+    }
+
+    /// Returns what operators are told.
+    pub fn status(&mut self, now: Now) -> status::Node {
+        let own = self.roster.own().clone();
+        let rejected = self.fence.rejected();
+        status::Node {
+            product: self.settings.product.clone(),
+            version: self.fence.version(),
+            stamp: self.clock.stamp(now),
+            rejected: rejected
+                .map(|r| status::Rejected { version: r.version, faults: r.faults.clone() })
+                .collect(),
+            reader_rank: self.rank(),
+            source_age_ms: self.duty.contact(now.time).map(|c| c.age_ms),
+            stale_source: self.stale_source,
+            members: self.roster.iter().map(member_status).collect(),
+            instance: own.instance,
+            address: own.address,
+            service: own.service,
+            data_centre: own.data_centre,
+            incarnation: own.incarnation,
+            state: own.state,
+        }
+    }
+
+    fn tick(&mut self, now: Now) {
+        if !self.settled && now.time >= self.settled_at {
+            self.settled = true;
+            self.pull(now);
+        }
+        for address in self.prober.overdue(&self.roster, now.time) {
+            self.judge(address, State::Unreachable, now);
+        }
+        let contacts = std::mem::take(&mut self.contacts);
+        let targets = self.prober.targets(&self.roster, &contacts, now.time, &mut self.random);
+        self.contacts = contacts;
+        for target in targets {
+            self.send_beat(target, now);
+        }
+        self.call_source(now);
+        self.roster.prune();
+    }
+
+    fn wake(&mut self, pause: Duration, now: Now) {
+        self.note(Kind::Paused { ms: pause.as_millis() as u64 }, now);
+        self.prober.wake(now.time);
+        // What was under way before the pause is void; its late answers are harmless, since the
+        // fence takes nothing old, but waiting for them would delay the refresh.
+        self.pulling = None;
+        let targets = self.roster.draw(FIRST_CONTACTS, &mut self.random, |r| r.state.takes_work());
+        for target in targets {
+            self.send_beat(target, now);
+        }
+    }
+
+    fn answer(&mut self, request: Request, now: Now) {
+        let response = match request {
+            Request::Beat(beat) => {
+                let sender = beat.from;
+                self.hear_beat(beat, now);
+                Response::Beat(self.beat_for(sender.address, now))
+            }
+            Request::Pull(pull) => Response::Pull(self.bundle(pull)),
+            Request::Sync(sync) => Response::Sync(self.exchange(sync, now)),
+        };
+        self.effects.push(Effect::Reply(response));
+    }
+
+    fn hear(&mut self, peer: SocketAddr, response: Response, now: Now) {
+        match response {
+            Response::Beat(beat) => {
+                self.prober.succeed();
+                self.hear_beat(beat, now);
+            }
+            Response::Pull(bundle) => self.hear_bundle(peer, bundle, now),
+            Response::Sync(sync) => self.hear_sync(peer, sync, now),
+        }
+    }
+
+    fn lose(&mut self, peer: SocketAddr, lost: Lost, now: Now) {
+        if let Some(reason) = lost.malformed {
+            self.note(Kind::BadMessage { peer, reason }, now);
+        }
+        match lost.asked {
+            Asked::Beat => self.suspect(peer, now),
+            Asked::Pull => self.abandon_pull(peer, now),
+            Asked::Sync => {}
+        }
+    }
+
+    /// Calls the platform if that is this node's duty now.
+    fn call_source(&mut self, now: Now) {
+        let wait = match self.duty.role(self.rank(), now.time) {
+            Role::Idle => return,
+            Role::Reader | Role::Standby => source::WATCH,
+        };
+        let held = self.fence.held();
+        if self.duty.begin(Topic::Config, now.time) {
+            // With nothing in force the call must not wait: an old revision is better than none.
+            let after = self.source_revision.max(held.unwrap_or(0));
+            let wait = if after == 0 { Duration::ZERO } else { wait };
+            self.effects.push(Effect::Read(Query::Config { base: held, after, wait }));
+        }
+        if self.duty.begin(Topic::List, now.time) {
+            let after = self.listing_revision;
+            let wait = if after == 0 { Duration::ZERO } else { wait };
+            self.effects.push(Effect::Read(Query::List { after, wait }));
+        }
+    }
+
+    /// Returns this node's place among the readers of its data centre.
+    fn rank(&self) -> usize {
+        let own = self.roster.own();
+        let near = |r: &&Record| r.data_centre == own.data_centre && r.state.takes_work();
+        source::rank(own.address, self.roster.others().filter(near).map(|r| r.address))
+    }
+
+    fn sender(&self) -> Sender {
+        let own = self.roster.own();
+        Sender { address: own.address, incarnation: own.incarnation }
+    }
+
+    fn beat(&mut self, now: Now) -> Beat {
+        Beat {
+            from: self.sender(),
+            stamp: self.clock.stamp(now),
+            version: self.fence.version(),
+            members: self.roster.digest(),
+            contact: self.duty.contact(now.time),
+            data_centre: self.roster.own().data_centre.clone(),
+            rumours: self.roster.take_rumours(),
+        }
+    }
+
+    /// Returns a beat that also tells `peer` what is believed of it, if that is not the best.
+    ///
+    /// Only the node itself can end a suspicion, so it must hear of it.
+    fn beat_for(&mut self, peer: SocketAddr, now: Now) -> Beat {
+        let mut beat = self.beat(now);
+        let believed = self.roster.get(peer).filter(|r| r.state != State::Live);
+        if let Some(record) = believed.filter(|r| !beat.rumours.contains(r)).cloned() {
+            beat.rumours.push(record);
+        }
+        beat
+    }
+
+    fn send_beat(&mut self, target: SocketAddr, now: Now) {
+        let beat = self.beat_for(target, now);
+        self.effects.push(Effect::Send(target, Request::Beat(beat), probe::TIMEOUT));
+    }
+
+    /// Asks a few contacts for their records and their version.
+    fn greet(&mut self, now: Now) {
+        use rand::seq::IndexedRandom;
+        let first: Vec<SocketAddr> =
+            self.contacts.sample(&mut self.random, FIRST_CONTACTS).copied().collect();
+        for contact in first {
+            self.send_sync(contact, Vec::new());
+            self.send_beat(contact, now);
+        }
+    }
+
+    fn send_sync(&mut self, target: SocketAddr, buckets: Vec<u64>) {
+        let records = vec![self.roster.own().clone()];
+        let sync = Sync { from: self.sender(), buckets, records };
+        self.effects.push(Effect::Send(target, Request::Sync(sync), SYNC_TIMEOUT));
+    }
+
+    /// Announces membership changes that others must know within a moment.
+    fn spread_news(&mut self, now: Now) {
+        if !self.hot || now.time < self.hot_due {
+            return;
+        }
+        self.hot = false;
+        self.hot_due = now.time + HOT_INTERVAL;
+        let weight = self.fence.snapshot().convergence_weight();
+        for target in self.plan_targets(0, weight) {
+            self.send_beat(target, now);
+        }
+    }
+
+    fn publish_view(&mut self) {
+        if std::mem::replace(&mut self.view_stale, false) {
+            let view = View::new(self.roster.iter(), &self.roster.own().data_centre);
+            self.effects.push(Effect::View(Arc::new(view)));
+        }
+    }
+
+    fn note(&mut self, kind: Kind, now: Now) {
+        let stamp = self.clock.stamp(now);
+        self.ring.push(Note { stamp, node: self.settings.own.instance.clone(), kind });
+    }
+}
+
+fn member_status(record: &Record) -> status::Member {
+    status::Member {
+        instance: record.instance.clone(),
+        address: record.address,
+        service: record.service.clone(),
+        data_centre: record.data_centre.clone(),
+        state: record.state,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/version.rs
@@ -0,0 +1,183 @@
+//! How versions of the configuration reach a node and leave it.
+
+use model::{config::Version, document::Set};
+use std::net::SocketAddr;
+
+use super::{Control, Effect, PULL_TIMEOUT};
+use crate::{
+    clock::Now,
+    fence::Verdict,
+    message::{Bundle, Pull, Request},
+    plan::Occasion,
+    source::{Answer, Failure, Topic},
+    timeline::Kind,
+};
+
+/// Most conflicting versions that are remembered, so that each is reported once.
+const CONFLICT_LIMIT: usize = 64;
+
+impl Control {
+    pub(super) fn hear_source(&mut self, answer: Answer, now: Now) {
+        match answer {
+            Answer::Config(delta) => {
+                self.succeed(Topic::Config, now);
+                self.note(Kind::Read { revision: delta.revision }, now);
+                self.source_revision = self.source_revision.max(delta.revision);
+                self.check_stale(delta.revision, now);
+                let set = self.fence.with(delta);
+                self.offer(set, None, now);
+            }
+            Answer::List(listing) => {
+                self.succeed(Topic::List, now);
+                self.hear_listing(listing, now);
+            }
+            Answer::Unchanged(topic, revision) => {
+                self.succeed(topic, now);
+                if topic == Topic::Config {
+                    self.check_stale(revision, now);
+                }
+            }
+            Answer::Failed(topic, failure) => {
+                if self.duty.fail(topic, now.time, &mut self.random) {
+                    self.note(Kind::SourceLost { reason: reason(failure) }, now);
+                }
+            }
+        }
+    }
+
+    /// Notes that `peer` holds `version`, and pulls it if it is newer.
+    pub(super) fn hear_version(&mut self, peer: SocketAddr, version: Version, now: Now) {
+        let held = self.fence.version();
+        if version.revision == held.revision && version.digest != held.digest {
+            self.report_conflict(version, now);
+        }
+        let refused = self.fence.rejected().any(|r| r.version == version);
+        if version.revision <= held.revision || refused {
+            return;
+        }
+        self.offers.insert(peer, version);
+        self.pull(now);
+    }
+
+    /// Pulls from the peer with the highest version, unless a pull is under way.
+    ///
+    /// A node that has just started first listens for a moment, so that it begins with the highest
+    /// version that its peers hold and not with that of the first to speak.
+    pub(super) fn pull(&mut self, _now: Now) {
+        let held = self.fence.held();
+        self.offers.retain(|_, version| Some(version.revision) > held);
+        if !self.settled || self.pulling.is_some() {
+            return;
+        }
+        let Some((&peer, _)) = self.offers.iter().max_by_key(|(_, version)| **version) else {
+            return;
+        };
+        self.send_pull(peer, held);
+    }
+
+    pub(super) fn bundle(&self, pull: Pull) -> Bundle {
+        Bundle { version: self.fence.version(), delta: self.fence.since(pull.have) }
+    }
+
+    pub(super) fn hear_bundle(&mut self, peer: SocketAddr, bundle: Bundle, now: Now) {
+        if self.pulling == Some(peer) {
+            self.pulling = None;
+        }
+        let full = bundle.delta.full;
+        let set = self.fence.with(bundle.delta);
+        if set.version() == bundle.version {
+            self.offers.remove(&peer);
+            self.offer(set, Some(peer), now);
+        } else if !full {
+            // The delta does not lead from what is held here to what the peer holds: it was made
+            // for a version that has been replaced since, or a removal was forgotten. The digest
+            // shows it, and nothing of it is kept.
+            cov_mark::hit!(delta_mismatch);
+            self.send_pull(peer, None);
+            return;
+        } else {
+            self.offers.remove(&peer);
+            let reason = "the documents do not have the announced digest".to_owned();
+            self.note(Kind::BadMessage { peer, reason }, now);
+        }
+        self.pull(now);
+    }
+
+    pub(super) fn abandon_pull(&mut self, peer: SocketAddr, now: Now) {
+        if self.pulling == Some(peer) {
+            self.pulling = None;
+        }
+        self.offers.remove(&peer);
+        self.pull(now);
+    }
+
+    pub(super) fn plan_targets(&mut self, revision: u64, weight: u32) -> Vec<SocketAddr> {
+        let occasion = Occasion { roster: &self.roster, revision, weight };
+        self.settings.plan.targets(&occasion, &mut self.random)
+    }
+
+    fn offer(&mut self, set: Set, from: Option<SocketAddr>, now: Now) {
+        match self.fence.offer(set) {
+            Verdict::InForce(snapshot) => {
+                let version = snapshot.version;
+                self.note(Kind::InForce { version, from }, now);
+                let weight = snapshot.convergence_weight();
+                self.effects.push(Effect::InForce(snapshot));
+                self.announce(version, weight, now);
+            }
+            Verdict::Rejected(rejection) => {
+                let kind = Kind::Rejected { version: rejection.version, faults: rejection.faults };
+                self.note(kind, now);
+            }
+            Verdict::Conflict(version) => self.report_conflict(version, now),
+            Verdict::NotNewer | Verdict::KnownBad => {}
+        }
+    }
+
+    fn announce(&mut self, version: Version, weight: u32, now: Now) {
+        let targets = self.plan_targets(version.revision, weight);
+        if targets.is_empty() {
+            return;
+        }
+        self.note(Kind::Announced { revision: version.revision, peers: targets.len() }, now);
+        for target in targets {
+            self.send_beat(target, now);
+        }
+    }
+
+    fn send_pull(&mut self, peer: SocketAddr, have: Option<u64>) {
+        self.pulling = Some(peer);
+        self.effects.push(Effect::Send(peer, Request::Pull(Pull { have }), PULL_TIMEOUT));
+    }
+
+    fn report_conflict(&mut self, offered: Version, now: Now) {
+        if self.conflicts.len() < CONFLICT_LIMIT && self.conflicts.insert(offered) {
+            let held = self.fence.version();
+            self.note(Kind::Conflict { held, offered }, now);
+        }
+    }
+
+    /// Reports, once, that the platform serves less than what is in force.
+    fn check_stale(&mut self, revision: u64, now: Now) {
+        let stale = Some(revision).filter(|&r| r < self.fence.version().revision);
+        if stale.is_some() && self.stale_source != stale {
+            self.note(Kind::SourceStale { revision }, now);
+        }
+        self.stale_source = stale;
+    }
+
+    fn succeed(&mut self, topic: Topic, now: Now) {
+        let rank = self.rank();
+        if self.duty.succeed(topic, rank, now.time) {
+            self.note(Kind::SourceBack, now);
+        }
+    }
+}
+
+fn reason(failure: Failure) -> String {
+    match failure {
+        Failure::Refused => "over its limit of reads".to_owned(),
+        Failure::Unreachable(reason) => reason,
+        Failure::Malformed(fault) => fault.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fence.rs
@@ -0,0 +1,125 @@
+//! The version fence: what is in force, and what may replace it.
+//!
+//! Invariant *never back*: [`Fence::offer`] is the only way into force and takes higher revisions
+//! only. A stale platform, a late message, a process woken from a pause or a peer that has just
+//! started can offer an old version; none can bring it into force.
+
+use model::{
+    config::{self, Snapshot, Version},
+    document::{Delta, Set},
+    fault::Fault,
+};
+use std::{collections::VecDeque, sync::Arc};
+
+/// Rejected versions that a node remembers.
+const REJECTED_LIMIT: usize = 16;
+
+/// A version that was refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Rejection {
+    /// Which.
+    pub version: Version,
+    /// Why.
+    pub faults: Vec<Fault>,
+}
+
+/// Answer to an offered version.
+#[derive(Clone, Debug)]
+pub enum Verdict {
+    /// It is in force from now on.
+    InForce(Arc<Snapshot>),
+    /// It is not newer than the one in force.
+    NotNewer,
+    /// It has the revision in force but another content.
+    Conflict(Version),
+    /// It is not acceptable; the former version stays in force.
+    Rejected(Rejection),
+    /// It was rejected before.
+    KnownBad,
+}
+
+/// The version in force and the versions refused.
+#[derive(Debug, Default)]
+pub struct Fence {
+    set: Set,
+    snapshot: Arc<Snapshot>,
+    rejected: VecDeque<Rejection>,
+}
+
+impl Fence {
+    /// Returns the version in force; revision 0 before there is one.
+    pub fn version(&self) -> Version {
+        self.snapshot.version
+    }
+
+    /// Returns the revision in force, or none before there is one.
+    pub fn held(&self) -> Option<u64> {
+        Some(self.version().revision).filter(|&revision| revision > 0)
+    }
+
+    /// Returns the snapshot in force.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        &self.snapshot
+    }
+
+    /// Iterates over the remembered rejections, oldest first.
+    pub fn rejected(&self) -> impl Iterator<Item = &Rejection> {
+        self.rejected.iter()
+    }
+
+    /// Returns what a holder of revision `have` lacks of the version in force.
+    pub fn since(&self, have: Option<u64>) -> Delta {
+        self.set.since(have)
+    }
+
+    /// Returns the set that `delta` leads to from the one in force.
+    pub fn with(&self, delta: Delta) -> Set {
+        self.set.with(delta)
+    }
+
+    /// Puts `set` into force if it is newer and acceptable as a whole.
+    ///
+    /// ```
+    /// use fleet::fence::{Fence, Verdict};
+    /// use model::document::{Delta, Set};
+    /// let at = |revision| Set::default().with(Delta { revision, full: true, ..Delta::default() });
+    /// let mut fence = Fence::default();
+    /// assert!(matches!(fence.offer(at(2)), Verdict::InForce(_)));
+    /// assert!(matches!(fence.offer(at(1)), Verdict::NotNewer));
+    /// ```
+    pub fn offer(&mut self, set: Set) -> Verdict {
+        let version = set.version();
+        let held = self.version();
+        if version.revision == held.revision && version.digest != held.digest && held.revision > 0 {
+            // Two sources disagree about one revision. Neither can be proved right, and taking
+            // the later one would move some nodes from one content to the other and back.
+            cov_mark::hit!(fence_conflict);
+            return Verdict::Conflict(version);
+        }
+        if version.revision <= held.revision {
+            cov_mark::hit!(fence_not_newer);
+            return Verdict::NotNewer;
+        }
+        if self.rejected.iter().any(|r| r.version == version) {
+            return Verdict::KnownBad;
+        }
+        match config::accept(&set) {
+            Ok(snapshot) => {
+                self.set = set;
+                self.snapshot = Arc::new(snapshot);
+                Verdict::InForce(self.snapshot.clone())
+            }
+            Err(faults) => Verdict::Rejected(self.reject(version, faults)),
+        }
+    }
+
+    fn reject(&mut self, version: Version, faults: Vec<Fault>) -> Rejection {
+        cov_mark::hit!(fence_rejects);
+        if self.rejected.len() == REJECTED_LIMIT {
+            self.rejected.pop_front();
+        }
+        let rejection = Rejection { version, faults };
+        self.rejected.push_back(rejection.clone());
+        rejection
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/message.rs
@@ -0,0 +1,100 @@
+//! Messages between nodes.
+//!
+//! Fields may be added; a receiver ignores those it does not know and gives those it misses their
+//! default, so that two product versions can run side by side during an upgrade. Field names are
+//! short because a beat is sent every second by every node.
+
+use model::{config::Version, document::Delta};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+use crate::{clock::Stamp, member::Record, source::Contact};
+
+/// Number of groups into which records are divided to find differences.
+pub const BUCKETS: usize = 32;
+
+/// Who speaks.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sender {
+    /// Its address for messages between nodes.
+    #[serde(rename = "a")]
+    pub address: SocketAddr,
+    /// Its present life.
+    #[serde(rename = "i")]
+    pub incarnation: u64,
+}
+
+/// Proof of life with a summary of what the sender holds; sent as probe, announcement and reply.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// Who speaks.
+    #[serde(rename = "f")]
+    pub from: Sender,
+    /// The sender's clock.
+    #[serde(rename = "c")]
+    pub stamp: Stamp,
+    /// Version in force at the sender.
+    #[serde(rename = "v")]
+    pub version: Version,
+    /// Digest of the sender's records.
+    #[serde(rename = "m")]
+    pub members: u64,
+    /// The freshest contact with the platform that the sender knows of in its data centre.
+    #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
+    pub contact: Option<Contact>,
+    /// The sender's data centre, to which `contact` belongs.
+    #[serde(default, rename = "d")]
+    pub data_centre: String,
+    /// Records that changed lately.
+    #[serde(default, rename = "r", skip_serializing_if = "Vec::is_empty")]
+    pub rumours: Vec<Record>,
+}
+
+/// Asks for the version in force.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Pull {
+    /// Revision that the asker holds; none asks for every document.
+    pub have: Option<u64>,
+}
+
+/// The version in force at the replier.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Bundle {
+    /// Version that the delta leads to.
+    pub version: Version,
+    /// What the asker lacks.
+    pub delta: Delta,
+}
+
+/// Exchanges records: digests per bucket and those records that the other side may lack.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Sync {
+    /// Who speaks.
+    pub from: Sender,
+    /// Digests of the sender's records per bucket; empty asks for all.
+    pub buckets: Vec<u64>,
+    /// Records for the receiver.
+    pub records: Vec<Record>,
+}
+
+/// What one node asks of another.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Request {
+    /// Probe or announcement.
+    Beat(Beat),
+    /// Asks for the configuration.
+    Pull(Pull),
+    /// Exchanges records.
+    Sync(Sync),
+}
+
+/// Answer to a [`Request`] of the same name.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Response {
+    /// Answer to a probe or announcement.
+    Beat(Beat),
+    /// The configuration.
+    Pull(Bundle),
+    /// Records.
+    Sync(Sync),
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,103 @@
+//! To whom a node passes on a version that is new to it.
+//!
+//! Three ways were weighed on convergence time and control bytes; see docs/SPREADING.md for their
+//! figures. All three rest on the beats: a node that missed an announcement finds out from the
+//! version in the next beat.
+
+use rand::rngs::SmallRng;
+use std::net::SocketAddr;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    member::{Record, State},
+    roster::Roster,
+};
+
+/// What a plan may look at.
+pub struct Occasion<'a> {
+    /// All known nodes.
+    pub roster: &'a Roster,
+    /// Revision that is new here.
+    pub revision: u64,
+    /// Weight of convergence time against control bytes, in %.
+    pub weight: u32,
+}
+
+/// A way of passing on a new version.
+pub trait Plan: Send {
+    /// Returns the nodes to announce the version to.
+    fn targets(&self, occasion: &Occasion<'_>, random: &mut SmallRng) -> Vec<SocketAddr>;
+}
+
+/// Announces to random nodes, most of them in the own data centre.
+///
+/// Every node that hears of a version for the first time does the same, so that no single node's
+/// death can cut off a part of the fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct Epidemic {
+    /// Targets in the own data centre at weight 0.
+    pub near_least: usize,
+    /// Targets in the own data centre at weight 100.
+    pub near_most: usize,
+    /// Targets in other data centres.
+    pub far: usize,
+}
+
+impl Default for Epidemic {
+    fn default() -> Self {
+        Epidemic { near_least: 2, near_most: 6, far: 1 }
+    }
+}
+
+impl Plan for Epidemic {
+    fn targets(&self, occasion: &Occasion<'_>, random: &mut SmallRng) -> Vec<SocketAddr> {
+        let own = &occasion.roster.own().data_centre;
+        let span = self.near_most - self.near_least;
+        let near = self.near_least + span * occasion.weight.min(100) as usize / 100;
+        let is_near = |r: &Record| r.state != State::Gone && &r.data_centre == own;
+        let is_far = |r: &Record| r.state.takes_work() && &r.data_centre != own;
+        let mut targets = occasion.roster.draw(near, random, is_near);
+        targets.extend(occasion.roster.draw(self.far, random, is_far));
+        targets
+    }
+}
+
+/// Announces to the children in a tree over all nodes, ordered by a hash of address and revision.
+#[derive(Clone, Copy, Debug)]
+pub struct Tree {
+    /// Children of each node.
+    pub arity: usize,
+}
+
+impl Default for Tree {
+    fn default() -> Self {
+        Tree { arity: 4 }
+    }
+}
+
+impl Plan for Tree {
+    fn targets(&self, occasion: &Occasion<'_>, _random: &mut SmallRng) -> Vec<SocketAddr> {
+        let live = occasion.roster.iter().filter(|r| r.state.takes_work());
+        let mut order: Vec<(u64, SocketAddr)> =
+            live.map(|r| (order_of(r.address, occasion.revision), r.address)).collect();
+        order.sort();
+        let own = occasion.roster.own().address;
+        let place = order.iter().position(|&(_, address)| address == own).unwrap_or(0);
+        let first = place * self.arity + 1;
+        order.iter().skip(first).take(self.arity).map(|&(_, address)| address).collect()
+    }
+}
+
+/// Announces to nobody: others find the version in the next beat.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pull;
+
+impl Plan for Pull {
+    fn targets(&self, _occasion: &Occasion<'_>, _random: &mut SmallRng) -> Vec<SocketAddr> {
+        Vec::new()
+    }
+}
+
+fn order_of(address: SocketAddr, revision: u64) -> u64 {
+    xxh3_64(format!("{address}/{revision}").as_bytes())
+}
--- /dev/null
+++ b/crates/fleet/src/source.rs
@@ -0,0 +1,263 @@
+//! Who reads the platform, and when.
+//!
+//! The platform serves about two thousand reads a second, and that grows more slowly than the
+//! fleet. In each data centre the two nodes that come first in a rendezvous order read; the others
+//! learn from peers. There is no election: each node computes the order from its own table, and a
+//! disagreement costs one more reader. A node further down steps in once no contact with the
+//! platform has been heard of for a time that grows with its rank, so that a lost reader is
+//! replaced by one node and not by all.
+
+use model::{document::Delta, fault::Fault, time::Time};
+use rand::{RngExt, rngs::SmallRng};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Nodes per data centre that read the platform.
+pub const READERS: usize = 2;
+
+/// How long a watch waits at the platform for news.
+pub const WATCH: Duration = Duration::from_secs(8);
+
+/// Age of the freshest known contact after which the first node that is not a reader steps in.
+const SILENCE: Duration = Duration::from_secs(13);
+
+/// Added to [`SILENCE`] for each further place in the order.
+const SILENCE_STEP: Duration = Duration::from_millis(500);
+
+/// Most places that are counted for [`SILENCE_STEP`].
+const SILENCE_PLACES: u32 = 40;
+
+/// First upper bound of the random pause after a failed call; doubled up to [`BACKOFF_MOST`].
+const BACKOFF_LEAST: Duration = Duration::from_millis(500);
+
+/// Upper bound of the random pause after failed calls.
+const BACKOFF_MOST: Duration = Duration::from_secs(30);
+
+/// A contact of a data centre with the platform.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Contact {
+    /// Time since the platform answered, in ms.
+    #[serde(rename = "g")]
+    pub age_ms: u64,
+    /// Place of the node that it answered, in the order of readers.
+    #[serde(rename = "k")]
+    pub rank: usize,
+}
+
+/// A call to the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Query {
+    /// Documents since revision `base` (none: all), once the revision exceeds `after`.
+    Config {
+        /// Revision whose documents the asker holds.
+        base: Option<u64>,
+        /// Revision that the answer must exceed for a waiting call to return.
+        after: u64,
+        /// How long the platform may hold the call.
+        wait: Duration,
+    },
+    /// The list of instances, once its revision exceeds `after`.
+    List {
+        /// Revision that the answer must exceed for a waiting call to return.
+        after: u64,
+        /// How long the platform may hold the call.
+        wait: Duration,
+    },
+}
+
+/// Which of the platform's two values a call is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// The configuration.
+    Config,
+    /// The list of instances.
+    List,
+}
+
+/// An instance in the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Instance {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Address of its node for messages between nodes.
+    pub address: SocketAddr,
+    /// Whether the platform means to stop it.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The platform's list of instances.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Listing {
+    /// Revision of the list.
+    pub revision: u64,
+    /// Live and leaving instances.
+    pub instances: Vec<Instance>,
+}
+
+/// What came of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// New documents.
+    Config(Delta),
+    /// A new list.
+    List(Listing),
+    /// Nothing newer; the platform's present revision.
+    Unchanged(Topic, u64),
+    /// No usable answer.
+    Failed(Topic, Failure),
+}
+
+/// Why a call gave no usable answer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Failure {
+    /// The platform is over its limit of reads.
+    Refused,
+    /// The platform was not reached or did not answer in time.
+    Unreachable(String),
+    /// The answer could not be understood.
+    Malformed(Fault),
+}
+
+/// When the next call on one topic is due, and whether one is under way.
+#[derive(Clone, Copy, Debug)]
+struct Line {
+    busy: bool,
+    due: Time,
+    failures: u32,
+}
+
+/// Duty of one node towards the platform.
+#[derive(Debug)]
+pub struct Duty {
+    config: Line,
+    list: Line,
+    contact: Option<Seen>,
+    own_failing: bool,
+}
+
+/// A contact and when it was.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Time,
+    rank: usize,
+}
+
+/// Why a node calls the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// It is a reader and watches.
+    Reader,
+    /// It steps in for readers that are not heard of.
+    Standby,
+    /// It does not call.
+    Idle,
+}
+
+impl Duty {
+    /// Creates the duty of a node that calls no earlier than `begin`.
+    pub fn new(begin: Time) -> Self {
+        let line = Line { busy: false, due: begin, failures: 0 };
+        Duty { config: line, list: line, contact: None, own_failing: false }
+    }
+
+    /// Returns the role of a node at place `rank` of its data centre's order.
+    pub fn role(&self, rank: usize, now: Time) -> Role {
+        if rank < READERS {
+            return Role::Reader;
+        }
+        let place = (rank - READERS).min(SILENCE_PLACES as usize) as u32;
+        let limit = SILENCE + SILENCE_STEP * place;
+        let fresh_from_before =
+            self.contact.is_some_and(|seen| seen.rank < rank && now.since(seen.at) < limit);
+        if fresh_from_before || now < Time::default() + limit {
+            Role::Idle
+        } else {
+            cov_mark::hit!(standby_steps_in);
+            Role::Standby
+        }
+    }
+
+    /// Tells whether a call on `topic` should be made now, and marks it as under way.
+    pub fn begin(&mut self, topic: Topic, now: Time) -> bool {
+        let line = self.line(topic);
+        if line.busy || now < line.due {
+            return false;
+        }
+        line.busy = true;
+        true
+    }
+
+    /// Notes a usable answer on `topic` to this node at place `rank`.
+    ///
+    /// Returns whether the platform was lost before.
+    pub fn succeed(&mut self, topic: Topic, rank: usize, now: Time) -> bool {
+        *self.line(topic) = Line { busy: false, due: now, failures: 0 };
+        self.contact = Some(Seen { at: now, rank });
+        std::mem::replace(&mut self.own_failing, false)
+    }
+
+    /// Notes a failed call; the next one waits for a random time up to a doubling bound.
+    ///
+    /// Without the randomness, nodes that failed together would come back together.
+    /// Returns whether this is the first failure in a row.
+    pub fn fail(&mut self, topic: Topic, now: Time, random: &mut SmallRng) -> bool {
+        let line = self.line(topic);
+        let bound = (BACKOFF_LEAST * 2u32.pow(line.failures.min(10))).min(BACKOFF_MOST);
+        line.failures += 1;
+        line.busy = false;
+        line.due = now + bound.mul_f64(random.random_range(0.1..1.0));
+        !std::mem::replace(&mut self.own_failing, true)
+    }
+
+    /// Takes note of a contact that another node of the data centre knows of.
+    ///
+    /// Of two fresh contacts the one by the earlier place counts, so that a standby notices that
+    /// the readers are back; otherwise the later one.
+    pub fn hear(&mut self, contact: Contact, now: Time) {
+        let age = Duration::from_millis(contact.age_ms);
+        let heard = Seen {
+            at: Time::at(now.since(Time::default()).saturating_sub(age)),
+            rank: contact.rank,
+        };
+        let replaces = match self.contact {
+            None => true,
+            Some(own) => {
+                let fresh = |seen: Seen| now.since(seen.at) < SILENCE;
+                match (fresh(own), fresh(heard)) {
+                    (true, true) if own.rank != heard.rank => heard.rank < own.rank,
+                    _ => heard.at > own.at,
+                }
+            }
+        };
+        if replaces && age < now.since(Time::default()) {
+            self.contact = Some(heard);
+        }
+    }
+
+    /// Returns the contact that this node tells others.
+    pub fn contact(&self, now: Time) -> Option<Contact> {
+        let seen = self.contact?;
+        Some(Contact { age_ms: now.since(seen.at).as_millis() as u64, rank: seen.rank })
+    }
+
+    fn line(&mut self, topic: Topic) -> &mut Line {
+        match topic {
+            Topic::Config => &mut self.config,
+            Topic::List => &mut self.list,
+        }
+    }
+}
+
+/// Returns the place of `own` in the rendezvous order of `peers` and itself; 0 comes first.
+///
+/// ```
+/// let own = "127.0.0.1:1".parse().unwrap();
+/// assert_eq!(fleet::source::rank(own, std::iter::empty()), 0);
+/// ```
+pub fn rank(own: SocketAddr, peers: impl Iterator<Item = SocketAddr>) -> usize {
+    let weight = |address: SocketAddr| (xxh3_64(address.to_string().as_bytes()), address);
+    let mine = weight(own);
+    peers.filter(|&peer| weight(peer) > mine).count()
+}
--- /dev/null
+++ b/crates/fleet/src/status.rs
@@ -0,0 +1,75 @@
+//! What a node tells operators about itself.
+
+use model::{config::Version, fault::Fault};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+use crate::{clock::Stamp, member::State};
+
+/// State of one node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Node {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Address for messages between nodes.
+    pub address: SocketAddr,
+    /// Service of its upstream.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Life of the process.
+    pub incarnation: u64,
+    /// Product version.
+    pub product: String,
+    /// Its own standing.
+    pub state: State,
+    /// Version in force.
+    pub version: Version,
+    /// Its clock.
+    pub stamp: Stamp,
+    /// Versions it refused, oldest first.
+    pub rejected: Vec<Rejected>,
+    /// Place in the order of the data centre's readers; the first two read the platform.
+    pub reader_rank: usize,
+    /// Age of the freshest contact with the platform known in its data centre, in ms.
+    pub source_age_ms: Option<u64>,
+    /// Revision that the platform served last to this node, if that was below the one in force.
+    pub stale_source: Option<u64>,
+    /// The nodes it knows, itself included.
+    pub members: Vec<Member>,
+}
+
+/// A refused version.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Rejected {
+    /// Which.
+    pub version: Version,
+    /// Why.
+    pub faults: Vec<Fault>,
+}
+
+/// A node as another one sees it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Member {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Address for messages between nodes.
+    pub address: SocketAddr,
+    /// Service of its upstream.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its standing.
+    pub state: State,
+}
+
+/// State of a fleet as one node could gather it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Fleet {
+    /// The asked node.
+    pub node: Node,
+    /// Nodes that answered, the asked one included.
+    pub answered: Vec<Node>,
+    /// Known nodes that did not answer.
+    pub silent: Vec<Member>,
+}
--- /dev/null
+++ b/crates/model/src/config.rs
@@ -0,0 +1,178 @@
+//! A configuration version and the snapshot that is in force.
+//!
+//! Invariant *whole or nothing*: a [`Snapshot`] is built by [`accept`] from every document of a
+//! revision or not at all; no code changes one afterwards.
+
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, fmt};
+
+use crate::{
+    arena::{Arena, Key},
+    document::{COUNT_LIMIT, DOCUMENT_LIMIT, Document, SET_LIMIT, Set},
+    fault::Fault,
+    profile::{self, Profile},
+    read,
+    service::{self, Service},
+};
+
+/// Prefix of the keys that hold profiles.
+pub const PROFILES: &str = "profiles/";
+
+/// Prefix of the keys that hold services.
+pub const SERVICES: &str = "services/";
+
+/// Most faults reported for one version; more would not help an operator and would cost memory.
+const FAULT_LIMIT: usize = 32;
+
+/// Name of one state of the configuration.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Version {
+    /// The platform's revision; 0 before any configuration is in force.
+    pub revision: u64,
+    /// Digest of all documents of that revision.
+    pub digest: crate::document::Digest,
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.revision, &self.digest.to_string()[..8])
+    }
+}
+
+/// A checked, immutable configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The version it was built from.
+    pub version: Version,
+    profiles: Arena<Profile>,
+    services: Arena<Service>,
+    by_name: HashMap<String, Key<Service>>,
+}
+
+impl Snapshot {
+    /// Finds a service by name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.by_name.get(name).map(|&key| self.services.get(key))
+    }
+
+    /// Returns the profile that `service` runs under.
+    pub fn profile(&self, service: &Service) -> &Profile {
+        self.profiles.get(service.profile)
+    }
+
+    /// Iterates over all services.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.services.iter().map(|(_, service)| service)
+    }
+
+    /// Returns the largest weight of convergence time against bytes of any profile in use.
+    pub fn convergence_weight(&self) -> u32 {
+        self.services().map(|s| self.profile(s).convergence_weight).max().unwrap_or(100)
+    }
+}
+
+/// Builds the snapshot of `set`, or returns every reason (at most 32) why it is refused.
+///
+/// The same documents give the same answer on every node.
+///
+/// ```
+/// use model::{config, document::Set};
+/// let snapshot = config::accept(&Set::default()).unwrap();
+/// assert_eq!(snapshot.services().count(), 0);
+/// ```
+pub fn accept(set: &Set) -> Result<Snapshot, Vec<Fault>> {
+    let mut faults = check_sizes(set);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let mut snapshot = Snapshot { version: set.version(), ..Snapshot::default() };
+    let profiles = add_profiles(set, &mut snapshot, &mut faults);
+    add_services(set, &profiles, &mut snapshot, &mut faults);
+    for document in set.iter().filter(|d| !is_known(&d.key)) {
+        faults.push(Fault::new(
+            &document.key,
+            "",
+            "the key is neither profiles/NAME nor services/NAME",
+        ));
+    }
+    if faults.is_empty() {
+        return Ok(snapshot);
+    }
+    faults.truncate(FAULT_LIMIT);
+    Err(faults)
+}
+
+fn check_sizes(set: &Set) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    if set.iter().count() > COUNT_LIMIT {
+        faults.push(Fault::new("", "", format!("more than {COUNT_LIMIT} documents")));
+    }
+    if set.bytes() > SET_LIMIT {
+        faults.push(Fault::new("", "", format!("all documents together exceed {SET_LIMIT} bytes")));
+    }
+    for document in set.iter().filter(|d| d.text.len() > DOCUMENT_LIMIT) {
+        faults.push(Fault::new(&document.key, "", format!("exceeds {DOCUMENT_LIMIT} bytes")));
+    }
+    faults
+}
+
+fn add_profiles<'a>(
+    set: &'a Set,
+    snapshot: &mut Snapshot,
+    faults: &mut Vec<Fault>,
+) -> HashMap<&'a str, Key<Profile>> {
+    let mut keys = HashMap::new();
+    for (name, document) in named(set, PROFILES) {
+        check_name(name, document, faults);
+        let profile = profile::read(&document.key, name, &document.text, faults);
+        keys.insert(name, snapshot.profiles.insert(profile));
+    }
+    keys
+}
+
+fn add_services(
+    set: &Set,
+    profiles: &HashMap<&str, Key<Profile>>,
+    snapshot: &mut Snapshot,
+    faults: &mut Vec<Fault>,
+) {
+    for (name, document) in named(set, SERVICES) {
+        check_name(name, document, faults);
+        let before = faults.len();
+        let wanted = service::read(&document.key, &document.text, faults);
+        match profiles.get(wanted.as_str()) {
+            Some(&profile) => {
+                let key = snapshot.services.insert(Service { name: name.to_owned(), profile });
+                snapshot.by_name.insert(name.to_owned(), key);
+            }
+            // A reference to a profile that this revision does not hold: documents crossed on the
+            // way, or a misspelling. Applying the rest would leave a route without its target.
+            None if faults.len() == before => {
+                cov_mark::hit!(dangling_profile);
+                let reason = format!("names the profile \"{wanted}\", which does not exist");
+                faults.push(Fault::new(&document.key, "/profile", reason));
+            }
+            None => {}
+        }
+    }
+}
+
+fn named<'a>(set: &'a Set, prefix: &'static str) -> impl Iterator<Item = (&'a str, &'a Document)> {
+    set.iter().filter_map(move |d| d.key.strip_prefix(prefix).map(|name| (name, d)))
+}
+
+fn check_name(name: &str, document: &Document, faults: &mut Vec<Fault>) {
+    if !read::is_name(name) {
+        faults.push(Fault::new(
+            &document.key,
+            "",
+            "the key's name must be 1 to 63 of a-z, 0-9 and -",
+        ));
+    }
+}
+
+fn is_known(key: &str) -> bool {
+    key.starts_with(PROFILES) || key.starts_with(SERVICES)
+}
--- /dev/null
+++ b/crates/model/src/document.rs
@@ -0,0 +1,179 @@
+//! The documents of one revision, as the platform holds them.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use crate::config::Version;
+
+/// Largest document, in bytes; the platform holds no larger value.
+pub const DOCUMENT_LIMIT: usize = 1 << 20;
+
+/// Largest sum of all documents, in bytes; keeps a node's control memory within its bound while
+/// the old set, the new set and a message that carries it exist at once.
+pub const SET_LIMIT: usize = 4 << 20;
+
+/// Most documents in one revision.
+pub const COUNT_LIMIT: usize = 4_096;
+
+/// Most removals that a set remembers for deltas.
+const REMOVED_LIMIT: usize = 256;
+
+/// The first 16 bytes of a SHA-256 hash; equal digests mean equal documents.
+#[derive(Clone, Copy, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Digest([u8; 16]);
+
+impl Digest {
+    /// Hashes `parts`, each preceded by its length so that their borders count.
+    pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hasher = Sha256::new();
+        for part in parts {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&hasher.finalize()[..16]);
+        Digest(bytes)
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|b| write!(f, "{b:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{self}")
+    }
+}
+
+impl From<Digest> for String {
+    fn from(digest: Digest) -> Self {
+        digest.to_string()
+    }
+}
+
+impl TryFrom<String> for Digest {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        if text.len() != 32 || !text.is_ascii() {
+            return Err("a digest is 32 hexadecimal digits".to_owned());
+        }
+        let mut bytes = [0; 16];
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|e| e.to_string())?;
+        }
+        Ok(Digest(bytes))
+    }
+}
+
+/// One value of the platform.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Document {
+    /// Key on the platform, such as `profiles/posting`.
+    pub key: String,
+    /// Revision at which it was last written.
+    pub modified: u64,
+    /// Its text; shared, since the old and the new set hold mostly the same documents.
+    pub text: Arc<str>,
+}
+
+/// A removed document.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Removal {
+    /// Key of the removed document.
+    pub key: String,
+    /// Revision at or before which it was gone.
+    pub revision: u64,
+}
+
+/// What turns one set of documents into another.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Delta {
+    /// Revision that it leads to.
+    pub revision: u64,
+    /// Whether it starts from nothing instead of from the receiver's set.
+    pub full: bool,
+    /// Documents written since the receiver's revision, or all.
+    pub documents: Vec<Document>,
+    /// Documents removed since the receiver's revision.
+    pub removed: Vec<Removal>,
+}
+
+/// All documents of one revision.
+#[derive(Clone, Debug, Default)]
+pub struct Set {
+    revision: u64,
+    documents: BTreeMap<String, Document>,
+    removed: Vec<Removal>,
+}
+
+impl Set {
+    /// Returns the version: the revision and the digest of all documents.
+    pub fn version(&self) -> Version {
+        let parts = self.documents.values().flat_map(|d| [d.key.as_bytes(), d.text.as_bytes()]);
+        Version { revision: self.revision, digest: Digest::of(parts) }
+    }
+
+    /// Iterates over the documents in order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = &Document> {
+        self.documents.values()
+    }
+
+    /// Returns the sum of all texts, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.documents.values().map(|d| d.text.len()).sum()
+    }
+
+    /// Returns this set with `delta` applied; the caller checks the result's version.
+    ///
+    /// ```
+    /// use model::document::{Delta, Set};
+    /// let next = Set::default().with(Delta { revision: 7, full: true, ..Delta::default() });
+    /// assert_eq!(next.version().revision, 7);
+    /// ```
+    pub fn with(&self, delta: Delta) -> Set {
+        let mut next = if delta.full { Set::default() } else { self.clone() };
+        for removal in &delta.removed {
+            next.documents.remove(&removal.key);
+        }
+        for document in delta.documents {
+            next.documents.insert(document.key.clone(), document);
+        }
+        next.revision = delta.revision;
+        next.removed = self.removals_of(&next, delta.removed);
+        next
+    }
+
+    /// Returns what a holder of revision `have` lacks; `None` asks for everything.
+    pub fn since(&self, have: Option<u64>) -> Delta {
+        let base = have.unwrap_or(0);
+        let newer = |d: &&Document| have.is_none() || d.modified > base;
+        Delta {
+            revision: self.revision,
+            full: have.is_none(),
+            documents: self.documents.values().filter(newer).cloned().collect(),
+            removed: self.removed.iter().filter(|r| r.revision > base).cloned().collect(),
+        }
+    }
+
+    /// Collects the removals that `next` should remember: those told and those seen.
+    fn removals_of(&self, next: &Set, told: Vec<Removal>) -> Vec<Removal> {
+        let mut removed = self.removed.clone();
+        let gone = self.documents.keys().filter(|key| !next.documents.contains_key(*key));
+        removed.extend(gone.map(|key| Removal { key: key.clone(), revision: next.revision }));
+        for removal in told {
+            if !removed.iter().any(|r| r.key == removal.key && r.revision >= removal.revision) {
+                removed.push(removal);
+            }
+        }
+        removed.retain(|r| !next.documents.contains_key(&r.key));
+        let surplus = removed.len().saturating_sub(REMOVED_LIMIT);
+        removed.drain(..surplus);
+        removed
+    }
+}
--- /dev/null
+++ b/crates/model/src/read.rs
@@ -0,0 +1,193 @@
+//! Reading typed fields out of a JSON object while collecting every fault.
+//!
+//! `serde`'s derive stops at the first error. Operators fix a document faster when all of its
+//! faults are listed at once, so fields are taken one by one and faults are gathered on the way.
+//! Fields that nobody takes are faults too: a misspelt optional field would otherwise silently
+//! leave its default in force.
+
+use serde_json::{Map, Value};
+use std::ops::RangeInclusive;
+
+use crate::{fault::Fault, strict};
+
+/// The longest name of a profile, service, data centre or region, in bytes.
+pub const NAME_LIMIT: usize = 63;
+
+/// An object being read; fields are removed as they are taken.
+pub struct Object<'a> {
+    document: &'a str,
+    pointer: String,
+    fields: Map<String, Value>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> Object<'a> {
+    /// Starts reading `value`, which should be an object; any other value is one fault.
+    pub fn new(document: &'a str, pointer: &str, value: Value, faults: &'a mut Vec<Fault>) -> Self {
+        let fields = match value {
+            Value::Object(fields) => fields,
+            other => {
+                let reason = format!("must be an object, not {}", kind(&other));
+                faults.push(Fault::new(document, pointer, reason));
+                Map::new()
+            }
+        };
+        Object { document, pointer: pointer.to_owned(), fields, faults }
+    }
+
+    /// Takes a whole number within `range`, or `default` where the field is absent.
+    pub fn number(&mut self, name: &str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        let Some(value) = self.fields.remove(name) else { return default };
+        match value.as_u64() {
+            Some(number) if range.contains(&number) => number,
+            _ => {
+                let (low, high) = (range.start(), range.end());
+                self.fault(
+                    name,
+                    format!("must be a whole number from {low} to {high}, not {value}"),
+                );
+                default
+            }
+        }
+    }
+
+    /// Takes a boolean, or `default` where the field is absent.
+    pub fn flag(&mut self, name: &str, default: bool) -> bool {
+        match self.fields.remove(name) {
+            None => default,
+            Some(Value::Bool(value)) => value,
+            Some(other) => {
+                self.fault(name, format!("must be true or false, not {}", kind(&other)));
+                default
+            }
+        }
+    }
+
+    /// Takes a required string that `valid` accepts; `shape` describes what is accepted.
+    pub fn text(&mut self, name: &str, shape: &str, valid: impl Fn(&str) -> bool) -> String {
+        match self.fields.remove(name) {
+            Some(Value::String(text)) if valid(&text) => return text,
+            Some(other) => self.fault(name, format!("must be {shape}, not {other}")),
+            None => self.fault(name, format!("is missing; it must be {shape}")),
+        }
+        String::new()
+    }
+
+    /// Takes a string that `valid` accepts, or nothing where the field is absent.
+    pub fn optional_text(
+        &mut self,
+        name: &str,
+        shape: &str,
+        valid: impl Fn(&str) -> bool,
+    ) -> Option<String> {
+        self.fields.contains_key(name).then(|| self.text(name, shape, valid))
+    }
+
+    /// Takes a required name, see [`is_name`].
+    pub fn name(&mut self, name: &str) -> String {
+        self.text(name, "a name (1 to 63 of a-z, 0-9 and -)", is_name)
+    }
+
+    /// Takes a list of strings that `valid` accepts, or `default` where the field is absent.
+    pub fn texts(
+        &mut self,
+        name: &str,
+        shape: &str,
+        valid: impl Fn(&str) -> bool,
+        default: &[&str],
+    ) -> Vec<String> {
+        let Some(items) = self.items(name) else {
+            return default.iter().map(|&text| text.to_owned()).collect();
+        };
+        let mut texts = Vec::new();
+        for (i, item) in items.into_iter().enumerate() {
+            match item {
+                Value::String(text) if valid(&text) => texts.push(text),
+                other => {
+                    self.fault(&format!("{name}/{i}"), format!("must be {shape}, not {other}"))
+                }
+            }
+        }
+        texts
+    }
+
+    /// Takes a list of objects and reads each with `each`; absent means empty.
+    pub fn objects<T>(
+        &mut self,
+        name: &str,
+        limit: usize,
+        mut each: impl FnMut(&mut Object<'_>) -> T,
+    ) -> Vec<T> {
+        let items = self.items(name).unwrap_or_default();
+        if items.len() > limit {
+            self.fault(name, format!("holds {} items, more than {limit}", items.len()));
+            return Vec::new();
+        }
+        let base = strict::join(&self.pointer, name);
+        let mut values = Vec::new();
+        for (i, item) in items.into_iter().enumerate() {
+            let pointer = strict::join(&base, &i.to_string());
+            let mut object = Object::new(self.document, &pointer, item, self.faults);
+            values.push(each(&mut object));
+            object.finish();
+        }
+        values
+    }
+
+    /// Takes an object and reads it with `each`; absent reads an empty object, so that its
+    /// required fields are reported one by one.
+    pub fn object<T>(&mut self, name: &str, each: impl FnOnce(&mut Object<'_>) -> T) -> T {
+        let value = self.fields.remove(name).unwrap_or_else(|| Value::Object(Map::new()));
+        let pointer = strict::join(&self.pointer, name);
+        let mut object = Object::new(self.document, &pointer, value, self.faults);
+        let result = each(&mut object);
+        object.finish();
+        result
+    }
+
+    /// Adds a fault at the field `name`.
+    pub fn fault(&mut self, name: &str, reason: impl Into<String>) {
+        let pointer = format!("{}/{name}", self.pointer);
+        self.faults.push(Fault::new(self.document, pointer, reason));
+    }
+
+    /// Reports every field that was not taken.
+    pub fn finish(&mut self) {
+        for name in std::mem::take(&mut self.fields).keys() {
+            let pointer = strict::join(&self.pointer, name);
+            self.faults.push(Fault::new(self.document, pointer, "is not a known field"));
+        }
+    }
+
+    fn items(&mut self, name: &str) -> Option<Vec<Value>> {
+        match self.fields.remove(name)? {
+            Value::Array(items) => Some(items),
+            other => {
+                self.fault(name, format!("must be a list, not {}", kind(&other)));
+                Some(Vec::new())
+            }
+        }
+    }
+}
+
+/// Tells whether `text` is a name: 1 to 63 of `a-z`, `0-9` and `-`.
+///
+/// ```
+/// assert!(model::read::is_name("ktm-a"));
+/// assert!(!model::read::is_name("Ktm A"));
+/// ```
+pub fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-';
+    !text.is_empty() && text.len() <= NAME_LIMIT && text.bytes().all(allowed)
+}
+
+fn kind(value: &Value) -> &'static str {
+    match value {
+        Value::Null => "null",
+        Value::Bool(_) => "a boolean",
+        Value::Number(_) => "a number",
+        Value::String(_) => "a string",
+        Value::Array(_) => "a list",
+        Value::Object(_) => "an object",
+    }
+}
--- /dev/null
+++ b/crates/node/src/control.rs
@@ -0,0 +1,276 @@
+//! The control thread and its link to the others.
+
+use crossbeam::channel::{self, Receiver, Sender, TrySendError};
+use fleet::{
+    clock::Stamp,
+    control::{Asked, Control, Effect, Event, Lost},
+    member::{Record, State},
+    message::{Request, Response},
+    plan,
+    source::{Answer, Failure, Query, Topic},
+    status,
+    timeline::{self, Kind},
+};
+use peer::Reply;
+use platform::Source;
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use telemetry::metric::Meter;
+use tokio::{runtime::Handle, sync::oneshot};
+use traffic::{Clock, Hub};
+
+use crate::{
+    VERSION, now,
+    settings::{Plan, Settings},
+};
+
+/// Time between two ticks of the state machine.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Time between two collections of traffic's counts.
+const COLLECT: Duration = Duration::from_secs(1);
+
+/// Messages that may wait for the control thread; further ones from other nodes are dropped, and
+/// their senders take that as a failed probe.
+const BACKLOG: usize = 4_096;
+
+/// States that the gauge of members tells apart.
+const STATES: [(State, &str); 5] = [
+    (State::Live, "live"),
+    (State::Suspect, "suspect"),
+    (State::Unreachable, "unreachable"),
+    (State::Leaving, "leaving"),
+    (State::Gone, "gone"),
+];
+
+/// What the control thread needs besides the settings.
+pub(crate) struct Parts {
+    pub(crate) own: Record,
+    pub(crate) hub: Arc<Hub>,
+    pub(crate) clock: Clock,
+    pub(crate) meter: Arc<Meter>,
+    pub(crate) peers: Handle,
+}
+
+/// A message to the control thread.
+enum Message {
+    Event(Event),
+    Ask(Request, oneshot::Sender<Response>),
+    Status(oneshot::Sender<status::Node>),
+    Events(Stamp, oneshot::Sender<Vec<timeline::Event>>),
+}
+
+/// The way to the control thread.
+#[derive(Clone)]
+pub(crate) struct Link {
+    sender: Sender<Message>,
+}
+
+impl Link {
+    /// Reports an event.
+    pub(crate) fn send(&self, event: Event) {
+        // The receiver is gone only when the process ends; then nobody misses the event.
+        let _ = self.sender.send(Message::Event(event));
+    }
+
+    /// Tells whether the control thread still runs.
+    pub(crate) fn is_open(&self) -> bool {
+        !matches!(
+            self.sender.try_send(Message::Event(Event::Tick)),
+            Err(TrySendError::Disconnected(_))
+        )
+    }
+
+    fn ask<T: Send + 'static>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<T>) -> Message,
+    ) -> Reply<T> {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.sender.try_send(message(sender)).is_ok();
+        Box::pin(async move { if sent { receiver.await.ok() } else { None } })
+    }
+}
+
+impl peer::Handler for Link {
+    fn ask(&self, request: Request) -> Reply<Response> {
+        Link::ask(self, |reply| Message::Ask(request, reply))
+    }
+
+    fn status(&self) -> Reply<status::Node> {
+        Link::ask(self, Message::Status)
+    }
+
+    fn events(&self, stamp: Stamp) -> Reply<Vec<timeline::Event>> {
+        Link::ask(self, |reply| Message::Events(stamp, reply))
+    }
+}
+
+/// Starts the control thread and the threads that call the platform.
+pub(crate) fn start(settings: &Settings, parts: Parts) -> io::Result<Link> {
+    let (sender, receiver) = channel::bounded(BACKLOG);
+    let link = Link { sender };
+    let source = Arc::new(platform::Http::new(settings.platform, &settings.instance));
+    let config = start_reader(0, source.clone(), link.clone())?;
+    let list = start_reader(1, source, link.clone())?;
+    let control = Control::new(control_settings(settings, &parts), now(&parts.clock));
+    let mut driver =
+        Driver { control, parts, link: link.clone(), config, list, logged: Stamp::default() };
+    thread::Builder::new().name("control".to_owned()).spawn(move || driver.run(&receiver))?;
+    Ok(link)
+}
+
+fn control_settings(settings: &Settings, parts: &Parts) -> fleet::control::Settings {
+    let plan: Box<dyn plan::Plan> = match settings.plan {
+        Plan::Epidemic => Box::new(plan::Epidemic::default()),
+        Plan::Tree => Box::new(plan::Tree::default()),
+        Plan::Pull => Box::new(plan::Pull),
+    };
+    fleet::control::Settings {
+        contacts: settings.contacts.clone(),
+        plan,
+        seed: rand::random(),
+        product: VERSION.to_owned(),
+        ..fleet::control::Settings::new(parts.own.clone())
+    }
+}
+
+/// Starts a thread that makes one call to the platform after the other.
+fn start_reader(number: usize, source: Arc<dyn Source>, link: Link) -> io::Result<Sender<Query>> {
+    let (sender, receiver) = channel::bounded::<Query>(1);
+    let work = move || {
+        for query in receiver {
+            link.send(Event::Source(source.read(query)));
+        }
+    };
+    thread::Builder::new().name(format!("source-{number}")).spawn(work)?;
+    Ok(sender)
+}
+
+/// Drives the state machine.
+struct Driver {
+    control: Control,
+    parts: Parts,
+    link: Link,
+    config: Sender<Query>,
+    list: Sender<Query>,
+    logged: Stamp,
+}
+
+impl Driver {
+    fn run(&mut self, messages: &Receiver<Message>) {
+        let ticks = channel::tick(TICK);
+        let collections = channel::tick(COLLECT);
+        loop {
+            channel::select! {
+                recv(messages) -> message => match message {
+                    Ok(message) => self.take(message),
+                    Err(_) => return,
+                },
+                recv(ticks) -> _ => self.apply(Event::Tick, None),
+                recv(collections) -> _ => self.collect(),
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            // Ticks come from this thread's own timer; one from elsewhere only asks whether this
+            // thread is alive.
+            Message::Event(Event::Tick) => {}
+            Message::Event(event) => self.apply(event, None),
+            Message::Ask(request, reply) => self.apply(Event::Asked(request), Some(reply)),
+            Message::Status(reply) => {
+                let status = self.control.status(now(&self.parts.clock));
+                let _ = reply.send(status);
+            }
+            Message::Events(stamp, reply) => {
+                let _ = reply.send(self.control.events_after(stamp));
+            }
+        }
+    }
+
+    fn apply(&mut self, event: Event, mut reply: Option<oneshot::Sender<Response>>) {
+        for effect in self.control.apply(event, now(&self.parts.clock)) {
+            match effect {
+                Effect::Reply(response) => {
+                    if let Some(reply) = reply.take() {
+                        // The asker may have gone away; its next probe will tell it the same.
+                        let _ = reply.send(response);
+                    }
+                }
+                Effect::Send(peer, request, timeout) => self.send(peer, request, timeout),
+                Effect::Read(query) => self.read(query),
+                Effect::InForce(snapshot) => {
+                    self.parts.meter.revision(snapshot.version.revision);
+                    self.parts.hub.set_config(snapshot);
+                }
+                Effect::View(view) => self.parts.hub.set_view(view),
+                Effect::Drain => self.parts.hub.leave(),
+            }
+        }
+        self.log();
+    }
+
+    fn send(&self, peer: SocketAddr, request: Request, timeout: Duration) {
+        let asked = match request {
+            Request::Beat(_) => Asked::Beat,
+            Request::Pull(_) => Asked::Pull,
+            Request::Sync(_) => Asked::Sync,
+        };
+        self.parts.meter.message(name(asked));
+        let link = self.link.clone();
+        self.parts.peers.spawn(async move {
+            let event = match peer::ask(peer, &request, timeout).await {
+                Ok(response) => Event::Answered(peer, response),
+                Err(error) => {
+                    let malformed = matches!(error, peer::Error::Malformed { .. });
+                    let malformed = malformed.then(|| error.to_string());
+                    Event::Lost(peer, Lost { asked, malformed })
+                }
+            };
+            link.send(event);
+        });
+    }
+
+    fn read(&mut self, query: Query) {
+        self.parts.meter.read();
+        let (lane, topic) = match query {
+            Query::Config { .. } => (&self.config, Topic::Config),
+            Query::List { .. } => (&self.list, Topic::List),
+        };
+        if lane.try_send(query).is_err() {
+            // The lane's last call has not returned although the state machine gave it up.
+            let failure = Failure::Unreachable("an earlier call has not returned".to_owned());
+            self.apply(Event::Source(Answer::Failed(topic, failure)), None);
+        }
+    }
+
+    fn collect(&mut self) {
+        for kind in self.parts.hub.collect() {
+            self.apply(Event::Note(kind), None);
+        }
+        self.parts.meter.control_cpu(crate::process::control_seconds());
+        for (state, name) in STATES {
+            let count = self.control.roster().iter().filter(|r| r.state == state).count();
+            self.parts.meter.members(name, count as u64);
+        }
+    }
+
+    /// Logs the events since the last time.
+    fn log(&mut self) {
+        for event in self.control.events_after(self.logged) {
+            self.logged = event.stamp;
+            if matches!(event.kind, Kind::Rejected { .. }) {
+                self.parts.meter.rejection();
+            }
+            telemetry::log::event(&event);
+        }
+    }
+}
+
+fn name(asked: Asked) -> &'static str {
+    match asked {
+        Asked::Beat => "beat",
+        Asked::Pull => "pull",
+        Asked::Sync => "sync",
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,223 @@
+//! A node: the decisions of `fleet` and `policy` wired to threads, sockets and the platform.
+//!
+//! This crate exists so that the daemon stays thin and tests can run a node in their own process.
+//! [`settings::Settings`] and [`Node`] are an API border. It decides nothing about configuration,
+//! members or calls itself; it must not interpret the platform's documents.
+//!
+//! | thread | work |
+//! |---|---|
+//! | `control` | owns [`fleet::control::Control`], takes events, carries out effects |
+//! | `peers` | JSON-RPC server and client |
+//! | `source-0`, `source-1` | blocking calls to the platform |
+//! | `pulse` | finds pauses of the process |
+//! | `operators` | operators' page |
+//! | `traffic-*` | calls |
+
+mod control;
+mod operators;
+mod process;
+pub mod settings;
+
+use fleet::{
+    clock::Now,
+    control::Event,
+    member::{Record, State},
+};
+use snafu::{ResultExt, Snafu};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+use telemetry::metric;
+use tokio::runtime::{Builder, Runtime};
+use traffic::{Clock, Hub, Listener};
+
+use crate::{control::Link, settings::Settings};
+
+/// Version of the product.
+pub const VERSION: &str = env!("CARGO_PKG_VERSION");
+
+/// Shortest time between the announcement that a node leaves and its end.
+///
+/// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
+/// run"; after the end, an offer already written could only be answered "unknown".
+const FAREWELL: Duration = Duration::from_secs(1);
+
+/// A leaving node ends only after no offer has come for this long.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Time for the last messages to others.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+/// Interval at which the progress of a planned stop is looked at.
+const POLL: Duration = Duration::from_millis(10);
+
+/// Time between two beats of the pulse thread.
+const PULSE: Duration = Duration::from_millis(50);
+
+/// Failure to start a node.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A thread or its runtime could not be started.
+    #[snafu(display("cannot start a thread: {source}"))]
+    Thread {
+        /// What the system says.
+        source: io::Error,
+    },
+    /// The address for calls is not available.
+    #[snafu(display("{source}"))]
+    Traffic {
+        /// What the listener says.
+        source: traffic::Error,
+    },
+    /// The address for messages between nodes is not available.
+    #[snafu(display("messages between nodes: {source}"))]
+    Peers {
+        /// What the server says.
+        source: peer::Error,
+    },
+    /// The operators' page is not available.
+    #[snafu(display("cannot serve the operators' page at {address}: {reason}"))]
+    Operators {
+        /// Its address.
+        address: SocketAddr,
+        /// What the server says.
+        reason: String,
+    },
+    /// Metrics could not be set up.
+    #[snafu(display("{source}"))]
+    Metrics {
+        /// What the library says.
+        source: metric::Error,
+    },
+}
+
+/// A running node.
+pub struct Node {
+    hub: Arc<Hub>,
+    link: Link,
+    _peers: Runtime,
+    _traffic: Runtime,
+}
+
+impl Node {
+    /// Starts a node.
+    pub fn start(settings: &Settings) -> Result<Self, Error> {
+        if settings.log {
+            // A second node in the same process shares the logger of the first.
+            let _ = telemetry::log::init(log::LevelFilter::Info);
+        }
+        let clock = Clock::default();
+        let meter = Arc::new(metric::Meter::new().context(MetricsSnafu)?);
+        let incarnation = wall_ms();
+        let hub = Hub::new(hub_settings(settings, incarnation), clock, meter.clone());
+        let traffic = Builder::new_multi_thread()
+            .worker_threads(settings.traffic_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context(ThreadSnafu)?;
+        let peers = Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("peers")
+            .max_blocking_threads(1)
+            .enable_all()
+            .build()
+            .context(ThreadSnafu)?;
+        let listener =
+            traffic.block_on(Listener::bind(settings.listen.traffic)).context(TrafficSnafu)?;
+        let own = own_record(settings, incarnation);
+        let parts = control::Parts {
+            own,
+            hub: hub.clone(),
+            clock,
+            meter: meter.clone(),
+            peers: peers.handle().clone(),
+        };
+        let link = control::start(settings, parts).context(ThreadSnafu)?;
+        let handler = Arc::new(link.clone());
+        let served = peers.block_on(peer::serve(settings.listen.peers, handler));
+        let (_, handle) = served.context(PeersSnafu)?;
+        // The server lives as long as its runtime.
+        peers.spawn(handle.stopped());
+        operators::start(settings, link.clone(), hub.clone(), meter, peers.handle().clone())?;
+        start_pulse(hub.clone(), link.clone()).context(ThreadSnafu)?;
+        traffic.spawn(listener.serve(hub.clone()));
+        Ok(Node { hub, link, _peers: peers, _traffic: traffic })
+    }
+
+    /// Takes no more work, finishes what is in hand, says farewell and returns.
+    ///
+    /// Calls still in hand after the profile's `drain_ms` are cut; without that bound, one caller
+    /// that never reads its answer could keep an instance alive for ever.
+    pub fn stop(self) {
+        let begun = Instant::now();
+        self.hub.leave();
+        self.link.send(Event::Leave);
+        let limit = self.hub.drain_limit().max(FAREWELL);
+        let mut busy = Instant::now();
+        while begun.elapsed() < limit {
+            if self.hub.in_hand() > 0 {
+                busy = Instant::now();
+            }
+            if begun.elapsed() >= FAREWELL && busy.elapsed() >= QUIET {
+                break;
+            }
+            thread::sleep(POLL);
+        }
+        self.link.send(Event::Stop);
+        thread::sleep(LAST_WORDS);
+    }
+}
+
+fn own_record(settings: &Settings, incarnation: u64) -> Record {
+    Record {
+        address: settings.listen.peers,
+        traffic: settings.listen.traffic,
+        instance: settings.instance.clone(),
+        service: settings.service.clone(),
+        data_centre: settings.data_centre.clone(),
+        incarnation,
+        sequence: 0,
+        state: State::Live,
+    }
+}
+
+fn hub_settings(settings: &Settings, incarnation: u64) -> traffic::Settings {
+    traffic::Settings {
+        own: settings.listen.peers,
+        incarnation,
+        service: settings.service.clone(),
+        upstream: settings.upstream.address,
+        slots: settings.upstream.slots,
+        room: settings.room,
+        connect: settings.connect,
+        connections: settings.connections,
+        pause: policy::pause::Settings::default(),
+    }
+}
+
+fn start_pulse(hub: Arc<Hub>, link: Link) -> io::Result<()> {
+    let pulse = move || {
+        while link.is_open() {
+            if let Some(pause) = hub.beat() {
+                link.send(Event::Woke(pause));
+            }
+            thread::sleep(PULSE);
+        }
+    };
+    thread::Builder::new().name("pulse".to_owned()).spawn(pulse).map(drop)
+}
+
+/// Returns the wall clock in ms since the Unix epoch; 0 if it is set before that.
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// Returns the present moment on both clocks.
+fn now(clock: &Clock) -> Now {
+    Now { time: clock.now(), wall_ms: wall_ms() }
+}
--- /dev/null
+++ b/crates/node/src/operators.rs
@@ -0,0 +1,211 @@
+//! The operators' page: state, time line, explanations and metrics over HTTP.
+//!
+//! It only reads. It answers one request at a time, so that operators' tools cannot take
+//! processor time from calls.
+
+use fleet::{
+    clock::Stamp,
+    member::State,
+    status::{Fleet, Member, Node},
+    timeline::Event,
+};
+use peer::Handler;
+use serde::Serialize;
+use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
+use telemetry::metric::Meter;
+use tiny_http::{Header, Response, Server};
+use tokio::{runtime::Handle, task::JoinSet};
+use traffic::Hub;
+
+use crate::{Error, control::Link, settings::Settings};
+
+/// Time for another node's answer.
+const GATHER: Duration = Duration::from_secs(2);
+
+/// Nodes asked at the same time.
+const GATHER_WIDTH: usize = 64;
+
+/// Profile, route and upstreams as a node would choose now.
+#[derive(Debug, Serialize)]
+struct Explanation {
+    service: String,
+    known: bool,
+    revision: u64,
+    profile: Option<String>,
+    profile_text: Option<String>,
+    upstreams: Vec<Candidate>,
+}
+
+/// An upstream and why it is or is not eligible.
+#[derive(Debug, Serialize)]
+struct Candidate {
+    instance: String,
+    data_centre: String,
+    eligible: bool,
+    reason: String,
+    in_flight: usize,
+    latency_ms: Option<f64>,
+}
+
+/// What the page needs.
+struct Page {
+    link: Link,
+    hub: Arc<Hub>,
+    meter: Arc<Meter>,
+    peers: Handle,
+}
+
+/// Serves the page on a thread of its own.
+pub(crate) fn start(
+    settings: &Settings,
+    link: Link,
+    hub: Arc<Hub>,
+    meter: Arc<Meter>,
+    peers: Handle,
+) -> Result<(), Error> {
+    let address = settings.listen.operators;
+    let failure = |reason: String| Error::Operators { address, reason };
+    let server = Server::http(address).map_err(|e| failure(e.to_string()))?;
+    let page = Page { link, hub, meter, peers };
+    let work = move || {
+        for request in server.incoming_requests() {
+            let response = page.answer(request.url());
+            // The operator's tool may have gone away.
+            let _ = request.respond(response);
+        }
+    };
+    let thread = thread::Builder::new().name("operators".to_owned()).spawn(work);
+    thread.map(drop).map_err(|e| failure(e.to_string()))
+}
+
+impl Page {
+    fn answer(&self, url: &str) -> Response<io::Cursor<Vec<u8>>> {
+        let (path, query) = url.split_once('?').unwrap_or((url, ""));
+        match path {
+            "/status" => json(&self.status()),
+            "/fleet" => json(&self.fleet()),
+            "/timeline" => {
+                let after = parameter(query, "after").and_then(|t| t.parse().ok()).unwrap_or(0u64);
+                let after: Stamp = serde_json::from_value(after.into()).unwrap_or_default();
+                match parameter(query, "scope") {
+                    Some("node") => json(&self.events(after)),
+                    _ => json(&self.fleet_events(after)),
+                }
+            }
+            "/explain" => match parameter(query, "service") {
+                Some(service) => json(&Some(self.explain(service))),
+                None => text(400, "name a service: /explain?service=NAME\n".to_owned()),
+            },
+            "/metrics" => match self.meter.render() {
+                Ok(metrics) => text(200, metrics),
+                Err(error) => text(500, format!("{error}\n")),
+            },
+            _ => text(404, "try /status, /fleet, /timeline, /explain or /metrics\n".to_owned()),
+        }
+    }
+
+    fn status(&self) -> Option<Node> {
+        self.peers.block_on(Handler::status(&self.link))
+    }
+
+    fn events(&self, after: Stamp) -> Option<Vec<Event>> {
+        self.peers.block_on(self.link.events(after))
+    }
+
+    fn fleet(&self) -> Option<Fleet> {
+        let node = self.status()?;
+        let others = others(&node);
+        let answers =
+            self.gather(&others, |peer| async move { peer::status(peer, GATHER).await.ok() });
+        let mut fleet = Fleet { answered: vec![node.clone()], node, silent: Vec::new() };
+        for (member, answer) in answers {
+            match answer {
+                Some(status) => fleet.answered.push(status),
+                None => fleet.silent.push(member),
+            }
+        }
+        fleet.answered.sort_by(|a, b| a.instance.cmp(&b.instance));
+        Some(fleet)
+    }
+
+    /// Merges the events of all nodes that answer, in causal order.
+    fn fleet_events(&self, after: Stamp) -> Option<Vec<Event>> {
+        let node = self.status()?;
+        let mut events = self.events(after)?;
+        let answers = self.gather(&others(&node), move |peer| async move {
+            peer::events(peer, after, GATHER).await.ok()
+        });
+        events.extend(answers.into_iter().filter_map(|(_, events)| events).flatten());
+        events.sort_by(|a, b| (a.stamp, &a.node).cmp(&(b.stamp, &b.node)));
+        Some(events)
+    }
+
+    /// Asks many nodes, a bounded number of them at a time.
+    fn gather<T, F>(
+        &self,
+        members: &[Member],
+        ask: impl Fn(SocketAddr) -> F,
+    ) -> Vec<(Member, Option<T>)>
+    where
+        T: Send + 'static,
+        F: Future<Output = Option<T>> + Send + 'static,
+    {
+        let mut answers = Vec::new();
+        for group in members.chunks(GATHER_WIDTH) {
+            let mut running = JoinSet::new();
+            for member in group.iter().cloned() {
+                let answer = ask(member.address);
+                running.spawn_on(async move { (member, answer.await) }, &self.peers);
+            }
+            answers.extend(self.peers.block_on(running.join_all()));
+        }
+        answers
+    }
+
+    fn explain(&self, service: &str) -> Explanation {
+        let config = self.hub.config();
+        let profile = config.service(service).map(|s| config.profile(s));
+        let candidates = self.hub.explain(service).into_iter().map(|e| Candidate {
+            instance: e.instance,
+            data_centre: e.data_centre,
+            eligible: e.eligible,
+            reason: e.reason,
+            in_flight: e.in_flight,
+            latency_ms: e.latency.map(|l| l.as_secs_f64() * 1e3),
+        });
+        Explanation {
+            service: service.to_owned(),
+            known: profile.is_some(),
+            revision: config.version.revision,
+            profile: profile.map(|p| p.name.clone()),
+            profile_text: profile.map(|p| format!("{p:?}")),
+            upstreams: candidates.collect(),
+        }
+    }
+}
+
+fn others(node: &Node) -> Vec<Member> {
+    let mut members = node.members.clone();
+    members.retain(|m| m.address != node.address && m.state != State::Gone);
+    members
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='))
+}
+
+fn json<T: Serialize>(value: &Option<T>) -> Response<io::Cursor<Vec<u8>>> {
+    match value.as_ref().map(serde_json::to_string) {
+        Some(Ok(body)) => text(200, body).with_header(content_type("application/json")),
+        Some(Err(error)) => text(500, format!("{error}\n")),
+        None => text(503, "the node stops\n".to_owned()),
+    }
+}
+
+fn text(status: u16, body: String) -> Response<io::Cursor<Vec<u8>>> {
+    Response::from_string(body).with_status_code(status)
+}
+
+fn content_type(name: &str) -> Header {
+    Header::from_bytes("content-type", name).expect("the header is made of constants")
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,159 @@
+//! Settings of a node, read from a JSON file and checked as a whole.
+
+use model::{fault::Fault, read::Object, strict};
+use policy::share::Room;
+use std::{net::SocketAddr, time::Duration};
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Service of its upstream.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Addresses it listens at.
+    pub listen: Listen,
+    /// The upstream beside it.
+    pub upstream: Upstream,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Nodes to ask first when starting.
+    pub contacts: Vec<SocketAddr>,
+    /// Threads that carry calls.
+    pub traffic_threads: usize,
+    /// Room for calls in hand.
+    pub room: Room,
+    /// Most connections from callers and other nodes.
+    pub connections: usize,
+    /// Longest time for opening a connection.
+    pub connect: Duration,
+    /// How new versions are passed on.
+    pub plan: Plan,
+    /// Whether events are logged as JSON lines on standard error.
+    pub log: bool,
+}
+
+/// Addresses a node listens at.
+#[derive(Clone, Copy, Debug)]
+pub struct Listen {
+    /// For calls.
+    pub traffic: SocketAddr,
+    /// For messages between nodes.
+    pub peers: SocketAddr,
+    /// For the operators' page.
+    pub operators: SocketAddr,
+}
+
+/// The upstream beside a node.
+#[derive(Clone, Copy, Debug)]
+pub struct Upstream {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Calls that it can work on at once.
+    pub slots: usize,
+}
+
+/// How new versions are passed on.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Plan {
+    /// To random nodes.
+    Epidemic,
+    /// Along a tree.
+    Tree,
+    /// Not at all; others ask.
+    Pull,
+}
+
+const PLANS: [(&str, Plan); 3] =
+    [("epidemic", Plan::Epidemic), ("tree", Plan::Tree), ("pull", Plan::Pull)];
+
+/// An address no node can have, in the place of one that could not be read.
+const NOWHERE: SocketAddr =
+    SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::UNSPECIFIED), 0);
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            instance: String::new(),
+            service: String::new(),
+            data_centre: String::new(),
+            listen: Listen { traffic: NOWHERE, peers: NOWHERE, operators: NOWHERE },
+            upstream: Upstream { address: NOWHERE, slots: 10 },
+            platform: NOWHERE,
+            contacts: Vec::new(),
+            traffic_threads: 2,
+            room: Room::default(),
+            connections: 1_024,
+            connect: Duration::from_millis(250),
+            plan: Plan::Epidemic,
+            log: true,
+        }
+    }
+}
+
+/// Reads settings from `text`; `file` names their place in faults. Returns every fault at once.
+///
+/// ```
+/// let faults = node::settings::read("node.json", "{}").unwrap_err();
+/// assert!(faults.iter().any(|f| f.pointer == "/instance"));
+/// ```
+pub fn read(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
+    let value = strict::parse(file, text).map_err(|fault| vec![fault])?;
+    let mut faults = Vec::new();
+    let mut object = Object::new(file, "", value, &mut faults);
+    let settings = read_object(&mut object);
+    object.finish();
+    if faults.is_empty() { Ok(settings) } else { Err(faults) }
+}
+
+fn read_object(object: &mut Object<'_>) -> Settings {
+    let usual = Settings::default();
+    let room = Room {
+        calls: object.number("calls", 1..=1_000_000, usual.room.calls as u64) as usize,
+        bytes: object.number("body_bytes", 1_024..=1 << 34, usual.room.bytes as u64) as usize,
+    };
+    Settings {
+        instance: object.name("instance"),
+        service: object.name("service"),
+        data_centre: object.name("data_centre"),
+        listen: object.object("listen", |listen| Listen {
+            traffic: address(listen, "traffic"),
+            peers: address(listen, "peers"),
+            operators: address(listen, "operators"),
+        }),
+        upstream: object.object("upstream", |upstream| Upstream {
+            address: address(upstream, "address"),
+            slots: upstream.number("slots", 1..=10_000, usual.upstream.slots as u64) as usize,
+        }),
+        platform: address(object, "platform"),
+        contacts: contacts(object),
+        traffic_threads: object.number("traffic_threads", 1..=64, 2) as usize,
+        connections: object.number("connections", 1..=65_536, usual.connections as u64) as usize,
+        connect: Duration::from_millis(object.number("connect_ms", 1..=60_000, 250)),
+        plan: plan(object),
+        log: object.flag("log", usual.log),
+        room,
+    }
+}
+
+fn address(object: &mut Object<'_>, name: &str) -> SocketAddr {
+    let text = object.text(name, ADDRESS_SHAPE, |text| text.parse::<SocketAddr>().is_ok());
+    text.parse().unwrap_or(NOWHERE)
+}
+
+fn contacts(object: &mut Object<'_>) -> Vec<SocketAddr> {
+    let valid = |text: &str| text.parse::<SocketAddr>().is_ok();
+    let texts = object.texts("contacts", ADDRESS_SHAPE, valid, &[]);
+    texts.iter().filter_map(|text| text.parse().ok()).collect()
+}
+
+fn plan(object: &mut Object<'_>) -> Plan {
+    let find = |text: &str| PLANS.iter().find(|(name, _)| *name == text).map(|(_, plan)| *plan);
+    let shape = "\"epidemic\", \"tree\" or \"pull\"";
+    let text = object.optional_text("plan", shape, |text| find(text).is_some());
+    text.and_then(|text| find(&text)).unwrap_or(Plan::Epidemic)
+}
+
+const ADDRESS_SHAPE: &str = "an address such as \"127.0.0.1:7000\"";
--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,139 @@
+//! Admission at the serving node: as many calls as the upstream has slots, and a short queue.
+//!
+//! A queue without a bound turns overload into lateness: every call waits until its deadline and
+//! the upstream works only for callers who have gone. So the queue is bounded in length and in
+//! time: a call whose expected wait exceeds its remaining time is refused at once.
+
+use model::time::Time;
+use std::{collections::VecDeque, time::Duration};
+
+/// Share of a new sample in the moving average of service times.
+const SAMPLE_SHARE: f64 = 0.1;
+
+/// Shortest time after which a refused caller is asked to come back.
+pub const RETRY_AFTER_LEAST: Duration = Duration::from_millis(50);
+
+/// Longest time after which a refused caller is asked to come back.
+pub const RETRY_AFTER_MOST: Duration = Duration::from_secs(30);
+
+/// A call known to the gate.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Ticket(pub u64);
+
+/// Answer to an arriving call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Entry {
+    /// A slot is taken for the call.
+    Run,
+    /// The call waits; [`Gate::finish`] will name it when a slot is free.
+    Wait,
+    /// No slot in time; the caller should come back after the given time.
+    Refuse(Duration),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiter {
+    ticket: Ticket,
+    deadline: Time,
+}
+
+/// Slots and queue of one upstream.
+#[derive(Debug)]
+pub struct Gate {
+    slots: usize,
+    busy: usize,
+    queue: VecDeque<Waiter>,
+    service_time: Duration,
+}
+
+impl Gate {
+    /// Creates a gate in front of `slots` slots.
+    pub fn new(slots: usize) -> Self {
+        Gate { slots, busy: 0, queue: VecDeque::new(), service_time: Duration::from_millis(1) }
+    }
+
+    /// Decides on a call that must be answered by `deadline`, with at most `queue_limit` waiting.
+    ///
+    /// ```
+    /// use model::time::Time;
+    /// use policy::admission::{Entry, Gate, Ticket};
+    /// let mut gate = Gate::new(1);
+    /// let (now, late) = (Time::from_millis(0), Time::from_millis(900));
+    /// assert_eq!(gate.arrive(Ticket(1), now, late, 8), Entry::Run);
+    /// assert_eq!(gate.arrive(Ticket(2), now, late, 8), Entry::Wait);
+    /// assert_eq!(gate.finish(now, None), Some(Ticket(2)));
+    /// ```
+    pub fn arrive(
+        &mut self,
+        ticket: Ticket,
+        now: Time,
+        deadline: Time,
+        queue_limit: usize,
+    ) -> Entry {
+        if self.busy < self.slots {
+            self.busy += 1;
+            return Entry::Run;
+        }
+        self.queue.retain(|w| w.deadline > now);
+        let wait = self.expected_wait(self.queue.len() + 1);
+        let full = self.queue.len() >= queue_limit;
+        let hopeless = now + wait >= deadline;
+        if full || hopeless {
+            cov_mark::hit!(gate_refuses);
+            return Entry::Refuse(self.retry_after());
+        }
+        self.queue.push_back(Waiter { ticket, deadline });
+        Entry::Wait
+    }
+
+    /// Frees a slot after `service_time` (none where the call did not reach the upstream) and
+    /// passes it on to the next call that still has time; that call's slot is taken.
+    ///
+    /// Calls whose time is over are dropped: their own timers answer them.
+    pub fn finish(&mut self, now: Time, service_time: Option<Duration>) -> Option<Ticket> {
+        if let Some(sample) = service_time {
+            self.service_time = average(self.service_time, sample);
+        }
+        while let Some(waiter) = self.queue.pop_front() {
+            if waiter.deadline > now {
+                return Some(waiter.ticket);
+            }
+            cov_mark::hit!(gate_drops_expired);
+        }
+        self.busy = self.busy.saturating_sub(1);
+        None
+    }
+
+    /// Forgets a waiting call; returns whether it was still waiting.
+    ///
+    /// A call that is no longer waiting holds a slot and must [`finish`](Gate::finish).
+    pub fn cancel(&mut self, ticket: Ticket) -> bool {
+        let before = self.queue.len();
+        self.queue.retain(|w| w.ticket != ticket);
+        self.queue.len() < before
+    }
+
+    /// Returns when a refused caller has a fair chance: once the present queue has been worked off.
+    pub fn retry_after(&self) -> Duration {
+        let wait = self.expected_wait(self.queue.len() + 1);
+        wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)
+    }
+
+    /// Returns the number of calls that hold a slot.
+    pub fn busy(&self) -> usize {
+        self.busy
+    }
+
+    /// Returns the number of waiting calls.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn expected_wait(&self, place: usize) -> Duration {
+        self.service_time.mul_f64(place as f64 / self.slots as f64)
+    }
+}
+
+fn average(old: Duration, sample: Duration) -> Duration {
+    old.mul_f64(1.0 - SAMPLE_SHARE) + sample.mul_f64(SAMPLE_SHARE)
+}
--- /dev/null
+++ b/crates/policy/src/claim.rs
@@ -0,0 +1,77 @@
+//! The claim: the last decision before the first byte goes to the upstream.
+//!
+//! Before the claim a lost call was provably not run; after it, only a whole answer tells. All
+//! reasons to refuse are therefore checked here, together, on the facts of this moment, whatever
+//! was checked when the request arrived. The idea of one fenced point after which a stale delivery
+//! cannot start work is that of "14. Workers", section "Admission and exact claim".
+
+use model::time::Time;
+use std::time::Duration;
+
+use crate::outcome::Cause;
+
+/// What the serving node knows about a request at the moment of its claim.
+#[derive(Clone, Copy, Debug)]
+pub struct Facts {
+    /// The moment of the decision.
+    pub now: Time,
+    /// When the time for the call is over.
+    pub deadline: Time,
+    /// Whether the node was stopped between the request's sending and now, as far as it can tell.
+    pub paused: bool,
+    /// Whether the connection that the request came on is still open.
+    pub wanted: bool,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// Whether the request was meant for this life of the node.
+    pub own: bool,
+}
+
+/// Returns why the request may not be run, or nothing where it may.
+///
+/// ```
+/// use model::time::Time;
+/// use policy::{claim, outcome::Cause};
+/// let facts = claim::Facts {
+///     now: Time::from_millis(10), deadline: Time::from_millis(9),
+///     paused: false, wanted: true, leaving: false, own: true,
+/// };
+/// assert_eq!(claim::refusal(facts), Some(Cause::Late));
+/// ```
+pub fn refusal(facts: Facts) -> Option<Cause> {
+    if !facts.own {
+        // An entry node that still believes in the previous life of this address would otherwise
+        // reach an upstream of another service, or one that has forgotten the caller's session.
+        cov_mark::hit!(claim_replaced);
+        return Some(Cause::Replaced);
+    }
+    if facts.paused {
+        // A request read after a pause may have been given up on long ago; its caller was told
+        // "unknown" or has retried. Running it now would run a payment a second time.
+        cov_mark::hit!(claim_paused);
+        return Some(Cause::Paused);
+    }
+    if facts.now >= facts.deadline {
+        cov_mark::hit!(claim_late);
+        return Some(Cause::Late);
+    }
+    if !facts.wanted {
+        // The offering side closes its connection when it gives up or dies.
+        cov_mark::hit!(claim_cancelled);
+        return Some(Cause::Cancelled);
+    }
+    if facts.leaving {
+        cov_mark::hit!(claim_leaving);
+        return Some(Cause::Leaving);
+    }
+    None
+}
+
+/// Returns the time of the deadline that arrives as `remaining` milliseconds, cut to `limit_ms`.
+///
+/// The receiver's clock starts when the request's head is read. Time spent on the wire is not
+/// subtracted; each node answers within its own deadline, which lies before that of the sender.
+pub fn deadline(received: Time, remaining_ms: Option<u64>, limit_ms: u64) -> Time {
+    let ms = remaining_ms.unwrap_or(limit_ms).min(limit_ms);
+    received + Duration::from_millis(ms)
+}
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,15 @@
+//! Decisions about one call: admission, claim, choice of upstream, retry, outcome.
+//!
+//! This crate exists so that what a call may and may not do is decided by pure functions and small
+//! state machines that tests drive with a virtual clock. It performs no I/O, starts no threads and
+//! reads no clock; it must not know HTTP, sockets or the peer protocol. It is not an API border.
+
+pub mod admission;
+pub mod choice;
+pub mod claim;
+pub mod connection;
+pub mod health;
+pub mod outcome;
+pub mod pause;
+pub mod retry;
+pub mod share;
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,151 @@
+//! Whether a call that failed at one upstream is offered to another.
+//!
+//! Only the entry node retries, so each call is retried at one place per hop. A budget bounds the
+//! retries that add load, so that a failing service does not get a multiple of its usual calls.
+
+use std::time::Duration;
+
+use crate::outcome::{Cause, Outcome};
+
+/// Retries that a quiet service may make before its first calls have earned any.
+const BALANCE_START: f64 = 10.0;
+
+/// Most retries that can be saved up.
+const BALANCE_MOST: f64 = 100.0;
+
+/// Retries earned by first attempts, per service and entry node.
+#[derive(Clone, Copy, Debug)]
+pub struct Budget {
+    balance: f64,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Budget { balance: BALANCE_START }
+    }
+}
+
+impl Budget {
+    /// Notes a first attempt, which earns `percent` hundredths of a retry.
+    pub fn earn(&mut self, percent: u32) {
+        self.balance = (self.balance + f64::from(percent) / 100.0).min(BALANCE_MOST);
+    }
+
+    /// Takes one retry out of the budget; returns whether there was one.
+    ///
+    /// ```
+    /// let mut budget = policy::retry::Budget::default();
+    /// let granted = (0..100).filter(|_| budget.spend()).count();
+    /// assert_eq!(granted, 10);
+    /// ```
+    pub fn spend(&mut self) -> bool {
+        if self.balance < 1.0 {
+            return false;
+        }
+        self.balance -= 1.0;
+        true
+    }
+}
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Offer the call to another upstream.
+    Again,
+    /// Tell the caller the outcome now.
+    GiveUp,
+}
+
+/// A failed attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Whether the call may be run more than once.
+    pub kind: Kind,
+    /// Attempts made so far, this one included.
+    pub made: u32,
+    /// Most attempts that the profile allows.
+    pub limit: u32,
+}
+
+/// Decides on a failed attempt; the caller has checked that time is left.
+///
+/// A call whose outcome is unknown is repeated only if it is idempotent: for any other, a second
+/// run could post a payment twice.
+pub fn decide(attempt: Attempt, budget: &mut Budget) -> Step {
+    if attempt.made >= attempt.limit {
+        return Step::GiveUp;
+    }
+    let safe = match attempt.outcome {
+        Outcome::NotRun(cause, _) => is_curable(cause),
+        Outcome::Unknown(_) => attempt.kind == Kind::Idempotent,
+    };
+    if !safe {
+        cov_mark::hit!(retry_unsafe);
+        return Step::GiveUp;
+    }
+    if !loads_upstream(attempt.outcome) || budget.spend() {
+        return Step::Again;
+    }
+    cov_mark::hit!(retry_budget_spent);
+    Step::GiveUp
+}
+
+/// Returns how long the next attempt may take out of the `remaining` time.
+///
+/// An upstream that is frozen or behind a silent connection answers nothing at all. An idempotent
+/// call therefore gives each attempt an equal share, so that time is left for another upstream; a
+/// call that cannot be repeated gives its one attempt everything.
+///
+/// ```
+/// use policy::retry::{Kind, attempt_time};
+/// use std::time::Duration;
+/// let second = Duration::from_secs(1);
+/// assert_eq!(attempt_time(second * 3, Kind::Idempotent, 0, 3), second);
+/// assert_eq!(attempt_time(second * 3, Kind::Once, 0, 3), second * 3);
+/// ```
+pub fn attempt_time(remaining: Duration, kind: Kind, made: u32, limit: u32) -> Duration {
+    match kind {
+        Kind::Idempotent => remaining / limit.saturating_sub(made).max(1),
+        Kind::Once => remaining,
+    }
+}
+
+/// Whether a call may be run more than once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// It may.
+    Idempotent,
+    /// It may not.
+    Once,
+}
+
+/// Tells whether another upstream could do better.
+fn is_curable(cause: Cause) -> bool {
+    match cause {
+        Cause::Overloaded
+        | Cause::Refused
+        | Cause::Leaving
+        | Cause::Unreachable
+        | Cause::Paused
+        | Cause::Replaced => true,
+        Cause::UnknownService
+        | Cause::NoUpstream
+        | Cause::Late
+        | Cause::Cancelled
+        | Cause::Saturated
+        | Cause::BadRequest => false,
+    }
+}
+
+/// Tells whether the failed attempt may have cost the service work.
+///
+/// An upstream that nobody reached, or whose node refused by its own state, has lost nothing by
+/// the attempt, so trying another multiplies no load.
+fn loads_upstream(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::NotRun(cause, _) => matches!(cause, Cause::Overloaded | Cause::Refused),
+        Outcome::Unknown(_) => true,
+    }
+}
--- /dev/null
+++ b/crates/standins/src/mesh.rs
@@ -0,0 +1,327 @@
+//! A whole mesh on loopback: one platform, upstreams, and a real node process beside each.
+
+use fleet::source::Instance;
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+use tokio::runtime::{Builder, Runtime};
+
+use crate::{
+    platform::Platform,
+    upstream::{self, Upstream},
+};
+
+/// Time between two looks at something that is waited for.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Nodes per data centre that every node is told of in its settings.
+const CONTACTS: usize = 2;
+
+/// What a mesh consists of.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Path of the daemon's program.
+    pub daemon: PathBuf,
+    /// Instances, in order.
+    pub instances: Vec<Place>,
+    /// How each upstream begins; its address is chosen here.
+    pub upstream: upstream::Settings,
+    /// Threads of each node that carry calls.
+    pub traffic_threads: usize,
+    /// How nodes pass on versions, as their settings name it.
+    pub plan: &'static str,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            daemon: PathBuf::new(),
+            instances: Vec::new(),
+            upstream: upstream::Settings::default(),
+            traffic_threads: 1,
+            plan: "epidemic",
+        }
+    }
+}
+
+/// Where an instance runs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Place {
+    /// Its service.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+}
+
+/// Lists `count` instances of each service in each data centre.
+pub fn places(services: &[&str], data_centres: &[&str], count: usize) -> Vec<Place> {
+    let mut places = Vec::new();
+    for data_centre in data_centres {
+        for service in services {
+            let place =
+                Place { service: (*service).to_owned(), data_centre: (*data_centre).to_owned() };
+            places.extend(std::iter::repeat_n(place, count));
+        }
+    }
+    places
+}
+
+/// One instance: an upstream and the node beside it.
+pub struct Spot {
+    /// The platform's name of it.
+    pub instance: String,
+    /// Where it runs.
+    pub place: Place,
+    /// Address for calls.
+    pub traffic: SocketAddr,
+    /// Address for messages between nodes.
+    pub peers: SocketAddr,
+    /// Address of the operators' page.
+    pub operators: SocketAddr,
+    /// The upstream.
+    pub upstream: Upstream,
+    settings: PathBuf,
+    process: Option<Child>,
+}
+
+/// A running mesh; everything ends when it is dropped.
+pub struct Mesh {
+    /// The platform.
+    pub platform: Platform,
+    /// The instances.
+    pub spots: Vec<Spot>,
+    daemon: PathBuf,
+    folder: TempDir,
+    runtime: Runtime,
+}
+
+impl Mesh {
+    /// Starts platform and upstreams and writes the nodes' settings; no node runs yet.
+    pub fn prepare(settings: &Settings) -> io::Result<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(4)
+            .thread_name("standins")
+            .enable_all()
+            .build()?;
+        let platform = Platform::start()?;
+        let folder = tempfile::tempdir()?;
+        let mut spots = Vec::new();
+        for (number, place) in settings.instances.iter().enumerate() {
+            let upstream = Upstream::start(settings.upstream.clone(), runtime.handle())?;
+            let [traffic, peers, operators] = free_addresses()?;
+            let instance = format!("{}-{}-{number}", place.service, place.data_centre);
+            let path = folder.path().join(format!("{instance}.json"));
+            spots.push(Spot {
+                instance,
+                place: place.clone(),
+                traffic,
+                peers,
+                operators,
+                upstream,
+                settings: path,
+                process: None,
+            });
+        }
+        let daemon = settings.daemon.clone();
+        let mesh = Mesh { platform, spots, daemon, folder, runtime };
+        mesh.write_settings(settings)?;
+        mesh.platform.list(mesh.listing());
+        Ok(mesh)
+    }
+
+    /// Starts everything.
+    pub fn start(settings: &Settings) -> io::Result<Self> {
+        let mut mesh = Mesh::prepare(settings)?;
+        for number in 0..mesh.spots.len() {
+            mesh.start_node(number)?;
+        }
+        Ok(mesh)
+    }
+
+    /// Returns the list of all instances as live.
+    pub fn listing(&self) -> Vec<Instance> {
+        let entry = |spot: &Spot| Instance {
+            instance: spot.instance.clone(),
+            address: spot.peers,
+            leaving: false,
+        };
+        self.spots.iter().map(entry).collect()
+    }
+
+    /// Returns a handle of the runtime on which the stand-ins run.
+    pub fn runtime(&self) -> &Runtime {
+        &self.runtime
+    }
+
+    /// Returns the folder of the nodes' settings and logs.
+    pub fn folder(&self) -> &std::path::Path {
+        self.folder.path()
+    }
+
+    /// Starts the process of one node, which logs into the mesh's folder.
+    pub fn start_node(&mut self, number: usize) -> io::Result<()> {
+        let spot = &mut self.spots[number];
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(self.folder.path().join(format!("{}.log", spot.instance)))?;
+        let child = Command::new(&self.daemon)
+            .arg("--settings")
+            .arg(&spot.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()?;
+        spot.process = Some(child);
+        Ok(())
+    }
+
+    /// Kills the process of one node without warning.
+    pub fn kill_node(&mut self, number: usize) -> io::Result<()> {
+        if let Some(mut child) = self.spots[number].process.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Sends a signal to the process of one node.
+    pub fn signal_node(&self, number: usize, signal: Signal) -> io::Result<()> {
+        let Some(child) = &self.spots[number].process else { return Ok(()) };
+        let pid = Pid::from_child(child);
+        kill_process(pid, signal).map_err(io::Error::from)
+    }
+
+    /// Asks one node to stop in an orderly way and returns its exit status.
+    pub fn stop_node(&mut self, number: usize) -> io::Result<Option<i32>> {
+        self.signal_node(number, Signal::TERM)?;
+        match self.spots[number].process.take() {
+            Some(mut child) => Ok(child.wait()?.code()),
+            None => Ok(None),
+        }
+    }
+
+    /// Returns the process number of one node, if it runs.
+    pub fn pid(&self, number: usize) -> Option<u32> {
+        self.spots[number].process.as_ref().map(Child::id)
+    }
+
+    /// Returns the body of a page of one node's operators' server.
+    pub fn page(&self, number: usize, path: &str) -> Option<String> {
+        page(self.spots[number].operators, path)
+    }
+
+    /// Returns the revision in force at one node.
+    pub fn revision(&self, number: usize) -> Option<u64> {
+        let status: fleet::status::Node =
+            serde_json::from_str(&self.page(number, "/status")?).ok()?;
+        Some(status.version.revision)
+    }
+
+    /// Waits until `done`, and returns how long that took, or nothing after `limit`.
+    pub fn wait(&self, limit: Duration, done: impl Fn(&Mesh) -> bool) -> Option<Duration> {
+        let begun = Instant::now();
+        while begun.elapsed() < limit {
+            if done(self) {
+                return Some(begun.elapsed());
+            }
+            thread::sleep(POLL);
+        }
+        None
+    }
+
+    /// Waits until `revision` is in force at every running node that answers or should.
+    pub fn wait_in_force(&self, revision: u64, limit: Duration) -> Option<Duration> {
+        self.wait(limit, |mesh| {
+            (0..mesh.spots.len())
+                .filter(|&i| mesh.spots[i].process.is_some())
+                .all(|i| mesh.revision(i) >= Some(revision))
+        })
+    }
+
+    /// Waits until every running node knows `count` upstreams of `service` that take work.
+    pub fn wait_upstreams(&self, service: &str, count: usize, limit: Duration) -> Option<Duration> {
+        let knows = |mesh: &Mesh, number: usize| {
+            let text = mesh.page(number, "/status")?;
+            let status: fleet::status::Node = serde_json::from_str(&text).ok()?;
+            let able =
+                status.members.iter().filter(|m| m.service == service && m.state.takes_work());
+            Some(able.count() == count)
+        };
+        self.wait(limit, |mesh| {
+            (0..mesh.spots.len())
+                .filter(|&i| mesh.spots[i].process.is_some())
+                .all(|i| knows(mesh, i) == Some(true))
+        })
+    }
+
+    fn write_settings(&self, settings: &Settings) -> io::Result<()> {
+        let mut contacts = Vec::new();
+        for spot in &self.spots {
+            let same = |other: &&&Spot| other.place.data_centre == spot.place.data_centre;
+            let first = self.spots.iter().take_while(|s| s.peers != spot.peers);
+            if first.collect::<Vec<_>>().iter().filter(same).count() < CONTACTS {
+                contacts.push(spot.peers.to_string());
+            }
+        }
+        for spot in &self.spots {
+            let text = serde_json::json!({
+                "instance": spot.instance,
+                "service": spot.place.service,
+                "data_centre": spot.place.data_centre,
+                "listen": {
+                    "traffic": spot.traffic.to_string(),
+                    "peers": spot.peers.to_string(),
+                    "operators": spot.operators.to_string(),
+                },
+                "upstream": {
+                    "address": spot.upstream.address().to_string(),
+                    "slots": settings.upstream.slots,
+                },
+                "platform": self.platform.address().to_string(),
+                "contacts": contacts,
+                "traffic_threads": settings.traffic_threads,
+                "plan": settings.plan,
+            });
+            fs::write(&spot.settings, text.to_string())?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        for number in 0..self.spots.len() {
+            // The process may have ended by itself.
+            let _ = self.kill_node(number);
+        }
+    }
+}
+
+/// Returns the body of a page at `address`; nothing unless its status is 200.
+pub fn page(address: SocketAddr, path: &str) -> Option<String> {
+    use io::{Read, Write};
+    let mut stream = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(10))).ok()?;
+    write!(stream, "GET {path} HTTP/1.0\r\nhost: {address}\r\n\r\n").ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let (head, body) = answer.split_once("\r\n\r\n")?;
+    head.split(' ').nth(1).filter(|status| *status == "200")?;
+    Some(body.to_owned())
+}
+
+/// Returns addresses that were free a moment ago.
+fn free_addresses() -> io::Result<[SocketAddr; 3]> {
+    let sockets = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0"));
+    let [a, b, c] = sockets;
+    Ok([a?.local_addr()?, b?.local_addr()?, c?.local_addr()?])
+}
--- /dev/null
+++ b/crates/standins/src/platform.rs
@@ -0,0 +1,361 @@
+//! A platform: documents under one rising revision, a lagging list of instances, a limit of reads.
+
+use fleet::source::{Instance, Listing};
+use model::document::{DOCUMENT_LIMIT, Delta, Document, Set};
+use std::{
+    collections::{HashSet, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Header, Request, Response, Server};
+
+/// Reads a second that the platform serves, a waiting watch counted as one.
+pub const READS_PER_SECOND: usize = 2_000;
+
+/// How often waiting watches are looked at.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Threads that take requests.
+const WORKERS: usize = 4;
+
+/// Header that names the reader.
+const READER: &str = "baobab-reader";
+
+/// How the platform behaves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// It answers in milliseconds.
+    #[default]
+    Normal,
+    /// It refuses connections in effect: every call ends with an error at once.
+    Down,
+    /// It serves the revision at which it was frozen.
+    Stale,
+    /// It answers late.
+    Slow(Duration),
+}
+
+/// A running stand-in; clones share it.
+#[derive(Clone)]
+pub struct Platform {
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+struct State {
+    mode: Mode,
+    set: Set,
+    stale: Set,
+    history: Vec<Set>,
+    listing: Listing,
+    shown: Listing,
+    list_lag: Duration,
+    lagging: VecDeque<(Instant, Listing)>,
+    cut: HashSet<String>,
+    reads: VecDeque<Instant>,
+    reads_total: u64,
+    reads_peak: usize,
+    refused: u64,
+    waiting: Vec<Watch>,
+}
+
+/// A call that waits for news.
+struct Watch {
+    request: Request,
+    query: Query,
+    until: Instant,
+}
+
+/// A parsed call.
+#[derive(Clone, Copy, Debug)]
+struct Query {
+    list: bool,
+    base: Option<u64>,
+    after: u64,
+}
+
+impl Platform {
+    /// Starts a platform without documents or instances on a free loopback port.
+    pub fn start() -> io::Result<Self> {
+        let server = Server::http("127.0.0.1:0").map_err(io::Error::other)?;
+        let address = server.server_addr().to_ip().expect("the server listens at an IP address");
+        let state = State {
+            mode: Mode::Normal,
+            set: Set::default(),
+            stale: Set::default(),
+            history: Vec::new(),
+            listing: Listing::default(),
+            shown: Listing::default(),
+            list_lag: Duration::ZERO,
+            lagging: VecDeque::new(),
+            cut: HashSet::new(),
+            reads: VecDeque::new(),
+            reads_total: 0,
+            reads_peak: 0,
+            refused: 0,
+            waiting: Vec::new(),
+        };
+        let platform = Platform { address, state: Arc::new(Mutex::new(state)) };
+        let server = Arc::new(server);
+        for _ in 0..WORKERS {
+            let (platform, server) = (platform.clone(), server.clone());
+            thread::spawn(move || {
+                for request in server.incoming_requests() {
+                    platform.take(request);
+                }
+            });
+        }
+        let waker = platform.clone();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(POLL);
+                waker.wake();
+            }
+        });
+        Ok(platform)
+    }
+
+    /// Returns the address it listens at.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes documents under one new revision, which is returned; no text removes a document.
+    pub fn publish(&self, documents: &[(&str, Option<&str>)]) -> u64 {
+        let mut state = self.lock();
+        let revision = state.set.version().revision + 1;
+        let mut delta = Delta { revision, ..Delta::default() };
+        for (key, text) in documents {
+            match text {
+                Some(text) => {
+                    assert!(text.len() <= DOCUMENT_LIMIT, "the platform holds no such value");
+                    let key = (*key).to_owned();
+                    delta.documents.push(Document {
+                        key,
+                        modified: revision,
+                        text: (*text).into(),
+                    });
+                }
+                None => delta
+                    .removed
+                    .push(model::document::Removal { key: (*key).to_owned(), revision }),
+            }
+        }
+        state.set = state.set.with(delta);
+        let set = state.set.clone();
+        state.history.push(set);
+        revision
+    }
+
+    /// Changes how the platform behaves.
+    pub fn set_mode(&self, mode: Mode) {
+        let mut state = self.lock();
+        if mode == Mode::Stale && state.mode != Mode::Stale {
+            state.stale = state.set.clone();
+        }
+        state.mode = mode;
+    }
+
+    /// Serves revision `revision` as if it were the newest, as a lagging replica would.
+    pub fn set_stale_at(&self, revision: u64) {
+        let mut state = self.lock();
+        let old = state.history.iter().find(|s| s.version().revision == revision).cloned();
+        state.stale = old.unwrap_or_default();
+        state.mode = Mode::Stale;
+    }
+
+    /// Lists exactly these instances, visible to readers after the lag of the list.
+    pub fn list(&self, instances: Vec<Instance>) {
+        let mut state = self.lock();
+        let revision = state.listing.revision + 1;
+        state.listing = Listing { revision, instances };
+        let visible = Instant::now() + state.list_lag;
+        let listing = state.listing.clone();
+        state.lagging.push_back((visible, listing));
+    }
+
+    /// Sets how long changes of the list stay invisible.
+    pub fn set_list_lag(&self, lag: Duration) {
+        self.lock().list_lag = lag;
+    }
+
+    /// Cuts `reader` off, or lets it in again.
+    pub fn set_cut(&self, reader: &str, cut: Cut) {
+        let mut state = self.lock();
+        match cut {
+            Cut::Off => state.cut.insert(reader.to_owned()),
+            Cut::Healed => state.cut.remove(reader),
+        };
+    }
+
+    /// Returns the reads so far, those refused for the limit included.
+    pub fn reads(&self) -> u64 {
+        self.lock().reads_total
+    }
+
+    /// Returns the largest number of reads within one second, and begins to look for it anew.
+    pub fn take_peak(&self) -> usize {
+        std::mem::take(&mut self.lock().reads_peak)
+    }
+
+    /// Returns the reads that were refused for the limit.
+    pub fn refused(&self) -> u64 {
+        self.lock().refused
+    }
+
+    fn take(&self, request: Request) {
+        let Some((query, wait)) = parse(request.url()) else {
+            let _ = request.respond(Response::empty(404));
+            return;
+        };
+        let reader = request
+            .headers()
+            .iter()
+            .find(|h| h.field.equiv(READER))
+            .map(|h| h.value.to_string())
+            .unwrap_or_default();
+        let mut state = self.lock();
+        let admitted = state.count();
+        if state.mode == Mode::Down || state.cut.contains(&reader) {
+            drop(state);
+            let _ = request.respond(Response::empty(500));
+            return;
+        }
+        if !admitted {
+            drop(state);
+            let _ = request.respond(Response::empty(429));
+            return;
+        }
+        let delay = match state.mode {
+            Mode::Slow(delay) => delay,
+            _ => Duration::ZERO,
+        };
+        let until = Instant::now() + wait.max(delay);
+        if delay.is_zero() && (wait.is_zero() || state.has_news(query)) {
+            let answer = state.answer(query);
+            drop(state);
+            respond(request, answer);
+            return;
+        }
+        state.waiting.push(Watch { request, query, until });
+    }
+
+    /// Answers the watches that have news or whose time is over.
+    fn wake(&self) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        while state.lagging.front().is_some_and(|(visible, _)| *visible <= now) {
+            let (_, listing) = state.lagging.pop_front().expect("the queue has a front");
+            state.shown = listing;
+        }
+        let waiting = std::mem::take(&mut state.waiting);
+        let slow = matches!(state.mode, Mode::Slow(_));
+        let mut due = Vec::new();
+        for watch in waiting {
+            if watch.until <= now || (!slow && state.has_news(watch.query)) {
+                let answer =
+                    if state.mode == Mode::Down { None } else { Some(state.answer(watch.query)) };
+                due.push((watch.request, answer));
+            } else {
+                state.waiting.push(watch);
+            }
+        }
+        drop(state);
+        for (request, answer) in due {
+            match answer {
+                Some(answer) => respond(request, answer),
+                None => drop(request.respond(Response::empty(500))),
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Whether a reader is cut off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// Every call of it fails.
+    Off,
+    /// It is served.
+    Healed,
+}
+
+/// What a call is answered with.
+enum Answer {
+    Body(String),
+    Nothing(u64),
+}
+
+impl State {
+    /// Counts a read; returns whether it is within the limit.
+    fn count(&mut self) -> bool {
+        let now = Instant::now();
+        while self.reads.front().is_some_and(|&at| now.duration_since(at) > Duration::from_secs(1))
+        {
+            self.reads.pop_front();
+        }
+        self.reads_total += 1;
+        self.reads.push_back(now);
+        self.reads_peak = self.reads_peak.max(self.reads.len());
+        let within = self.reads.len() <= READS_PER_SECOND;
+        self.refused += u64::from(!within);
+        within
+    }
+
+    fn served(&self) -> &Set {
+        if self.mode == Mode::Stale { &self.stale } else { &self.set }
+    }
+
+    fn has_news(&self, query: Query) -> bool {
+        let revision =
+            if query.list { self.shown.revision } else { self.served().version().revision };
+        revision > query.after
+    }
+
+    fn answer(&self, query: Query) -> Answer {
+        if !self.has_news(query) {
+            let revision =
+                if query.list { self.shown.revision } else { self.served().version().revision };
+            return Answer::Nothing(revision);
+        }
+        let text = if query.list {
+            serde_json::to_string(&self.shown)
+        } else {
+            serde_json::to_string(&self.served().since(query.base))
+        };
+        Answer::Body(text.expect("the answer is made of plain data"))
+    }
+}
+
+fn respond(request: Request, answer: Answer) {
+    // The reader may have gone away.
+    let _ = match answer {
+        Answer::Body(text) => request.respond(Response::from_string(text)),
+        Answer::Nothing(revision) => {
+            let header = Header::from_bytes("platform-revision", revision.to_string());
+            let header = header.expect("the header is made of constants and a number");
+            request.respond(Response::empty(204).with_header(header))
+        }
+    };
+}
+
+fn parse(url: &str) -> Option<(Query, Duration)> {
+    let (path, parameters) = url.split_once('?')?;
+    let number = |name: &str| {
+        let find = |pair: &str| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok();
+        parameters.split('&').find_map(find)
+    };
+    let list = match path {
+        "/v1/config" => false,
+        "/v1/instances" => true,
+        _ => return None,
+    };
+    let query = Query { list, base: number("base"), after: number("after").unwrap_or(0) };
+    Some((query, Duration::from_millis(number("wait_ms").unwrap_or(0))))
+}
--- /dev/null
+++ b/crates/telemetry/src/metric.rs
@@ -0,0 +1,268 @@
+//! Metrics, collected by `opentelemetry` and rendered as Prometheus text.
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, MeterProvider as _},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+use snafu::{ResultExt, Snafu};
+use std::time::Duration;
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] =
+    [0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.05, 0.1, 0.5, 1.0, 5.0];
+
+/// A metric's name, unit and meaning, as the operators' page lists them.
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    /// Name as `opentelemetry` knows it.
+    pub name: &'static str,
+    /// Unit in UCUM notation.
+    pub unit: &'static str,
+    /// Attributes.
+    pub attributes: &'static str,
+    /// Meaning.
+    pub help: &'static str,
+}
+
+const CALLS: Entry = Entry {
+    name: "baobabrelay.calls",
+    unit: "{call}",
+    attributes: "service, outcome",
+    help: "Calls answered by this node as entry node",
+};
+const NOT_RUN: Entry = Entry {
+    name: "baobabrelay.not_run",
+    unit: "{call}",
+    attributes: "service, cause",
+    help: "Calls answered as not run",
+};
+const RETRIES: Entry = Entry {
+    name: "baobabrelay.retries",
+    unit: "{attempt}",
+    attributes: "service",
+    help: "Attempts after the first",
+};
+const REFUSED: Entry = Entry {
+    name: "baobabrelay.claims_refused",
+    unit: "{offer}",
+    attributes: "cause",
+    help: "Offers that this node as serving node refused before running them",
+};
+const EJECTIONS: Entry = Entry {
+    name: "baobabrelay.ejections",
+    unit: "{upstream}",
+    attributes: "service",
+    help: "Upstreams that this node stopped choosing for a while",
+};
+const DURATION: Entry = Entry {
+    name: "baobabrelay.call.duration",
+    unit: "s",
+    attributes: "service",
+    help: "Time from a request's head to its answer",
+};
+const REVISION: Entry = Entry {
+    name: "baobabrelay.config.revision",
+    unit: "{revision}",
+    attributes: "",
+    help: "Revision in force",
+};
+const REJECTED: Entry = Entry {
+    name: "baobabrelay.config.rejected",
+    unit: "{version}",
+    attributes: "",
+    help: "Versions refused",
+};
+const MEMBERS: Entry =
+    Entry { name: "baobabrelay.members", unit: "{node}", attributes: "state", help: "Known nodes" };
+const MESSAGES: Entry = Entry {
+    name: "baobabrelay.peer.messages",
+    unit: "{message}",
+    attributes: "kind",
+    help: "Requests sent to other nodes",
+};
+const READS: Entry = Entry {
+    name: "baobabrelay.source.reads",
+    unit: "{call}",
+    attributes: "",
+    help: "Calls to the platform",
+};
+const CONTROL_CPU: Entry = Entry {
+    name: "baobabrelay.control.cpu",
+    unit: "s",
+    attributes: "",
+    help: "Processor time of all threads that do not carry calls",
+};
+const IN_HAND: Entry = Entry {
+    name: "baobabrelay.calls.in_hand",
+    unit: "{call}",
+    attributes: "",
+    help: "Calls that this node holds as entry node",
+};
+
+/// Every metric, in the order of the operators' page.
+pub const CATALOGUE: [Entry; 13] = [
+    CALLS,
+    NOT_RUN,
+    RETRIES,
+    REFUSED,
+    EJECTIONS,
+    DURATION,
+    REVISION,
+    REJECTED,
+    MEMBERS,
+    MESSAGES,
+    READS,
+    CONTROL_CPU,
+    IN_HAND,
+];
+
+/// Failure to set up or to render metrics.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// The exporter could not be registered.
+    #[snafu(display("cannot set up metrics: {source}"))]
+    Setup {
+        /// What the exporter says.
+        source: opentelemetry_sdk::error::OTelSdkError,
+    },
+    /// The text form could not be made.
+    #[snafu(display("cannot render metrics: {source}"))]
+    Render {
+        /// What the encoder says.
+        source: prometheus::Error,
+    },
+}
+
+/// All instruments of a node.
+pub struct Meter {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    calls: Counter<u64>,
+    not_run: Counter<u64>,
+    retries: Counter<u64>,
+    refused: Counter<u64>,
+    ejections: Counter<u64>,
+    duration: Histogram<f64>,
+    revision: Gauge<u64>,
+    rejected: Counter<u64>,
+    members: Gauge<u64>,
+    messages: Counter<u64>,
+    reads: Counter<u64>,
+    control_cpu: Gauge<f64>,
+    in_hand: Gauge<u64>,
+}
+
+impl Meter {
+    /// Creates the instruments.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()
+            .context(SetupSnafu)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("baobabrelay");
+        let counter =
+            |e: Entry| meter.u64_counter(e.name).with_unit(e.unit).with_description(e.help).build();
+        let gauge =
+            |e: Entry| meter.u64_gauge(e.name).with_unit(e.unit).with_description(e.help).build();
+        Ok(Meter {
+            calls: counter(CALLS),
+            not_run: counter(NOT_RUN),
+            retries: counter(RETRIES),
+            refused: counter(REFUSED),
+            ejections: counter(EJECTIONS),
+            duration: meter
+                .f64_histogram(DURATION.name)
+                .with_unit(DURATION.unit)
+                .with_description(DURATION.help)
+                .with_boundaries(LATENCY_BOUNDS.to_vec())
+                .build(),
+            revision: gauge(REVISION),
+            rejected: counter(REJECTED),
+            members: gauge(MEMBERS),
+            messages: counter(MESSAGES),
+            reads: counter(READS),
+            control_cpu: meter
+                .f64_gauge(CONTROL_CPU.name)
+                .with_unit(CONTROL_CPU.unit)
+                .with_description(CONTROL_CPU.help)
+                .build(),
+            in_hand: gauge(IN_HAND),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a call that was answered with `outcome` after `elapsed`.
+    pub fn call(&self, service: &str, outcome: &'static str, elapsed: Duration) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.duration.record(elapsed.as_secs_f64(), std::slice::from_ref(&service));
+        self.calls.add(1, &[service, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Counts a call that was answered as not run.
+    pub fn not_run(&self, service: &str, cause: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.not_run.add(1, &[service, KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts an attempt after the first.
+    pub fn retry(&self, service: &str) {
+        self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts an offer that was refused before it was run.
+    pub fn refusal(&self, cause: &'static str) {
+        self.refused.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts an ejection.
+    pub fn ejection(&self, service: &str) {
+        self.ejections.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Sets the revision in force.
+    pub fn revision(&self, revision: u64) {
+        self.revision.record(revision, &[]);
+    }
+
+    /// Counts a refused version.
+    pub fn rejection(&self) {
+        self.rejected.add(1, &[]);
+    }
+
+    /// Sets the number of known nodes in `state`.
+    pub fn members(&self, state: &'static str, count: u64) {
+        self.members.record(count, &[KeyValue::new("state", state)]);
+    }
+
+    /// Counts a request sent to another node.
+    pub fn message(&self, kind: &'static str) {
+        self.messages.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts a call to the platform.
+    pub fn read(&self) {
+        self.reads.add(1, &[]);
+    }
+
+    /// Sets the processor time of the control part.
+    pub fn control_cpu(&self, seconds: f64) {
+        self.control_cpu.record(seconds, &[]);
+    }
+
+    /// Sets the number of calls in hand.
+    pub fn in_hand(&self, calls: u64) {
+        self.in_hand.record(calls, &[]);
+    }
+
+    /// Renders all metrics as Prometheus text.
+    pub fn render(&self) -> Result<String, Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(RenderSnafu)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/body.rs
@@ -0,0 +1,36 @@
+//! Taking in bodies whole, within bounds of size and time.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{body::Incoming, header};
+use std::time::Duration;
+
+/// Why a body was not taken.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Fault {
+    /// It is larger than allowed.
+    Large,
+    /// It did not arrive in time.
+    Slow,
+    /// It broke off before its declared end.
+    Short,
+}
+
+/// Receives `body` whole.
+///
+/// A body that breaks off is an error, never a shorter body: `hyper` compares it with the declared
+/// length, or looks for the last chunk. Half of a sales file must not look like a file.
+pub(crate) async fn receive(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Fault> {
+    let collected = tokio::time::timeout(time, Limited::new(body, limit).collect()).await;
+    match collected {
+        Err(_) => Err(Fault::Slow),
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Fault::Large),
+        Ok(Err(_)) => Err(Fault::Short),
+    }
+}
+
+/// Returns the declared length of a body, if there is one.
+pub(crate) fn declared(headers: &hyper::HeaderMap) -> Option<usize> {
+    headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/traffic/src/lib.rs
@@ -0,0 +1,26 @@
+//! Carries calls: from callers to the entry node, on to the serving node, to the upstream and back.
+//!
+//! This crate exists to put the decisions of `policy` into effect on sockets. It reads immutable
+//! snapshots of configuration and fleet and never waits for control state; it must not know the
+//! platform or the messages between control threads. The headers in [`wire`] are an API border,
+//! towards callers and between nodes; the rest is not.
+
+mod body;
+mod clock;
+mod entry;
+mod explain;
+mod pool;
+mod server;
+mod serving;
+mod state;
+mod stream;
+mod tally;
+pub mod wire;
+
+pub use crate::{
+    clock::Clock,
+    explain::Eligibility,
+    server::{Error, Listener},
+    state::{Hub, Settings},
+    tally::Count,
+};
--- /dev/null
+++ b/crates/traffic/src/serving.rs
@@ -0,0 +1,268 @@
+//! The serving node's part: the only door to its upstream.
+//!
+//! Slots, leaving, deadlines and the claim are decided here, next to the upstream, on fresh facts.
+
+use bytes::Bytes;
+use fleet::view::Upstream;
+use hyper::{HeaderMap, Method, Request, Response, Uri};
+use model::{profile::Profile, time::Time};
+use policy::{
+    admission::{Entry, Ticket},
+    claim,
+    outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss},
+    retry::Kind,
+};
+use std::{sync::Arc, sync::atomic::Ordering, time::Duration};
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::{
+    body,
+    pool::{Connection, Failure},
+    state::Hub,
+    stream::{Look, Probe},
+    wire,
+};
+
+/// A call that is offered to this node's upstream.
+#[derive(Clone, Debug)]
+pub(crate) struct Offer {
+    pub(crate) method: Method,
+    pub(crate) path: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// When its head was read.
+    pub(crate) received: Time,
+    pub(crate) deadline: Time,
+    pub(crate) kind: Kind,
+    /// Life of the node that it is meant for.
+    pub(crate) incarnation: u64,
+    /// The connection that it came on.
+    pub(crate) origin: Probe,
+    /// Identifies the attempt.
+    pub(crate) id: u64,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) head: Response<()>,
+    pub(crate) body: Bytes,
+}
+
+/// Runs an offered call on the own upstream, if it may be run.
+pub(crate) async fn run(
+    hub: &Arc<Hub>,
+    profile: &Profile,
+    offer: Offer,
+) -> Result<Answer, Outcome> {
+    let result = attempt(hub, profile, &offer).await;
+    if let Err(Outcome::NotRun(cause, _)) = result {
+        hub.meter.refusal(cause.name());
+    }
+    result
+}
+
+async fn attempt(hub: &Arc<Hub>, profile: &Profile, offer: &Offer) -> Result<Answer, Outcome> {
+    let _in_hand = InHand::new(hub);
+    check_claim(hub, offer)?;
+    let mut slot = wait_for_slot(hub, profile, offer).await?;
+    let kept = hub.pool.take(hub.settings.upstream, idle_limit(profile), offer.kind);
+    let was_kept = kept.is_some();
+    let connection = match kept {
+        Some(connection) => connection,
+        None => dial(hub, offer).await?,
+    };
+    match send(hub, profile, offer, connection, &mut slot).await {
+        // The upstream closed the kept connection in this moment; nothing was written on it.
+        Err(Sent::Not) if was_kept => {
+            let connection = dial(hub, offer).await?;
+            send(hub, profile, offer, connection, &mut slot).await.map_err(outcome_of)
+        }
+        result => result.map_err(outcome_of),
+    }
+}
+
+/// How sending a call to the upstream failed.
+enum Sent {
+    /// Nothing was written.
+    Not,
+    /// As told.
+    Lost(Outcome),
+}
+
+fn outcome_of(sent: Sent) -> Outcome {
+    match sent {
+        Sent::Not => of_loss(Step::Dial, Loss::Closed),
+        Sent::Lost(outcome) => outcome,
+    }
+}
+
+/// Claims the call and sends it: from here on only a whole answer proves what happened.
+async fn send(
+    hub: &Arc<Hub>,
+    profile: &Profile,
+    offer: &Offer,
+    mut connection: Connection,
+    slot: &mut Slot,
+) -> Result<Answer, Sent> {
+    let request = upstream_request(hub, offer);
+    if let Err(outcome) = check_claim(hub, offer) {
+        hub.pool.put(hub.settings.upstream, connection);
+        return Err(Sent::Lost(outcome));
+    }
+    let begun = hub.clock.now();
+    let remaining = offer.deadline.since(begun);
+    let exchange = async {
+        let head = match connection.send(request).await {
+            Ok(head) => head,
+            Err(Failure::Unsent) => return Err(Sent::Not),
+            Err(Failure::Broken) => return Err(Sent::Lost(of_loss(Step::Run, Loss::Closed))),
+        };
+        receive(profile, offer, head, remaining).await.map_err(Sent::Lost)
+    };
+    let result = timeout(remaining, exchange).await;
+    slot.service_time = Some(hub.clock.now().since(begun));
+    let answer = result.unwrap_or(Err(Sent::Lost(of_loss(Step::Run, Loss::Silent))))?;
+    hub.pool.put(hub.settings.upstream, connection);
+    if Some(answer.head.status().as_u16()) == profile.refused_status {
+        return Err(Sent::Lost(of_loss(Step::Run, Loss::Refusal(Cause::Refused))));
+    }
+    Ok(answer)
+}
+
+/// Receives the upstream's answer whole and checks that it belongs to this call.
+async fn receive(
+    profile: &Profile,
+    offer: &Offer,
+    head: Response<hyper::body::Incoming>,
+    time: Duration,
+) -> Result<Answer, Outcome> {
+    let (parts, incoming) = head.into_parts();
+    // An upstream that echoes the id lets a crossed answer be told from the right one; HTTP/1.1
+    // alone cannot.
+    match wire::read_number(&parts.headers, wire::ID) {
+        Ok(None) => {}
+        Ok(Some(id)) if id == offer.id => {}
+        _ => return Err(Outcome::Unknown(Doubt::BadAnswer)),
+    }
+    let body = body::receive(incoming, profile.max_answer_bytes, time).await;
+    let body = body.map_err(|fault| match fault {
+        body::Fault::Slow => of_loss(Step::Answer, Loss::Silent),
+        body::Fault::Large | body::Fault::Short => of_loss(Step::Answer, Loss::Garbled),
+    })?;
+    Ok(Answer { head: Response::from_parts(parts, ()), body })
+}
+
+/// Checks every reason not to run the call on the facts of this moment.
+fn check_claim(hub: &Hub, offer: &Offer) -> Result<(), Outcome> {
+    let now = hub.clock.now();
+    let facts = claim::Facts {
+        now,
+        deadline: offer.deadline,
+        paused: hub.in_doubt(offer.received, now),
+        wanted: offer.origin.look() != Look::Closed,
+        leaving: hub.is_leaving(),
+        own: offer.incarnation == hub.settings.incarnation,
+    };
+    claim::refusal(facts).map_or(Ok(()), |cause| Err(cause.outcome()))
+}
+
+async fn wait_for_slot(hub: &Arc<Hub>, profile: &Profile, offer: &Offer) -> Result<Slot, Outcome> {
+    let ticket = Ticket(hub.next_id());
+    let (entry, granted) = hub.arrive(ticket, offer.deadline, profile.queue_limit);
+    match entry {
+        Entry::Run => return Ok(Slot::new(hub)),
+        Entry::Refuse(after) => return Err(Outcome::NotRun(Cause::Overloaded, after)),
+        Entry::Wait => {}
+    }
+    let mut place = Place { hub: hub.clone(), ticket, granted, taken: false };
+    let remaining = offer.deadline.since(hub.clock.now());
+    match timeout(remaining, &mut place.granted).await {
+        Ok(Ok(())) => {
+            place.taken = true;
+            Ok(Slot::new(hub))
+        }
+        _ => Err(of_loss(Step::Queue, Loss::Silent)),
+    }
+}
+
+async fn dial(hub: &Arc<Hub>, offer: &Offer) -> Result<Connection, Outcome> {
+    let remaining = offer.deadline.since(hub.clock.now());
+    let time = hub.settings.connect.min(remaining);
+    let opened = hub.pool.open(hub.settings.upstream, time).await;
+    opened.ok_or_else(|| of_loss(Step::Dial, Loss::Closed))
+}
+
+fn upstream_request(hub: &Hub, offer: &Offer) -> Request<wire::Body> {
+    let mut request = Request::new(wire::Body::new(offer.body.clone()));
+    *request.method_mut() = offer.method.clone();
+    *request.uri_mut() = offer.path.clone();
+    *request.headers_mut() = offer.headers.clone();
+    let remaining = offer.deadline.since(hub.clock.now()).as_millis() as u64;
+    let headers = request.headers_mut();
+    headers.insert(wire::DEADLINE, wire::number(remaining));
+    headers.insert(wire::ID, wire::number(offer.id));
+    request
+}
+
+fn idle_limit(profile: &Profile) -> Duration {
+    Duration::from_millis(profile.idle_ms)
+}
+
+/// Tells whether `upstream` is the one beside this node.
+pub(crate) fn is_own(hub: &Hub, upstream: &Upstream) -> bool {
+    upstream.address == hub.settings.own
+}
+
+/// A held slot, freed when dropped, also when the call is cancelled.
+struct Slot {
+    hub: Arc<Hub>,
+    service_time: Option<Duration>,
+}
+
+impl Slot {
+    fn new(hub: &Arc<Hub>) -> Self {
+        Slot { hub: hub.clone(), service_time: None }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.hub.finish(self.service_time);
+    }
+}
+
+/// A place in the queue, given up when dropped before a slot was taken.
+struct Place {
+    hub: Arc<Hub>,
+    ticket: Ticket,
+    granted: oneshot::Receiver<()>,
+    taken: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.taken && !self.hub.cancel(self.ticket) {
+            // The slot was granted in the moment in which the call gave up.
+            self.hub.finish(None);
+        }
+    }
+}
+
+/// Counts a call as in hand while it exists.
+struct InHand {
+    hub: Arc<Hub>,
+}
+
+impl InHand {
+    fn new(hub: &Arc<Hub>) -> Self {
+        hub.offers.fetch_add(1, Ordering::SeqCst);
+        InHand { hub: hub.clone() }
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.hub.offers.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/state.rs
@@ -0,0 +1,258 @@
+//! What all calls of a node share.
+
+use arc_swap::ArcSwap;
+use fleet::{
+    timeline::Kind,
+    view::{Upstream, View},
+};
+use model::{config::Snapshot, time::Time};
+use policy::{
+    admission::{Gate, Ticket},
+    health::Record,
+    pause,
+    retry::Budget,
+    share::Room,
+};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use telemetry::metric::Meter;
+use tokio::sync::oneshot;
+
+use crate::{clock::Clock, pool::Pool, tally::Tally};
+
+/// Settings of a node's traffic.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The node's address for messages between nodes, by which views name it.
+    pub own: SocketAddr,
+    /// Life of the node.
+    pub incarnation: u64,
+    /// Service of its upstream.
+    pub service: String,
+    /// Address of its upstream.
+    pub upstream: SocketAddr,
+    /// Calls that the upstream can work on at once.
+    pub slots: usize,
+    /// Room for calls in hand.
+    pub room: Room,
+    /// Longest time for opening a connection.
+    pub connect: Duration,
+    /// Most connections from callers and other nodes.
+    pub connections: usize,
+    /// How pauses of the process are found.
+    pub pause: pause::Settings,
+}
+
+/// What all calls of a node share.
+pub struct Hub {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) meter: Arc<Meter>,
+    pub(crate) pool: Pool,
+    pub(crate) tally: Tally,
+    config: ArcSwap<Snapshot>,
+    view: ArcSwap<View>,
+    leaving: AtomicBool,
+    watch: Mutex<pause::Watch>,
+    ids: AtomicU64,
+    gate: Mutex<Queue>,
+    services: Mutex<HashMap<String, Service>>,
+    /// Calls in hand as entry node.
+    pub(crate) calls: AtomicUsize,
+    /// Calls in hand as serving node.
+    pub(crate) offers: AtomicUsize,
+    /// Bytes of bodies in hand.
+    pub(crate) bytes: AtomicUsize,
+}
+
+/// The gate of the own upstream and the calls that wait at it.
+struct Queue {
+    gate: Gate,
+    waiters: HashMap<Ticket, oneshot::Sender<()>>,
+}
+
+/// What this node has seen of one service.
+#[derive(Default)]
+pub(crate) struct Service {
+    pub(crate) budget: Budget,
+    pub(crate) in_hand: usize,
+    upstreams: HashMap<Life, Record>,
+}
+
+/// One life of one upstream's node.
+type Life = (SocketAddr, u64);
+
+impl Service {
+    /// Returns the observations of `upstream`, begun now if there are none.
+    pub(crate) fn record(&mut self, upstream: &Upstream, now: Time) -> &mut Record {
+        let life = (upstream.address, upstream.incarnation);
+        self.upstreams.entry(life).or_insert_with(|| Record::new(now))
+    }
+}
+
+impl Hub {
+    /// Creates the shared state; nothing is in force and no upstream is known yet.
+    pub fn new(settings: Settings, clock: Clock, meter: Arc<Meter>) -> Arc<Self> {
+        let queue = Queue { gate: Gate::new(settings.slots), waiters: HashMap::new() };
+        let watch = pause::Watch::new(settings.pause, clock.now());
+        Arc::new(Hub {
+            settings,
+            clock,
+            meter,
+            pool: Pool::default(),
+            tally: Tally::default(),
+            config: ArcSwap::default(),
+            view: ArcSwap::default(),
+            leaving: AtomicBool::new(false),
+            watch: Mutex::new(watch),
+            ids: AtomicU64::new(1),
+            gate: Mutex::new(queue),
+            services: Mutex::default(),
+            calls: AtomicUsize::new(0),
+            offers: AtomicUsize::new(0),
+            bytes: AtomicUsize::new(0),
+        })
+    }
+
+    /// Routes by `snapshot` from now on.
+    pub fn set_config(&self, snapshot: Arc<Snapshot>) {
+        self.config.store(snapshot);
+    }
+
+    /// Routes to the upstreams of `view` from now on, and forgets what was seen of others.
+    pub fn set_view(&self, view: Arc<View>) {
+        self.view.store(view.clone());
+        let now = self.clock.now();
+        let mut services = lock(&self.services);
+        for (name, service) in services.iter_mut() {
+            let known = view.upstreams(name);
+            let is_known = |life: &Life| known.iter().any(|u| (u.address, u.incarnation) == *life);
+            service.upstreams.retain(|life, record| is_known(life) || record.in_flight() > 0);
+        }
+        // Slow start counts from the moment at which an upstream becomes known, not from its
+        // first call, so observation begins here for services that calls have gone to.
+        for (name, service) in services.iter_mut() {
+            for upstream in view.upstreams(name) {
+                service.record(upstream, now);
+            }
+        }
+    }
+
+    /// Takes no more work for the own upstream.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the node takes no more work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of calls in hand, in either role.
+    pub fn in_hand(&self) -> usize {
+        self.calls.load(Ordering::SeqCst) + self.offers.load(Ordering::SeqCst)
+    }
+
+    /// Returns the longest time that the profile of the own service grants for a planned stop.
+    pub fn drain_limit(&self) -> Duration {
+        let config = self.config();
+        let profile = config.service(&self.settings.service).map(|s| config.profile(s));
+        Duration::from_millis(profile.map_or(0, |p| p.drain_ms))
+    }
+
+    /// Notes a beat of the thread that watches for pauses; returns the length of one that ended.
+    pub fn beat(&self) -> Option<Duration> {
+        lock(&self.watch).beat(self.clock.now())
+    }
+
+    /// Returns the counts of notable calls since the last time, and does small upkeep.
+    pub fn collect(&self) -> Vec<Kind> {
+        self.pool.sweep();
+        self.meter.in_hand(self.calls.load(Ordering::Relaxed) as u64);
+        self.tally.take()
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<Snapshot> {
+        self.config.load_full()
+    }
+
+    /// Returns the known upstreams.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    pub(crate) fn next_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn in_doubt(&self, received: Time, now: Time) -> bool {
+        lock(&self.watch).in_doubt(received, now)
+    }
+
+    /// Gives `work` the observations of one service.
+    pub(crate) fn with_service<T>(&self, name: &str, work: impl FnOnce(&mut Service) -> T) -> T {
+        let mut services = lock(&self.services);
+        if !services.contains_key(name) {
+            services.insert(name.to_owned(), Service::default());
+        }
+        work(services.get_mut(name).expect("the service was just inserted"))
+    }
+
+    /// Has the call with `ticket` wait for its turn.
+    ///
+    /// The waiter is registered under the same lock as the decision to wait, so that a slot that
+    /// is freed in between cannot miss it.
+    pub(crate) fn arrive(
+        &self,
+        ticket: Ticket,
+        deadline: Time,
+        queue_limit: usize,
+    ) -> (policy::admission::Entry, oneshot::Receiver<()>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut queue = lock(&self.gate);
+        let entry = queue.gate.arrive(ticket, self.clock.now(), deadline, queue_limit);
+        if entry == policy::admission::Entry::Wait {
+            queue.waiters.insert(ticket, sender);
+        }
+        (entry, receiver)
+    }
+
+    /// Frees a slot and wakes the next call that waits.
+    pub(crate) fn finish(&self, service_time: Option<Duration>) {
+        let mut queue = lock(&self.gate);
+        let now = self.clock.now();
+        let mut next = queue.gate.finish(now, service_time);
+        while let Some(ticket) = next {
+            // A waiting call removes itself under this lock before it drops its receiver, so the
+            // receiver of a waiter found here is alive.
+            if let Some(waiter) = queue.waiters.remove(&ticket) {
+                let _ = waiter.send(());
+                return;
+            }
+            next = queue.gate.finish(now, None);
+        }
+    }
+
+    /// Forgets a call that waits no longer; returns whether it had not been given a slot.
+    ///
+    /// A waiter is removed when its slot is granted, so a missing one means that the call holds a
+    /// slot, which it must [`finish`](Hub::finish).
+    pub(crate) fn cancel(&self, ticket: Ticket) -> bool {
+        let mut queue = lock(&self.gate);
+        queue.gate.cancel(ticket);
+        queue.waiters.remove(&ticket).is_some()
+    }
+}
+
+/// Locks state that stays sound when a holder panics, since each change is a single step.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/traffic/src/stream.rs
@@ -0,0 +1,142 @@
+//! A TCP stream that can be looked at while `hyper` owns it.
+//!
+//! The claim must know at its very moment whether the other side still wants an answer. `hyper`
+//! notices a closed connection only when it next reads, which after a pause of the process may be
+//! later than the request that waited in the same buffer. So the socket is shared, and
+//! [`Probe`] looks at it directly.
+
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::SockRef;
+use std::{
+    io,
+    mem::MaybeUninit,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+use tokio::net::TcpStream;
+
+/// Bytes read from a socket at once; larger reads save system calls but cost memory per call.
+const CHUNK: usize = 16 * 1024;
+
+/// A stream for `hyper`.
+pub(crate) struct Stream {
+    socket: Arc<TcpStream>,
+}
+
+/// A look at a stream that somebody else reads and writes.
+#[derive(Clone, Debug)]
+pub(crate) struct Probe {
+    socket: Arc<TcpStream>,
+}
+
+/// What a look at a socket shows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Look {
+    /// Open, with nothing to read.
+    Quiet,
+    /// Open, with bytes to read.
+    Pending,
+    /// Closed or broken by the other side.
+    Closed,
+}
+
+impl Stream {
+    /// Connects to `address`.
+    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Stream> {
+        Stream::new(TcpStream::connect(address).await?)
+    }
+
+    /// Takes over an open socket.
+    pub(crate) fn new(socket: TcpStream) -> io::Result<Stream> {
+        socket.set_nodelay(true)?;
+        Ok(Stream { socket: Arc::new(socket) })
+    }
+
+    /// Returns a probe of this stream.
+    pub(crate) fn probe(&self) -> Probe {
+        Probe { socket: self.socket.clone() }
+    }
+}
+
+impl Probe {
+    /// Looks at the socket without reading from it.
+    pub(crate) fn look(&self) -> Look {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.socket).peek(&mut byte) {
+            Ok(0) => Look::Closed,
+            Ok(_) => Look::Pending,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Look::Quiet,
+            Err(_) => Look::Closed,
+        }
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut target: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut chunk = [0; CHUNK];
+        let room = target.remaining().min(CHUNK);
+        loop {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read(&mut chunk[..room]) {
+                Ok(count) => {
+                    target.put_slice(&chunk[..count]);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_when_ready(cx, |socket| socket.try_write(bytes))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_when_ready(cx, |socket| socket.try_write_vectored(slices))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write))
+    }
+}
+
+impl Stream {
+    fn poll_when_ready(
+        &self,
+        cx: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match write(&self.socket) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/tally.rs
@@ -0,0 +1,61 @@
+//! Counts of notable calls between two collections, for the time line.
+//!
+//! Under overload thousands of calls a second are refused; one event each would push everything
+//! else out of the ring. So they are counted here and collected once a second.
+
+use fleet::timeline::Kind;
+use policy::outcome::{Cause, Doubt};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+};
+
+/// Most different counts between two collections.
+const KINDS_LIMIT: usize = 256;
+
+/// Something that is counted.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub enum Count {
+    /// A call to a service was not run.
+    NotRun(String, Cause),
+    /// The outcome of a call to a service is unknown.
+    Unknown(String, Doubt),
+    /// A call to a service was offered again.
+    Retried(String),
+    /// An upstream of a service was ejected.
+    Ejected(String, SocketAddr),
+}
+
+/// The counts.
+#[derive(Debug, Default)]
+pub(crate) struct Tally {
+    counts: Mutex<HashMap<Count, u64>>,
+}
+
+impl Tally {
+    pub(crate) fn add(&self, count: Count) {
+        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        if counts.len() < KINDS_LIMIT || counts.contains_key(&count) {
+            *counts.entry(count).or_default() += 1;
+        }
+    }
+
+    /// Returns the counts since the last call as events.
+    pub(crate) fn take(&self) -> Vec<Kind> {
+        let counts =
+            std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner));
+        counts.into_iter().map(|(what, count)| event(what, count)).collect()
+    }
+}
+
+fn event(what: Count, count: u64) -> Kind {
+    match what {
+        Count::NotRun(service, cause) => Kind::NotRun { service, cause: cause.to_string(), count },
+        Count::Unknown(service, doubt) => {
+            Kind::Unknown { service, doubt: doubt.to_string(), count }
+        }
+        Count::Retried(service) => Kind::Retried { service, count },
+        Count::Ejected(service, peer) => Kind::Ejected { service, peer },
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/wire.rs
@@ -0,0 +1,153 @@
+//! Headers towards callers and between nodes.
+
+use hyper::{
+    HeaderMap, Response, StatusCode,
+    header::{self, HeaderName, HeaderValue},
+};
+use policy::outcome::{Cause, Doubt, Outcome};
+use std::time::Duration;
+
+/// Names the service, where the path does not.
+pub const SERVICE: HeaderName = HeaderName::from_static("baobab-service");
+
+/// Remaining time of a call, in ms.
+pub const DEADLINE: HeaderName = HeaderName::from_static("baobab-deadline-ms");
+
+/// How a call ended: `answered`, `not-run` or `unknown`.
+pub const OUTCOME: HeaderName = HeaderName::from_static("baobab-outcome");
+
+/// Revision that a call was routed under.
+pub const VERSION: HeaderName = HeaderName::from_static("baobab-version");
+
+/// Cause of `not-run` or doubt of `unknown`.
+pub const CAUSE: HeaderName = HeaderName::from_static("baobab-cause");
+
+/// Finer form of `Retry-After`, in ms.
+pub const RETRY_AFTER_MS: HeaderName = HeaderName::from_static("baobab-retry-after-ms");
+
+/// Identifies one attempt; an answer that carries it must carry the same.
+pub const ID: HeaderName = HeaderName::from_static("baobab-id");
+
+/// Marks an offer of an entry node and names the life of the node it is meant for.
+pub const OFFER: HeaderName = HeaderName::from_static("baobab-offer");
+
+/// Method and path decide for callers; between nodes the entry node tells what it decided.
+pub const IDEMPOTENT: HeaderName = HeaderName::from_static("baobab-idempotent");
+
+/// Prefix of all of the system's headers; upstreams and callers cannot forge them.
+const PREFIX: &str = "baobab-";
+
+/// Value of [`OUTCOME`] for a whole answer.
+pub const ANSWERED: &str = "answered";
+
+/// Value of [`OUTCOME`] for a call that was not run.
+pub const NOT_RUN: &str = "not-run";
+
+/// Value of [`OUTCOME`] for a call that may have run.
+pub const UNKNOWN: &str = "unknown";
+
+/// A whole body in memory.
+pub type Body = http_body_util::Full<bytes::Bytes>;
+
+/// Removes headers that belong to one connection and those that only the system sets.
+pub fn strip(headers: &mut HeaderMap) {
+    let listed: Vec<String> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    let dropped: Vec<HeaderName> = headers
+        .keys()
+        .filter(|name| {
+            let name = name.as_str();
+            name.starts_with(PREFIX) || is_hop(name) || listed.iter().any(|l| l == name)
+        })
+        .cloned()
+        .collect();
+    for name in dropped {
+        headers.remove(name);
+    }
+}
+
+fn is_hop(name: &str) -> bool {
+    matches!(
+        name,
+        "connection"
+            | "keep-alive"
+            | "proxy-connection"
+            | "te"
+            | "trailer"
+            | "transfer-encoding"
+            | "upgrade"
+            | "content-length"
+            | "expect"
+    )
+}
+
+/// Returns the answer that tells a caller, or an entry node, an outcome without an answer.
+pub fn response(outcome: Outcome) -> Response<Body> {
+    let mut response = Response::new(Body::default());
+    *response.status_mut() = status(outcome);
+    let headers = response.headers_mut();
+    match outcome {
+        Outcome::NotRun(cause, retry_after) => {
+            headers.insert(OUTCOME, HeaderValue::from_static(NOT_RUN));
+            headers.insert(CAUSE, HeaderValue::from_static(cause.name()));
+            headers.insert(RETRY_AFTER_MS, number(retry_after.as_millis() as u64));
+            headers.insert(header::RETRY_AFTER, number(whole_seconds(retry_after)));
+        }
+        Outcome::Unknown(doubt) => {
+            headers.insert(OUTCOME, HeaderValue::from_static(UNKNOWN));
+            headers.insert(CAUSE, HeaderValue::from_static(doubt.name()));
+        }
+    }
+    response
+}
+
+/// Reads the outcome that a serving node tells; none for a whole answer.
+pub fn outcome(headers: &HeaderMap) -> Result<Option<Outcome>, Malformed> {
+    let text = |name: HeaderName| headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+    match text(OUTCOME) {
+        ANSWERED => Ok(None),
+        NOT_RUN => {
+            let cause = Cause::parse(text(CAUSE)).ok_or(Malformed)?;
+            let ms = text(RETRY_AFTER_MS).parse().unwrap_or(0);
+            Ok(Some(Outcome::NotRun(cause, Duration::from_millis(ms))))
+        }
+        UNKNOWN => Ok(Some(Outcome::Unknown(Doubt::parse(text(CAUSE)).ok_or(Malformed)?))),
+        _ => Err(Malformed),
+    }
+}
+
+/// An answer between nodes without a readable outcome.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Malformed;
+
+/// Returns `value` as a header.
+pub fn number(value: u64) -> HeaderValue {
+    HeaderValue::from(value)
+}
+
+/// Reads a whole number; none where the header is absent.
+pub fn read_number(headers: &HeaderMap, name: HeaderName) -> Result<Option<u64>, Malformed> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let parsed = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    parsed.map(Some).ok_or(Malformed)
+}
+
+fn status(outcome: Outcome) -> StatusCode {
+    match outcome {
+        Outcome::NotRun(Cause::UnknownService, _) => StatusCode::NOT_FOUND,
+        Outcome::NotRun(Cause::BadRequest, _) => StatusCode::BAD_REQUEST,
+        Outcome::NotRun(Cause::Late, _) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::NotRun(_, _) => StatusCode::SERVICE_UNAVAILABLE,
+        Outcome::Unknown(Doubt::Timeout) => StatusCode::GATEWAY_TIMEOUT,
+        Outcome::Unknown(_) => StatusCode::BAD_GATEWAY,
+    }
+}
+
+/// Rounds up, since `Retry-After` knows whole seconds and a caller must not come too early.
+fn whole_seconds(span: Duration) -> u64 {
+    span.as_millis().div_ceil(1_000).max(1) as u64
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,54 @@
+//! Chores of the project: `cargo xtask demo | ci | bench | fuzz | reference`.
+
+mod ci;
+mod demo;
+mod tools;
+
+use pico_args::Arguments;
+use std::process::ExitCode;
+
+const HELP: &str = "\
+cargo xtask: chores of the project
+
+  demo        starts a mesh of real processes and shows what it does
+  ci          format, linter, documentation and tests
+  --help      prints this text
+";
+
+fn main() -> ExitCode {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--help") {
+        print!("{HELP}");
+        return ExitCode::SUCCESS;
+    }
+    let result = match arguments.subcommand() {
+        Ok(Some(command)) => run(&command, arguments),
+        Ok(None) => Err(tools::Failure::Usage("name a chore".to_owned())),
+        Err(error) => Err(tools::Failure::Usage(error.to_string())),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(tools::Failure::Usage(reason)) => {
+            eprintln!("xtask: {reason}; see --help");
+            ExitCode::from(2)
+        }
+        Err(tools::Failure::Chore(reason)) => {
+            eprintln!("xtask: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: &str, arguments: Arguments) -> Result<(), tools::Failure> {
+    match command {
+        "demo" => {
+            tools::finish(arguments)?;
+            demo::run()
+        }
+        "ci" => {
+            tools::finish(arguments)?;
+            ci::run()
+        }
+        other => Err(tools::Failure::Usage(format!("unknown chore {other}"))),
+    }
+}
