Proofs of the pure call decisions and of acceptance

Cause: the decisions on calls (claim, admission, choice, retry, outcome) and on documents had examples but no proofs.

Ruled out: nothing was found wrong by these.

--- /dev/null
+++ b/crates/model/tests/accept.rs
@@ -0,0 +1,137 @@
+//! What documents are accepted, and how faults are told.
+
+use model::{
+    config::accept,
+    document::{Delta, Document, SET_LIMIT, Set},
+};
+use quickcheck::{Gen, QuickCheck};
+
+fn set(documents: &[(&str, &str)]) -> Set {
+    let documents = documents
+        .iter()
+        .map(|(key, text)| Document {
+            key: (*key).to_owned(),
+            modified: 1,
+            text: (*text).into(),
+        })
+        .collect();
+    Set::default().with(Delta { revision: 1, full: true, documents, removed: vec![] })
+}
+
+/// Compares the faults, each as "document pointer", in order.
+#[track_caller]
+fn check(documents: &[(&str, &str)], expect: &[&str]) {
+    let faults = accept(&set(documents)).err().unwrap_or_default();
+    let places: Vec<String> =
+        faults.iter().map(|f| format!("{} {}", f.document, f.pointer)).collect();
+    assert_eq!(places, expect, "{faults:?}");
+}
+
+#[test]
+fn good_documents() {
+    check(&[], &[]);
+    check(&[("profiles/a", "{}"), ("services/s", r#"{"profile": "a"}"#)], &[]);
+    check(
+        &[("profiles/a", r#"{"routes": [{"prefix": "/x", "methods": ["POST"], "idempotent": true}]}"#)],
+        &[],
+    );
+}
+
+#[test]
+fn every_fault_is_told_with_its_place() {
+    check(
+        &[("profiles/a", r#"{"deadline_ms": "soon", "attempts": 9, "spill": 1, "more": 1}"#)],
+        &["profiles/a /deadline_ms", "profiles/a /attempts", "profiles/a /spill", "profiles/a /more"],
+    );
+    check(
+        &[("profiles/a", r#"{"routes": [{"prefix": "x", "odd/name": 1}, 7]}"#)],
+        &[
+            "profiles/a /routes/0/prefix",
+            "profiles/a /routes/0/odd~1name",
+            "profiles/a /routes/1",
+            "profiles/a /routes/1/prefix",
+        ],
+    );
+}
+
+/// A route that points at nothing answers each call with an error; none may come into force.
+#[test]
+fn references_must_lead_somewhere() {
+    cov_mark::check!(dangling_profile);
+    check(&[("services/s", r#"{"profile": "a"}"#)], &["services/s /profile"]);
+    check(&[("services/s", "{}")], &["services/s /profile"]);
+    check(&[("profiles/a", "{}"), ("services/s", r#"{"profile": "b"}"#)], &["services/s /profile"]);
+}
+
+#[test]
+fn hostile_documents_are_faults() {
+    let deep = format!("{}1{}", "[".repeat(50_000), "]".repeat(50_000));
+    check(&[("profiles/a", &deep)], &["profiles/a "]);
+    check(&[("profiles/a", r#"{"attempts": 1e999}"#)], &["profiles/a "]);
+    check(&[("profiles/a", r#"{"attempts": 99999999999999999999}"#)], &["profiles/a /attempts"]);
+    check(&[("profiles/a", r#"{"attempts": -1}"#)], &["profiles/a /attempts"]);
+    check(&[("profiles/a", r#"{"attempts": 1, "attempts": 2}"#)], &["profiles/a /attempts"]);
+    check(&[("profiles/a", "{} {}")], &["profiles/a "]);
+    check(&[("profiles/a", "")], &["profiles/a "]);
+    check(&[("profiles/../a", "{}")], &["profiles/../a "]);
+    check(&[("secrets/a", "{}")], &["secrets/a "]);
+    check(&[("profiles/a", "[]")], &["profiles/a "]);
+}
+
+#[test]
+fn sizes_are_bounded() {
+    let large = format!("{{}}{}", " ".repeat(1 << 20));
+    check(&[("profiles/a", &large)], &["profiles/a "]);
+    let half = format!("{{}}{}", " ".repeat(900_000));
+    let many: Vec<(String, &str)> =
+        (0..SET_LIMIT / 900_000 + 1).map(|i| (format!("profiles/p{i}"), half.as_str())).collect();
+    let many: Vec<(&str, &str)> = many.iter().map(|(key, text)| (key.as_str(), *text)).collect();
+    check(&many, &[" "]);
+}
+
+/// Any bytes at all lead to a verdict and not to a panic.
+#[test]
+fn no_text_stops_the_process() {
+    fn property(text: String, key: String) -> bool {
+        let key = format!("profiles/{key}");
+        let verdict = accept(&set(&[(&key, &text)]));
+        verdict.is_ok() || verdict.is_err_and(|faults| !faults.is_empty())
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(200, 3))
+        .tests(2_000)
+        .quickcheck(property as fn(String, String) -> bool);
+}
+
+/// A delta from any older set leads to exactly the newer one, removals included.
+#[test]
+fn deltas_lead_to_the_whole() {
+    fn property(first: Vec<u8>, second: Vec<u8>, third: Vec<u8>) -> bool {
+        let step = |set: &Set, revision: u64, changes: &[u8]| {
+            let mut delta = Delta { revision, ..Delta::default() };
+            for &change in changes {
+                let key = format!("profiles/p{}", change % 6);
+                delta.documents.retain(|d| d.key != key);
+                delta.removed.retain(|r| r.key != key);
+                if change % 3 == 0 {
+                    delta.removed.push(model::document::Removal { key, revision });
+                } else {
+                    let text = format!("{change}").into();
+                    delta.documents.push(Document { key, modified: revision, text });
+                }
+            }
+            set.with(delta)
+        };
+        let one = step(&Set::default(), 1, &first);
+        let two = step(&one, 2, &second);
+        let three = step(&two, 3, &third);
+        let same = |set: Set| set.version() == three.version();
+        same(one.with(three.since(Some(1))))
+            && same(two.with(three.since(Some(2))))
+            && same(one.with(three.since(None)))
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 4))
+        .tests(500)
+        .quickcheck(property as fn(Vec<u8>, Vec<u8>, Vec<u8>) -> bool);
+}
--- /dev/null
+++ b/crates/policy/tests/admission.rs
@@ -0,0 +1,136 @@
+//! The gate never runs more calls than slots, loses no slot and keeps its queue short.
+
+use model::time::Time;
+use policy::admission::{Entry, Gate, Ticket};
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use std::{collections::BTreeMap, time::Duration};
+
+const SEED: u64 = 11;
+const SLOTS: usize = 3;
+const QUEUE: usize = 4;
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(ms)
+}
+
+/// Arrivals of calls with the given remaining ms at a gate with one busy slot whose calls take
+/// 100 ms; compares the answers.
+#[track_caller]
+fn check(remaining: &[u64], expect: &[&str]) {
+    let mut gate = Gate::new(1);
+    assert_eq!(gate.arrive(Ticket(0), at(0), at(9_000), QUEUE), Entry::Run);
+    for _ in 0..200 {
+        gate.finish(at(0), Some(Duration::from_millis(100)));
+        gate.arrive(Ticket(0), at(0), at(9_000), QUEUE);
+    }
+    let told: Vec<&str> = remaining
+        .iter()
+        .enumerate()
+        .map(|(i, &ms)| match gate.arrive(Ticket(i as u64 + 1), at(0), at(ms), QUEUE) {
+            Entry::Run => "run",
+            Entry::Wait => "wait",
+            Entry::Refuse(_) => "refuse",
+        })
+        .collect();
+    assert_eq!(told, expect);
+}
+
+/// At dawn every count comes too late: the queue was so long that each call waited until just
+/// before its deadline, and the upstream worked for chefs who had given up.
+#[test]
+fn a_call_that_cannot_be_in_time_is_refused_at_once() {
+    cov_mark::check!(gate_refuses);
+    check(&[1_000, 50], &["wait", "refuse"]);
+    check(&[1_000, 150], &["wait", "refuse"]);
+    check(&[1_000, 250, 350], &["wait", "wait", "wait"]);
+    check(&[900, 900, 900, 900, 900], &["wait", "wait", "wait", "wait", "refuse"]);
+}
+
+#[test]
+fn a_freed_slot_passes_over_expired_calls() {
+    cov_mark::check!(gate_drops_expired);
+    let mut gate = Gate::new(1);
+    gate.arrive(Ticket(1), at(0), at(900), QUEUE);
+    gate.arrive(Ticket(2), at(0), at(20), QUEUE);
+    gate.arrive(Ticket(3), at(0), at(900), QUEUE);
+    assert_eq!(gate.finish(at(30), None), Some(Ticket(3)));
+    assert_eq!(gate.finish(at(31), None), None);
+    assert_eq!(gate.busy(), 0);
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Action {
+    Arrive(u16),
+    Finish,
+    Cancel(u8),
+    Wait(u8),
+}
+
+impl Arbitrary for Action {
+    fn arbitrary(g: &mut Gen) -> Self {
+        match u8::arbitrary(g) % 7 {
+            0..=2 => Action::Arrive(u16::arbitrary(g) % 400),
+            3 | 4 => Action::Finish,
+            5 => Action::Cancel(u8::arbitrary(g)),
+            _ => Action::Wait(u8::arbitrary(g)),
+        }
+    }
+}
+
+/// Drives a gate and a plain list of what runs and waits side by side.
+fn agree(actions: Vec<Action>) -> TestResult {
+    let mut gate = Gate::new(SLOTS);
+    let (mut now, mut next) = (0, 0);
+    let mut running: Vec<Ticket> = Vec::new();
+    let mut waiting: BTreeMap<u64, u64> = BTreeMap::new();
+    for action in actions {
+        match action {
+            Action::Arrive(ms) => {
+                next += 1;
+                let deadline = now + u64::from(ms);
+                match gate.arrive(Ticket(next), at(now), at(deadline), QUEUE) {
+                    Entry::Run => running.push(Ticket(next)),
+                    Entry::Wait => drop(waiting.insert(next, deadline)),
+                    Entry::Refuse(after) if after.is_zero() => {
+                        return TestResult::error("told to come back at once");
+                    }
+                    Entry::Refuse(_) => {}
+                }
+            }
+            Action::Finish if !running.is_empty() => {
+                running.remove(0);
+                let expect = waiting.iter().find(|(_, deadline)| **deadline > now).map(|w| *w.0);
+                let got = gate.finish(at(now), Some(Duration::from_millis(5)));
+                if got != expect.map(Ticket) {
+                    return TestResult::error(format!("{got:?} in place of {expect:?}"));
+                }
+                match got {
+                    Some(ticket) => {
+                        waiting.retain(|&number, _| number > ticket.0);
+                        running.push(ticket);
+                    }
+                    None => waiting.clear(),
+                }
+            }
+            Action::Cancel(n) => {
+                let number = next.saturating_sub(u64::from(n % 8));
+                gate.cancel(Ticket(number));
+                waiting.remove(&number);
+            }
+            Action::Finish => {}
+            Action::Wait(ms) => now += u64::from(ms),
+        }
+        if gate.busy() != running.len() || gate.busy() > SLOTS || gate.waiting() > QUEUE {
+            return TestResult::error(format!("{} busy, {} run", gate.busy(), running.len()));
+        }
+    }
+    TestResult::passed()
+}
+
+#[test]
+fn no_slot_is_lost_or_given_twice() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, SEED))
+        .tests(500)
+        .quickcheck(agree as fn(Vec<Action>) -> TestResult);
+}
