--- /dev/null
+++ b/crates/baobabctl/tests/check.rs
@@ -0,0 +1,66 @@
+//! `baobabctl check` judges files as a node would.
+
+use std::{
+    fs,
+    process::{Command, Output},
+};
+
+fn ctl(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_baobabctl"))
+        .args(arguments)
+        .output()
+        .expect("the program can be run")
+}
+
+/// Writes files, checks them all, compares exit status and lines; FOLDER stands for the folder.
+#[track_caller]
+fn check(files: &[(&str, &str)], status: i32, lines: &[&str]) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut paths = Vec::new();
+    for (name, text) in files {
+        let path = folder.path().join(name);
+        fs::create_dir_all(path.parent().expect("the file is in a folder"))
+            .expect("the folder can be made");
+        fs::write(&path, text).expect("the file can be written");
+        paths.push(path.to_string_lossy().into_owned());
+    }
+    let arguments: Vec<&str> =
+        std::iter::once("check").chain(paths.iter().map(String::as_str)).collect();
+    let output = ctl(&arguments);
+    let printed = String::from_utf8_lossy(&output.stdout)
+        .replace(&format!("{}/", folder.path().to_string_lossy()), "");
+    assert_eq!(printed.lines().collect::<Vec<_>>(), lines);
+    assert_eq!(output.status.code(), Some(status));
+}
+
+#[test]
+fn faults_name_file_and_place() {
+    check(
+        &[("profiles/p.json", "{}"), ("services/s.json", r#"{"profile": "p"}"#)],
+        0,
+        &["2 documents, no faults"],
+    );
+    check(
+        &[("profiles/p.json", r#"{"attempts": 0}"#), ("services/s.json", r#"{"profile": "q"}"#)],
+        1,
+        &[
+            "profiles/p.json: /attempts: must be a whole number from 1 to 5, not 0",
+            "services/s.json: /profile: names the profile \"q\", which does not exist",
+        ],
+    );
+    check(
+        &[("elsewhere/p.json", "{}")],
+        1,
+        &["elsewhere/p.json: : lies neither in a folder profiles nor in a folder services"],
+    );
+}
+
+#[test]
+fn usage_is_told_by_exit_status() {
+    assert_eq!(ctl(&["--help"]).status.code(), Some(0));
+    assert_eq!(ctl(&["--version"]).status.code(), Some(0));
+    assert_eq!(ctl(&[]).status.code(), Some(2));
+    assert_eq!(ctl(&["dance"]).status.code(), Some(2));
+    assert_eq!(ctl(&["status"]).status.code(), Some(2));
+    assert_eq!(ctl(&["status", "--node", "127.0.0.1:1"]).status.code(), Some(1));
+}
--- /dev/null
+++ b/crates/baobabrelayd/tests/settings.rs
@@ -0,0 +1,65 @@
+//! The daemon's command line and its settings.
+
+use std::{
+    fs,
+    process::{Command, Output},
+};
+
+const GOOD: &str = r#"{
+    "instance": "paydesk-1", "service": "paydesk", "data_centre": "ktm-a",
+    "listen": {"traffic": "127.0.0.1:1", "peers": "127.0.0.1:2", "operators": "127.0.0.1:3"},
+    "upstream": {"address": "127.0.0.1:4", "slots": 10},
+    "platform": "127.0.0.1:5"
+}"#;
+
+fn daemon(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_baobabrelayd"))
+        .args(arguments)
+        .output()
+        .expect("the daemon can be run")
+}
+
+/// Checks settings; compares exit status and the places of the faults.
+#[track_caller]
+fn check(text: &str, status: i32, places: &[&str]) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let file = folder.path().join("node.json");
+    fs::write(&file, text).expect("the file can be written");
+    let output = daemon(&["--settings", &file.to_string_lossy(), "--check"]);
+    let errors = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(status), "{errors}");
+    let found: Vec<&str> = errors.lines().filter_map(|line| line.split(": ").nth(1)).collect();
+    assert_eq!(found, places, "{errors}");
+}
+
+#[test]
+fn settings_are_checked_as_a_whole() {
+    check(GOOD, 0, &[]);
+    check(
+        "{}",
+        2,
+        &[
+            "/instance",
+            "/service",
+            "/data_centre",
+            "/listen/traffic",
+            "/listen/peers",
+            "/listen/operators",
+            "/upstream/address",
+            "/platform",
+        ],
+    );
+    check(&GOOD.replace("\"slots\": 10", "\"slots\": 0"), 2, &["/upstream/slots"]);
+    check(&GOOD.replace("\"platform\"", "\"plan\": \"gossip\", \"platform\""), 2, &["/plan"]);
+    check(&GOOD.replace("\"platform\"", "\"platfrom\""), 2, &["/platform", "/platfrom"]);
+    check("{", 2, &[""]);
+}
+
+#[test]
+fn usage_is_told_by_exit_status() {
+    assert_eq!(daemon(&["--help"]).status.code(), Some(0));
+    assert_eq!(daemon(&["--version"]).status.code(), Some(0));
+    assert_eq!(daemon(&[]).status.code(), Some(2));
+    assert_eq!(daemon(&["--settings", "/nowhere/at/all.json"]).status.code(), Some(2));
+    assert_eq!(daemon(&["--settings", "x", "--wrong"]).status.code(), Some(2));
+}
--- a/crates/fleet/tests/operators.rs
+++ b/crates/fleet/tests/operators.rs
@@ -89,3 +89,25 @@
     net.heal_source();
     check(&mut net, 4, Duration::from_secs(45));
 }
+
+/// A till keeps calling a service that no longer exists: more documents were removed than the
+/// peers remember, and the delta it pulled did not say so. Its digest must, and the whole follows.
+#[test]
+fn a_delta_that_forgets_removals_is_not_taken() {
+    cov_mark::check!(delta_mismatch);
+    let mut net = net();
+    let keys: Vec<String> = (0..300).map(|i| format!("profiles/extra-{i}")).collect();
+    for key in &keys {
+        net.publish(key, Some("{}"));
+    }
+    net.run(Duration::from_secs(1));
+    net.separate(3, 1);
+    net.cut_source(3);
+    net.run(Duration::from_secs(1));
+    for key in &keys {
+        net.publish(key, None);
+        net.run(Duration::from_millis(50));
+    }
+    net.join();
+    check(&mut net, 601, Duration::from_secs(45));
+}
--- a/crates/model/tests/accept.rs
+++ b/crates/model/tests/accept.rs
@@ -9,11 +9,7 @@
 fn set(documents: &[(&str, &str)]) -> Set {
     let documents = documents
         .iter()
-        .map(|(key, text)| Document {
-            key: (*key).to_owned(),
-            modified: 1,
-            text: (*text).into(),
-        })
+        .map(|(key, text)| Document { key: (*key).to_owned(), modified: 1, text: (*text).into() })
         .collect();
     Set::default().with(Delta { revision: 1, full: true, documents, removed: vec![] })
 }
@@ -32,7 +28,10 @@
     check(&[], &[]);
     check(&[("profiles/a", "{}"), ("services/s", r#"{"profile": "a"}"#)], &[]);
     check(
-        &[("profiles/a", r#"{"routes": [{"prefix": "/x", "methods": ["POST"], "idempotent": true}]}"#)],
+        &[(
+            "profiles/a",
+            r#"{"routes": [{"prefix": "/x", "methods": ["POST"], "idempotent": true}]}"#,
+        )],
         &[],
     );
 }
@@ -41,7 +40,12 @@
 fn every_fault_is_told_with_its_place() {
     check(
         &[("profiles/a", r#"{"deadline_ms": "soon", "attempts": 9, "spill": 1, "more": 1}"#)],
-        &["profiles/a /deadline_ms", "profiles/a /attempts", "profiles/a /spill", "profiles/a /more"],
+        &[
+            "profiles/a /deadline_ms",
+            "profiles/a /attempts",
+            "profiles/a /spill",
+            "profiles/a /more",
+        ],
     );
     check(
         &[("profiles/a", r#"{"routes": [{"prefix": "x", "odd/name": 1}, 7]}"#)],
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -3,6 +3,7 @@
 use policy::{
     outcome::{Cause, Doubt, Outcome},
     retry::{Attempt, Budget, Kind, Step, decide},
+    share::Room,
 };
 use std::time::Duration;
 
@@ -73,3 +74,20 @@
     assert_eq!(decide(free, &mut budget), Step::Again);
     assert_eq!(decide(paid, &mut budget), Step::GiveUp);
 }
+
+/// A healthy service is refused because another one's upstreams hang and hold the whole node.
+#[test]
+fn a_hanging_service_leaves_room_for_others() {
+    let room = Room { calls: 100, ..Room::default() };
+    let mut hanging = 0;
+    while room.admits(hanging, hanging) {
+        hanging += 1;
+    }
+    assert_eq!(hanging, 50);
+    let mut other = 0;
+    while room.admits(other, hanging + other) {
+        other += 1;
+    }
+    assert_eq!(other, 25);
+    assert!(room.admits(0, hanging + other));
+}
--- /dev/null
+++ b/crates/traffic/tests/claims.rs
@@ -0,0 +1,143 @@
+//! What is decided just before a call is run: cancellation, leaving, pauses, slots, whole uploads.
+
+mod rig;
+
+use rig::Rig;
+use standins::{
+    caller::{Call, Caller},
+    upstream::Settings,
+};
+use std::{
+    io::{Read, Write},
+    net::{Shutdown, TcpStream},
+    time::Duration,
+};
+
+const PROFILE: &str = r#"{"deadline_ms": 15000, "max_request_bytes": 1000, "upload_ms": 300}"#;
+
+fn one_slot() -> Vec<Settings> {
+    vec![Settings { slots: 1, ..Settings::default() }]
+}
+
+/// A cancelled order is cooked all the same: its caller had gone while it waited for a slot, and
+/// nobody looked before running it.
+#[test]
+fn a_cancelled_call_does_not_run() {
+    let rig = Rig::new(one_slot(), PROFILE);
+    rig.upstreams[0].set_work(Duration::from_secs(2));
+    let entry = rig.entry.traffic;
+    rig.runtime
+        .spawn(async move { Caller::new(entry).call(&Call::post("/paydesk/a", "first")).await });
+    rig.wait(|| rig.runs("first") == 1);
+    let second = rig
+        .runtime
+        .spawn(async move { Caller::new(entry).call(&Call::post("/paydesk/a", "second")).await });
+    rig.wait(|| rig.nodes[0].hub.in_hand() == 2);
+    second.abort();
+    rig.wait(|| rig.nodes[0].hub.in_hand() == 1);
+    rig.upstreams[0].set_work(Duration::ZERO);
+    assert_eq!(rig.call(&Call::post("/paydesk/a", "third")).outcome(), "answered");
+    assert_eq!((rig.runs("second"), rig.runs("third")), (0, 1));
+}
+
+/// The upstream never sees more calls at once than it has slots, whoever sends them.
+#[test]
+fn slots_are_never_exceeded() {
+    let rig = Rig::new(vec![Settings { slots: 3, ..Settings::default() }], PROFILE);
+    rig.upstreams[0].set_work(Duration::from_millis(5));
+    let entry = rig.entry.traffic;
+    let calls: Vec<_> = (0..60)
+        .map(|i| {
+            rig.runtime.spawn(async move {
+                let call = Call::post("/paydesk/a", &format!("w{i}"));
+                Caller::new(entry).call(&call).await.map(|a| a.outcome().to_owned())
+            })
+        })
+        .collect();
+    for (i, call) in calls.into_iter().enumerate() {
+        let outcome = rig.runtime.block_on(call).expect("the task ends").expect("an answer comes");
+        let expect = u32::from(outcome == "answered");
+        assert_eq!(rig.runs(&format!("w{i}")), expect, "{outcome}");
+    }
+    let ledger = rig.upstreams[0].ledger();
+    assert!(ledger.most_busy <= 3);
+    assert_eq!(ledger.shed, 0);
+}
+
+/// A planned stop cuts a payment in flight, or a new one slips in behind it.
+#[test]
+fn a_leaving_node_finishes_its_work_and_takes_no_more() {
+    let rig = Rig::new(one_slot(), PROFILE);
+    rig.upstreams[0].set_work(Duration::from_millis(300));
+    let entry = rig.entry.traffic;
+    let first = rig
+        .runtime
+        .spawn(async move { Caller::new(entry).call(&Call::post("/paydesk/a", "first")).await });
+    rig.wait(|| rig.runs("first") == 1);
+    rig.nodes[0].hub.leave();
+    let answer = rig.call(&Call::post("/paydesk/a", "second"));
+    assert_eq!((answer.outcome(), answer.header("baobab-cause")), ("not-run", "leaving"));
+    let first = rig.runtime.block_on(first).expect("the task ends").expect("an answer comes");
+    assert_eq!((first.outcome(), rig.runs("second")), ("answered", 0));
+}
+
+/// A request that waited in the buffers of a paused process is refused, and provably not run.
+#[test]
+fn a_paused_node_runs_nothing_that_may_be_old() {
+    let rig = Rig::new(vec![Settings::default()], PROFILE);
+    rig.stop_beat();
+    // The beats of this rig count as missing after three seconds.
+    std::thread::sleep(Duration::from_millis(3_200));
+    let answer = rig.call(&Call::post("/paydesk/a", "old"));
+    assert_eq!((answer.outcome(), answer.header("baobab-cause")), ("not-run", "paused"));
+    assert_eq!(rig.runs("old"), 0);
+}
+
+/// Sends raw bytes to the entry node and returns the first line of the answer.
+fn raw(rig: &Rig, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(rig.entry.traffic).expect("the node listens");
+    stream.write_all(bytes).expect("the node reads");
+    stream.shutdown(Shutdown::Write).expect("the connection is open");
+    let mut answer = String::new();
+    // A node may reset the connection after its answer, with unread bytes left.
+    let _ = stream.read_to_string(&mut answer);
+    answer.lines().next().unwrap_or("").to_owned()
+}
+
+/// A pharmacy's sales file vanishes mid-upload: half of it arrived, was taken for the whole, and
+/// was answered with success.
+#[test]
+fn a_cut_off_upload_is_never_passed_on() {
+    let rig = Rig::new(vec![Settings::default()], PROFILE);
+    let cut = b"POST /paydesk/sales HTTP/1.1\r\nhost: n\r\nx-work: file\r\ncontent-length: 500\r\n\r\nhalf";
+    assert!(!raw(&rig, cut).contains(" 200 "));
+    let chunked = b"POST /paydesk/sales HTTP/1.1\r\nhost: n\r\nx-work: file\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    assert!(!raw(&rig, chunked).contains(" 200 "));
+    assert_eq!(rig.call(&Call::get("/paydesk/sales")).outcome(), "answered");
+    assert_eq!(rig.runs("file"), 0);
+}
+
+#[test]
+fn large_and_slow_uploads_are_refused_with_a_clear_answer() {
+    let rig = Rig::new(vec![Settings::default()], PROFILE);
+    let large = Call { body: vec![b'x'; 1_001].into(), ..Call::post("/paydesk/sales", "large") };
+    let answer = rig.call(&large);
+    assert_eq!((answer.status, answer.outcome()), (413, "not-run"));
+    let mut slow = TcpStream::connect(rig.entry.traffic).expect("the node listens");
+    let head =
+        b"POST /paydesk/sales HTTP/1.1\r\nhost: n\r\nx-work: slow\r\ncontent-length: 9\r\n\r\nx";
+    slow.write_all(head).expect("the node reads");
+    let mut answer = [0; 12];
+    slow.read_exact(&mut answer).expect("the node answers");
+    assert_eq!(&answer, b"HTTP/1.1 408");
+    assert_eq!((rig.runs("large"), rig.runs("slow")), (0, 0));
+}
+
+/// Headers by which nodes speak to each other cannot be forged by an upstream or a caller.
+#[test]
+fn an_upstreams_own_headers_do_not_pass_for_the_nodes() {
+    let rig = Rig::new(vec![Settings::default()], PROFILE);
+    let answer = rig.call(&Call::get("/paydesk/x"));
+    assert_eq!(answer.header("baobab-id"), "");
+    assert_eq!(answer.header("baobab-version"), "1");
+}
--- /dev/null
+++ b/crates/traffic/tests/rig/mod.rs
@@ -0,0 +1,199 @@
+//! Entry and serving nodes in one process, with stand-ins for upstreams and no control thread.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use fleet::{
+    member::{Record, State},
+    view::View,
+};
+use model::{
+    config::accept,
+    document::{Delta, Document, Set},
+};
+use standins::{
+    caller::{Answer, Call, Caller},
+    upstream::{self, Upstream},
+};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+use telemetry::metric::Meter;
+use tokio::runtime::{Builder, Runtime};
+use traffic::{Clock, Hub, Listener, Settings};
+
+/// Time after which a test that waits for something gives up; no verdict depends on it otherwise.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The life of every node.
+pub const LIFE: u64 = 7;
+
+/// A node without control thread.
+pub struct Node {
+    pub hub: Arc<Hub>,
+    pub traffic: SocketAddr,
+}
+
+/// Some nodes, each beside an upstream of service "paydesk", and one entry node without one.
+pub struct Rig {
+    pub runtime: Runtime,
+    pub entry: Node,
+    pub nodes: Vec<Node>,
+    pub upstreams: Vec<Upstream>,
+    beating: Arc<AtomicBool>,
+}
+
+impl Rig {
+    /// Starts one node per upstream; all run under `profile`.
+    pub fn new(upstreams: Vec<upstream::Settings>, profile: &str) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(4)
+            .enable_all()
+            .build()
+            .expect("threads can be started");
+        let upstreams: Vec<(usize, Upstream)> = upstreams
+            .into_iter()
+            .map(|s| (s.slots, Upstream::start(s, runtime.handle()).expect("a port is free")))
+            .collect();
+        let nodes: Vec<Node> = upstreams
+            .iter()
+            .enumerate()
+            .map(|(i, (slots, upstream))| start(&runtime, i, upstream.address(), *slots))
+            .collect();
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+        let entry = start(&runtime, 99, nowhere, 1);
+        let rig = Rig {
+            entry,
+            nodes,
+            upstreams: upstreams.into_iter().map(|(_, upstream)| upstream).collect(),
+            beating: Arc::new(AtomicBool::new(true)),
+            runtime,
+        };
+        rig.set_profile(profile);
+        let records: Vec<Record> = rig
+            .nodes
+            .iter()
+            .enumerate()
+            .map(|(i, node)| record(i, node.traffic, State::Live))
+            .collect();
+        rig.set_view(&records);
+        rig.start_beat();
+        rig
+    }
+
+    /// Puts a profile into force at every node.
+    pub fn set_profile(&self, profile: &str) {
+        let document = |key: &str, text: &str| Document {
+            key: key.to_owned(),
+            modified: 1,
+            text: text.into(),
+        };
+        let documents = vec![
+            document("profiles/p", profile),
+            document("services/paydesk", r#"{"profile": "p"}"#),
+        ];
+        let delta = Delta { revision: 1, full: true, documents, removed: vec![] };
+        let snapshot = Arc::new(accept(&Set::default().with(delta)).expect("the profile is good"));
+        for hub in self.hubs() {
+            hub.set_config(snapshot.clone());
+        }
+    }
+
+    /// Shows these records to the entry node.
+    pub fn set_view(&self, records: &[Record]) {
+        self.entry.hub.set_view(Arc::new(View::new(records.iter(), "ktm-a")));
+    }
+
+    /// Stops the beats that prove that the process runs, as a pause would.
+    pub fn stop_beat(&self) {
+        self.beating.store(false, Ordering::SeqCst);
+    }
+
+    /// Makes one call through the entry node.
+    pub fn call(&self, call: &Call) -> Answer {
+        self.runtime
+            .block_on(Caller::new(self.entry.traffic).call(call))
+            .expect("a node answers every whole request")
+    }
+
+    /// Returns how often `work` was begun, at all upstreams together.
+    pub fn runs(&self, work: &str) -> u32 {
+        self.upstreams.iter().filter_map(|u| u.ledger().begun.get(work).copied()).sum()
+    }
+
+    /// Waits until `done`.
+    pub fn wait(&self, done: impl Fn() -> bool) {
+        let begun = Instant::now();
+        while !done() {
+            assert!(begun.elapsed() < PATIENCE, "waited in vain");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    fn hubs(&self) -> Vec<Arc<Hub>> {
+        let nodes = self.nodes.iter().chain([&self.entry]);
+        nodes.map(|node| node.hub.clone()).collect()
+    }
+
+    fn start_beat(&self) {
+        let (hubs, beating) = (self.hubs(), self.beating.clone());
+        self.runtime.spawn(async move {
+            loop {
+                if beating.load(Ordering::SeqCst) {
+                    hubs.iter().for_each(|hub| drop(hub.beat()));
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+    }
+}
+
+/// Returns a record of a node of "paydesk".
+pub fn record(number: usize, traffic: SocketAddr, state: State) -> Record {
+    Record {
+        address: own(number),
+        traffic,
+        instance: format!("paydesk-{number}"),
+        service: "paydesk".to_owned(),
+        data_centre: "ktm-a".to_owned(),
+        incarnation: LIFE,
+        sequence: 0,
+        state,
+    }
+}
+
+fn own(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 7_000 + number as u16))
+}
+
+fn start(runtime: &Runtime, number: usize, upstream: SocketAddr, slots: usize) -> Node {
+    let settings = Settings {
+        own: own(number),
+        incarnation: LIFE,
+        service: "paydesk".to_owned(),
+        upstream,
+        slots,
+        room: policy::share::Room::default(),
+        connect: Duration::from_secs(2),
+        connections: 256,
+        // A busy machine must not look like a pause; the test of pauses stops the beats for good.
+        pause: policy::pause::Settings {
+            gap: Duration::from_secs(3),
+            ..policy::pause::Settings::default()
+        },
+    };
+    let meter = Arc::new(Meter::new().expect("metrics can be set up"));
+    let hub = Hub::new(settings, Clock::default(), meter);
+    let listener = runtime
+        .block_on(Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))))
+        .expect("a port is free");
+    let traffic = listener.address().expect("the listener has an address");
+    runtime.spawn(listener.serve(hub.clone()));
+    Node { hub, traffic }
+}
