Bench: spreading on in-memory ports, overload, fleets, calls

Cause: the aims of convergence, bytes, reads, latency and recovery had no measure that a maintainer could repeat.

What is here: `cargo xtask bench` with four parts; the first two run the product's decisions on virtual clocks beside baselines of our own, the last two run real processes.

--- a/crates/traffic/tests/rig/mod.rs
+++ b/crates/traffic/tests/rig/mod.rs
@@ -29,29 +29,29 @@
 use traffic::{Clock, Hub, Listener, Settings};
 
 /// Time after which a test that waits for something gives up; no verdict depends on it otherwise.
-pub const PATIENCE: Duration = Duration::from_secs(20);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
 
 /// The life of every node.
-pub const LIFE: u64 = 7;
+pub(crate) const LIFE: u64 = 7;
 
 /// A node without control thread.
-pub struct Node {
-    pub hub: Arc<Hub>,
-    pub traffic: SocketAddr,
+pub(crate) struct Node {
+    pub(crate) hub: Arc<Hub>,
+    pub(crate) traffic: SocketAddr,
 }
 
 /// Some nodes, each beside an upstream of service "paydesk", and one entry node without one.
-pub struct Rig {
-    pub runtime: Runtime,
-    pub entry: Node,
-    pub nodes: Vec<Node>,
-    pub upstreams: Vec<Upstream>,
+pub(crate) struct Rig {
+    pub(crate) runtime: Runtime,
+    pub(crate) entry: Node,
+    pub(crate) nodes: Vec<Node>,
+    pub(crate) upstreams: Vec<Upstream>,
     beating: Arc<AtomicBool>,
 }
 
 impl Rig {
     /// Starts one node per upstream; all run under `profile`.
-    pub fn new(upstreams: Vec<upstream::Settings>, profile: &str) -> Self {
+    pub(crate) fn new(upstreams: Vec<upstream::Settings>, profile: &str) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(4)
             .enable_all()
@@ -88,7 +88,7 @@
     }
 
     /// Puts a profile into force at every node.
-    pub fn set_profile(&self, profile: &str) {
+    pub(crate) fn set_profile(&self, profile: &str) {
         let document = |key: &str, text: &str| Document {
             key: key.to_owned(),
             modified: 1,
@@ -106,29 +106,29 @@
     }
 
     /// Shows these records to the entry node.
-    pub fn set_view(&self, records: &[Record]) {
+    pub(crate) fn set_view(&self, records: &[Record]) {
         self.entry.hub.set_view(Arc::new(View::new(records.iter(), "ktm-a")));
     }
 
     /// Stops the beats that prove that the process runs, as a pause would.
-    pub fn stop_beat(&self) {
+    pub(crate) fn stop_beat(&self) {
         self.beating.store(false, Ordering::SeqCst);
     }
 
     /// Makes one call through the entry node.
-    pub fn call(&self, call: &Call) -> Answer {
+    pub(crate) fn call(&self, call: &Call) -> Answer {
         self.runtime
             .block_on(Caller::new(self.entry.traffic).call(call))
             .expect("a node answers every whole request")
     }
 
     /// Returns how often `work` was begun, at all upstreams together.
-    pub fn runs(&self, work: &str) -> u32 {
+    pub(crate) fn runs(&self, work: &str) -> u32 {
         self.upstreams.iter().filter_map(|u| u.ledger().begun.get(work).copied()).sum()
     }
 
     /// Waits until `done`.
-    pub fn wait(&self, done: impl Fn() -> bool) {
+    pub(crate) fn wait(&self, done: impl Fn() -> bool) {
         let begun = Instant::now();
         while !done() {
             assert!(begun.elapsed() < PATIENCE, "waited in vain");
@@ -146,7 +146,9 @@
         self.runtime.spawn(async move {
             loop {
                 if beating.load(Ordering::SeqCst) {
-                    hubs.iter().for_each(|hub| drop(hub.beat()));
+                    for hub in &hubs {
+                        hub.beat();
+                    }
                 }
                 tokio::time::sleep(Duration::from_millis(5)).await;
             }
@@ -155,7 +157,7 @@
 }
 
 /// Returns a record of a node of "paydesk".
-pub fn record(number: usize, traffic: SocketAddr, state: State) -> Record {
+pub(crate) fn record(number: usize, traffic: SocketAddr, state: State) -> Record {
     Record {
         address: own(number),
         traffic,
--- /dev/null
+++ b/xtask/src/bench/memory.rs
@@ -0,0 +1,81 @@
+//! Ways of spreading a version, compared on in-memory ports with a virtual clock.
+//!
+//! The decision code is the product's own; only messages and bytes are counted and times are those
+//! of the virtual clock, at one millisecond per message.
+
+use fleet::plan::{Epidemic, Plan, Pull, Tree};
+use standins::memory::{Net, Options};
+use std::time::Duration;
+
+use super::report::{Line, Report, Times};
+
+const CHANGES: u64 = 20;
+const SETTLE: Duration = Duration::from_secs(120);
+const IDLE: Duration = Duration::from_secs(30);
+const AFTER: Duration = Duration::from_millis(1_500);
+const LIMIT: Duration = Duration::from_secs(30);
+
+/// A way of spreading and its name.
+type Way = (&'static str, fn() -> Box<dyn Plan>);
+
+const WAYS: [Way; 4] = [
+    ("epidemic", || Box::new(Epidemic::default())),
+    ("epidemic-no-ring", || {
+        Box::new(Epidemic { near_least: 2, near_most: 5, successors: 0, ..Epidemic::default() })
+    }),
+    ("tree", || Box::new(Tree::default())),
+    ("pull", || Box::new(Pull)),
+];
+
+/// Measures every way at every size.
+pub(crate) fn run(sizes: &[usize], report: &mut Report) {
+    for &nodes in sizes {
+        for way in WAYS {
+            measure(nodes, way, report);
+        }
+    }
+}
+
+fn measure(nodes: usize, (name, plan): Way, report: &mut Report) {
+    let mut net = Net::new(Options {
+        nodes,
+        data_centres: 6,
+        services: 48.min(nodes),
+        plan,
+        ..Options::default()
+    });
+    let text = |ms: u64| format!(r#"{{"deadline_ms": {}}}"#, 1_000 + ms);
+    net.publish("profiles/base", Some(&text(0)));
+    for service in 0..48 {
+        net.publish(&format!("services/service-{service}"), Some(r#"{"profile": "base"}"#));
+    }
+    net.run(SETTLE);
+    net.take_counts();
+    net.run(IDLE);
+    let idle = net.take_counts();
+    // A node moves a message's bytes once as sender and once as receiver.
+    let per_second =
+        |bytes: u64, span: Duration| 2.0 * bytes as f64 / span.as_secs_f64() / nodes as f64;
+    let idle_bytes = per_second(idle.bytes, IDLE);
+    let mut times = Times::default();
+    for change in 1..=CHANGES {
+        let revision = net.publish("profiles/base", Some(&text(change)));
+        if let Some(time) = net.run_until_in_force(revision, LIMIT) {
+            times.add(time);
+        }
+        net.run(AFTER);
+    }
+    let begun = net.take_counts();
+    let span = AFTER.as_secs_f64() * CHANGES as f64 + times.ms(50.0) / 1e3 * CHANGES as f64;
+    let change_bytes =
+        (2.0 * begun.bytes as f64 / nodes as f64 - idle_bytes * span) / CHANGES as f64;
+    let tag = |line: Line| line.word("ports", "memory").word("plan", name);
+    report.add(tag(Line::new("convergence_ms", nodes)).times(&times));
+    report.add(
+        tag(Line::new("control_bytes_per_s", nodes))
+            .figure("value", idle_bytes)
+            .figure("per_change", change_bytes.max(0.0)),
+    );
+    let reads = idle.reads as f64 / IDLE.as_secs_f64();
+    report.add(tag(Line::new("source_reads_per_s", nodes)).figure("value", reads));
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Chores of the project: `cargo xtask demo | ci | bench | fuzz | reference`.
 
+mod bench;
 mod ci;
 mod demo;
 mod fuzz;
@@ -14,6 +15,7 @@
   demo        starts a mesh of real processes and shows what it does
   ci          format, linter, documentation and tests
   fuzz        random scripts against the oracle [--seed N] [--steps M]
+  bench       measures [--nodes 10,40,120] [--json FILE] [--only memory|overload|fleet|calls]
   --help      prints this text
 ";
 
@@ -51,6 +53,7 @@
             tools::finish(arguments)?;
             ci::run()
         }
+        "bench" => bench::run(arguments),
         "fuzz" => fuzz::run(arguments),
         other => Err(tools::Failure::Usage(format!("unknown chore {other}"))),
     }
