Deadlines survive 27 hops; posts are kept off upstreams on probation

Cause 1: a chain of 27 services was answered 502 from the seventh hop on, by the cause "late". The entry node gave each attempt a third of the remaining time and passed that third on as the deadline: 10 s became 4.5 ms at the seventh hop. Now only the entry node's own patience is divided; the deadline passed on keeps all but 5% (at most 50 ms), so that the lowest level that can retry does so first.

Cause 2: after an ejection, the first call to find out that an upstream was still frozen could be one that must not be repeated.

--- a/crates/baobabctl/src/show.rs
+++ b/crates/baobabctl/src/show.rs
@@ -26,7 +26,7 @@
     service: String,
     known: bool,
     revision: u64,
-    profile: Option<String>,
+    profile: Option<serde_json::Map<String, serde_json::Value>>,
     upstreams: Vec<Candidate>,
 }
 
@@ -168,8 +168,10 @@
         println!("{service}: not in revision {revision}; calls are answered not-run");
         return;
     }
-    let profile = profile.as_deref().unwrap_or("-");
-    println!("{service}: profile {profile} of revision {revision}");
+    println!("{service}: revision {revision}");
+    for (name, value) in profile.iter().flatten() {
+        println!("  {name}: {value}");
+    }
     if upstreams.is_empty() {
         println!("no upstream is known; calls are answered not-run");
     }
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -22,9 +22,7 @@
 impl Control {
     pub(super) fn hear_beat(&mut self, beat: Beat, now: Now) {
         self.clock.hear(beat.stamp, now);
-        for record in &beat.rumours {
-            self.learn(record, Telling::Passed, now);
-        }
+        self.learn_all(beat.from.address, &beat.rumours, now);
         if let Some(contact) = beat.contact
             && beat.data_centre == self.roster.own().data_centre
         {
@@ -40,13 +38,13 @@
 
     /// Answers an exchange: takes the other side's records, returns those it lacks.
     pub(super) fn exchange(&mut self, sync: Sync, now: Now) -> Sync {
-        self.learn_all(&sync.records, now);
+        self.learn_all(sync.from.address, &sync.records, now);
         let records = self.roster.differing(&sync.buckets);
         Sync { from: self.sender(), buckets: self.roster.buckets(), records }
     }
 
     pub(super) fn hear_sync(&mut self, peer: SocketAddr, sync: Sync, now: Now) {
-        self.learn_all(&sync.records, now);
+        self.learn_all(peer, &sync.records, now);
         let missing = self.roster.differing(&sync.buckets);
         let theirs = |r: &Record| sync.records.contains(r);
         let records: Vec<Record> = missing.into_iter().filter(|r| !theirs(r)).collect();
@@ -75,15 +73,20 @@
         self.learn(&record, Telling::Passed, now);
     }
 
-    /// Takes the records of an exchange into account.
+    /// Takes the records of a message into account; those that cannot be are reported.
     ///
     /// After a herd restart everyone learns of everyone in bulk; passing each of those records on
     /// with beats as well would fill the beats of hundreds of nodes for ten minutes.
-    fn learn_all(&mut self, records: &[Record], now: Now) {
+    fn learn_all(&mut self, peer: SocketAddr, records: &[Record], now: Now) {
         let bulk = records.len() > RUMOURS_PER_BEAT;
         let telling = if bulk { Telling::Kept } else { Telling::Passed };
         for record in records {
-            self.learn(record, telling, now);
+            match record.fault() {
+                None => self.learn(record, telling, now),
+                Some(reason) => {
+                    self.note(Kind::BadMessage { peer, reason: reason.to_owned() }, now)
+                }
+            }
         }
     }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -3,10 +3,14 @@
 //! Statements reach a node in any order and more than once. [`Record::beats`] is a total order on
 //! the statements about one address, so that all nodes end up with the same one.
 
+use model::read::is_name;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::Xxh3;
 
+/// Largest incarnation and sequence that a record may carry; leaves room for contradictions.
+const NUMBER_LIMIT: u64 = 1 << 62;
+
 /// Standing of a node.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -75,6 +79,22 @@
         self.rank() > other.rank()
     }
 
+    /// Returns what is wrong with a record that came from elsewhere, if anything.
+    ///
+    /// A node of a faulty build could otherwise fill every table with names of any length, or with
+    /// numbers that nobody can exceed and so contradict.
+    pub fn fault(&self) -> Option<&'static str> {
+        let names = [&self.instance, &self.service, &self.data_centre];
+        if !names.into_iter().all(|name| is_name(name)) {
+            return Some("a record's name is not 1 to 63 of a-z, 0-9 and -");
+        }
+        let numbers = [self.incarnation, self.sequence];
+        numbers
+            .into_iter()
+            .any(|number| number > NUMBER_LIMIT)
+            .then_some("a record's incarnation or sequence is too large")
+    }
+
     /// Returns a hash of the statement, equal on all nodes.
     pub fn digest(&self) -> u64 {
         let mut hasher = Xxh3::new();
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -146,6 +146,15 @@
         /// How many.
         count: u64,
     },
+    /// Answers took more than half of the time for their calls within the last second.
+    Slow {
+        /// The called service.
+        service: String,
+        /// The node of the upstream that answered.
+        peer: SocketAddr,
+        /// How many.
+        count: u64,
+    },
     /// An upstream gets no calls from this node for a while.
     Ejected {
         /// Its service.
--- a/crates/fleet/tests/member.rs
+++ b/crates/fleet/tests/member.rs
@@ -103,3 +103,15 @@
         .rng(Gen::from_size_and_seed(20, SEED))
         .quickcheck(property as fn(Vec<Statement>) -> bool);
 }
+
+#[test]
+fn records_that_no_node_would_write_are_told() {
+    let good = record(2, 1, 1, State::Live);
+    let named = |name: &str| Record { service: name.to_owned(), ..good.clone() };
+    assert_eq!(good.fault(), None);
+    assert!(named("").fault().is_some());
+    assert!(named("Pay Desk").fault().is_some());
+    assert!(named(&"x".repeat(64)).fault().is_some());
+    assert!(Record { sequence: u64::MAX, ..good.clone() }.fault().is_some());
+    assert!(Record { incarnation: u64::MAX, ..good.clone() }.fault().is_some());
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -9,6 +9,7 @@
     status::{Fleet, Member, Node},
     timeline::Event,
 };
+use model::profile::Profile;
 use peer::Handler;
 use serde::Serialize;
 use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
@@ -31,8 +32,7 @@
     service: String,
     known: bool,
     revision: u64,
-    profile: Option<String>,
-    profile_text: Option<String>,
+    profile: Option<Profile>,
     upstreams: Vec<Candidate>,
 }
 
@@ -177,8 +177,7 @@
             service: service.to_owned(),
             known: profile.is_some(),
             revision: config.version.revision,
-            profile: profile.map(|p| p.name.clone()),
-            profile_text: profile.map(|p| format!("{p:?}")),
+            profile: profile.cloned(),
             upstreams: candidates.collect(),
         }
     }
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -9,7 +9,7 @@
 use rand::{Rng, RngExt};
 use std::time::Duration;
 
-use crate::health::Record;
+use crate::{health::Record, retry::Kind};
 
 /// Latency assumed of an upstream that has not answered yet, when none has.
 const LATENCY_GUESS: Duration = Duration::from_millis(1);
@@ -41,6 +41,7 @@
 pub fn choose(
     candidates: &[Candidate<'_>],
     reach: Reach,
+    kind: Kind,
     slow_start: Duration,
     now: Time,
     random: &mut impl Rng,
@@ -50,7 +51,8 @@
         Reach::Spill => &[true, false],
     };
     for &near in pools {
-        let able = indices(candidates, |c| c.near == near && !c.tried && !c.record.is_ejected(now));
+        let able =
+            indices(candidates, |c| c.near == near && !c.tried && c.record.is_able(kind, now));
         if let Some(index) = best_of_two(candidates, &able, slow_start, now, random) {
             return Some(index);
         }
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -67,6 +67,27 @@
     None
 }
 
+/// Share of the remaining time that a node keeps for itself when it passes a call on.
+const RESERVE_SHARE: u32 = 20;
+
+/// Most time that a node keeps for itself.
+const RESERVE_MOST: Duration = Duration::from_millis(50);
+
+/// Returns the time that the next one down is told, of the `remaining` time for a call.
+///
+/// The next one must answer, or give up, before this one does: then its word ("late", "not run")
+/// arrives, and a retry is made at the lowest level that can make one. The reserve is small, since
+/// a call may pass 27 services.
+///
+/// ```
+/// use std::time::Duration;
+/// let told = policy::claim::passed_on(Duration::from_millis(200));
+/// assert_eq!(told.as_millis(), 190);
+/// ```
+pub fn passed_on(remaining: Duration) -> Duration {
+    remaining - (remaining / RESERVE_SHARE).min(RESERVE_MOST)
+}
+
 /// Returns the time of the deadline that arrives as `remaining` milliseconds, cut to `limit_ms`.
 ///
 /// The receiver's clock starts when the request's head is read. Time spent on the wire is not
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -6,6 +6,8 @@
 use model::time::Time;
 use std::time::Duration;
 
+use crate::retry::Kind;
+
 /// Share of a new sample in the moving average of latencies.
 const SAMPLE_SHARE: f64 = 0.2;
 
@@ -18,6 +20,9 @@
 /// Longest time for which an upstream is ejected.
 const EJECTION_MOST: Duration = Duration::from_secs(10);
 
+/// After this time without an answer, calls that cannot be repeated may try an upstream again.
+const PROBATION: Duration = Duration::from_secs(30);
+
 /// A new upstream's share of calls when its slow start begins.
 const SLOW_START_SHARE: f64 = 0.1;
 
@@ -43,6 +48,7 @@
     failures: u32,
     ejections: u32,
     ejected_until: Time,
+    probation_until: Option<Time>,
 }
 
 impl Record {
@@ -55,6 +61,7 @@
             failures: 0,
             ejections: 0,
             ejected_until: Time::default(),
+            probation_until: None,
         }
     }
 
@@ -74,6 +81,7 @@
                 });
                 self.failures = 0;
                 self.ejections = 0;
+                self.probation_until = None;
                 Change::None
             }
             Sample::Refused => Change::None,
@@ -96,6 +104,22 @@
         now < self.ejected_until
     }
 
+    /// Tells whether the upstream may get a call of `kind` at `now`.
+    ///
+    /// Once its ejection is over, an upstream is tried with one call at a time that can be
+    /// repeated, until it answers one: an upstream that is still frozen then costs a read some
+    /// time, and not a payment its outcome.
+    pub fn is_able(&self, kind: Kind, now: Time) -> bool {
+        if self.is_ejected(now) {
+            return false;
+        }
+        let on_probation = self.probation_until.is_some_and(|until| now < until);
+        match kind {
+            Kind::Idempotent => !on_probation || self.in_flight == 0,
+            Kind::Once => !on_probation,
+        }
+    }
+
     /// Returns when the ejection ends.
     pub fn ejected_until(&self) -> Time {
         self.ejected_until
@@ -133,6 +157,7 @@
         self.ejections += 1;
         self.failures = 0;
         self.ejected_until = now + doubled.min(EJECTION_MOST);
+        self.probation_until = Some(now + PROBATION);
         Change::Ejected
     }
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -92,9 +92,11 @@
     Step::GiveUp
 }
 
-/// Returns how long the next attempt may take out of the `remaining` time.
+/// Returns how long the entry node waits for the next attempt, out of the `remaining` time.
 ///
-/// An upstream that is frozen or behind a silent connection answers nothing at all. An idempotent
+/// Only its own patience is divided: the deadline that is passed on is not, or a call that passes
+/// 27 services would have a millionth of its time left at the last. An attempt that is given up is
+/// cancelled by closing its connection. An upstream that is frozen or behind a silent connection answers nothing at all. An idempotent
 /// call therefore gives each attempt an equal share, so that time is left for another upstream; a
 /// call that cannot be repeated gives its one attempt everything.
 ///
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -4,6 +4,7 @@
 use policy::{
     choice::{Candidate, Reach, choose},
     health::{Change, Record, Sample},
+    retry::Kind,
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use std::time::Duration;
@@ -43,7 +44,7 @@
 fn check(candidates: &[Candidate<'_>], reach: Reach, expect: &[usize]) {
     let mut random = SmallRng::seed_from_u64(3);
     let mut chosen: Vec<usize> = (0..DRAWS)
-        .filter_map(|_| choose(candidates, reach, SLOW_START, at(10_000), &mut random))
+        .filter_map(|_| choose(candidates, reach, Kind::Once, SLOW_START, at(10_000), &mut random))
         .collect();
     chosen.sort();
     chosen.dedup();
@@ -85,7 +86,7 @@
     let mut count = 0;
     for _ in 0..DRAWS {
         let candidates: Vec<Candidate<'_>> = records.iter().map(|r| candidate(r, true)).collect();
-        let chosen = choose(&candidates, Reach::OwnOnly, SLOW_START, now, &mut random);
+        let chosen = choose(&candidates, Reach::OwnOnly, Kind::Once, SLOW_START, now, &mut random);
         let chosen = chosen.expect("there are two");
         count += usize::from(chosen == 0);
         records[chosen].begin();
@@ -131,3 +132,24 @@
     assert!(record.is_ejected(at(499)));
     assert!(!record.is_ejected(at(500)));
 }
+
+/// A lost cover: an upstream that had frozen was let in again after its ejection, and the first
+/// call to show that it was still frozen was one that could not be repeated.
+#[test]
+fn an_upstream_on_probation_is_tried_with_repeatable_calls() {
+    let mut record = seasoned(ms(1));
+    record.begin();
+    record.end(at(1_000), Sample::Unreachable);
+    let able = |record: &Record, now| {
+        (record.is_able(Kind::Once, at(now)), record.is_able(Kind::Idempotent, at(now)))
+    };
+    assert_eq!(able(&record, 1_400), (false, false));
+    assert_eq!(able(&record, 1_600), (false, true));
+    record.begin();
+    assert_eq!(able(&record, 1_600), (false, false));
+    record.abandon();
+    assert_eq!(able(&record, 31_000), (true, true));
+    record.begin();
+    record.end(at(1_700), Sample::Answered(ms(1)));
+    assert_eq!(able(&record, 1_700), (true, true));
+}
--- a/crates/standins/src/mesh.rs
+++ b/crates/standins/src/mesh.rs
@@ -2,10 +2,11 @@
 
 use fleet::source::Instance;
 use rustix::process::{Pid, Signal, kill_process};
+use socket2::{Domain, Socket, Type};
 use std::{
     fs::{self, File},
     io,
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
     thread,
@@ -90,6 +91,7 @@
     pub upstream: Upstream,
     settings: PathBuf,
     process: Option<Child>,
+    _reserved: Vec<Socket>,
 }
 
 /// A running mesh; everything ends when it is dropped.
@@ -116,7 +118,8 @@
         let mut spots = Vec::new();
         for (number, place) in settings.instances.iter().enumerate() {
             let upstream = Upstream::start(settings.upstream.clone(), runtime.handle())?;
-            let [traffic, peers, operators] = free_addresses()?;
+            let reserved = [reserve()?, reserve()?, reserve()?];
+            let [traffic, peers, operators] = [0, 1, 2].map(|i: usize| reserved[i].1);
             let instance = format!("{}-{}-{number}", place.service, place.data_centre);
             let path = folder.path().join(format!("{instance}.json"));
             spots.push(Spot {
@@ -128,6 +131,7 @@
                 upstream,
                 settings: path,
                 process: None,
+                _reserved: reserved.into_iter().map(|(socket, _)| socket).collect(),
             });
         }
         let daemon = settings.daemon.clone();
@@ -319,9 +323,16 @@
     Some(body.to_owned())
 }
 
-/// Returns addresses that were free a moment ago.
-fn free_addresses() -> io::Result<[SocketAddr; 3]> {
-    let sockets = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0"));
-    let [a, b, c] = sockets;
-    Ok([a?.local_addr()?, b?.local_addr()?, c?.local_addr()?])
+/// Reserves a free address for a process that is started later.
+///
+/// The socket is bound and never listens: the process may bind the same address, since both allow
+/// reuse, but the system gives it to nobody else. Without that, an outgoing connection of some
+/// other process takes the port now and then, and the node cannot start.
+fn reserve() -> io::Result<(Socket, SocketAddr)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+    let address = socket.local_addr()?.as_socket();
+    let address = address.ok_or_else(|| io::Error::other("the socket has no IP address"))?;
+    Ok((socket, address))
 }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -60,8 +60,6 @@
     pub slots: usize,
     /// Bytes of an answer.
     pub answer: usize,
-    /// Where each request is passed on to before it is answered.
-    pub next: Option<Next>,
 }
 
 /// A further call that a request causes, through a node.
@@ -80,7 +78,6 @@
             work: Duration::ZERO,
             slots: 10,
             answer: 64,
-            next: None,
         }
     }
 }
@@ -111,6 +108,7 @@
 struct State {
     mode: Mode,
     work: Duration,
+    next: Option<Next>,
     busy: usize,
     ledger: Ledger,
     tasks: Vec<AbortHandle>,
@@ -132,6 +130,7 @@
         let state = State {
             mode: Mode::Normal,
             work: settings.work,
+            next: None,
             busy: 0,
             ledger: Ledger::default(),
             tasks: Vec::new(),
@@ -161,6 +160,11 @@
         self.lock().work = work;
     }
 
+    /// Has each request cause a further call before it is answered.
+    pub fn set_next(&self, next: Next) {
+        self.lock().next = Some(next);
+    }
+
     /// Closes the listener and every connection, as a killed process would.
     pub fn kill(&self) {
         let tasks = std::mem::take(&mut self.lock().tasks);
@@ -235,7 +239,8 @@
             sleep(work).await;
         }
         let mut status = "200 OK";
-        if let Some(next) = &self.settings.next {
+        let next = self.lock().next.clone();
+        if let Some(next) = next {
             let deadline = request.deadline_ms.as_deref().and_then(|t| t.parse().ok());
             let answer = caller::get_once(next.node, &next.path, deadline).await;
             let whole = answer.is_ok_and(|a| a.status == 200);
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -9,6 +9,7 @@
 };
 use policy::{
     choice::{self, Candidate, Reach},
+    claim,
     health::{Change, Sample},
     outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss},
     retry::{self, Kind},
@@ -116,7 +117,8 @@
             .zip(&records)
             .map(|(u, record)| Candidate { record, near: u.near, tried: tried.contains(u) })
             .collect();
-        let chosen = choice::choose(&candidates, reach, slow_start, now, &mut rand::rng())?;
+        let chosen =
+            choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())?;
         Some(able[chosen].clone())
     })
 }
@@ -133,8 +135,12 @@
     let remaining = call.deadline.since(begun);
     let time = retry::attempt_time(remaining, call.kind(), made - 1, call.profile.attempts);
     let result = attempt(hub, call, upstream, begun + time).await;
+    let elapsed = hub.clock.now().since(begun);
+    if result.is_ok() && elapsed > remaining / 2 {
+        hub.tally.add(Count::Slow(call.service.to_owned(), upstream.address));
+    }
     let sample = match &result {
-        Ok(_) => Sample::Answered(hub.clock.now().since(begun)),
+        Ok(_) => Sample::Answered(elapsed),
         Err(outcome) => sample_of(*outcome),
     };
     watch.end(sample);
@@ -153,38 +159,41 @@
     }
 }
 
+/// Offers the call to one upstream and waits for its answer no longer than until `patience`.
 async fn attempt(
     hub: &Arc<Hub>,
     call: &Call<'_>,
     upstream: &Upstream,
-    deadline: Time,
+    patience: Time,
 ) -> Result<Answer, Outcome> {
+    let now = hub.clock.now();
     let offer = Offer {
         method: call.method.clone(),
         path: call.path.clone(),
         headers: call.headers.clone(),
         body: call.body.clone(),
         received: call.received,
-        deadline,
+        deadline: now + claim::passed_on(call.deadline.since(now)),
         kind: call.kind(),
         incarnation: upstream.incarnation,
         origin: call.origin.clone(),
         id: hub.next_id(),
     };
     if serving::is_own(hub, upstream) {
-        return serving::run(hub, call.profile, offer).await;
+        let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
+        return work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
     }
-    let remaining = deadline.since(hub.clock.now());
     let limit = Duration::from_millis(call.profile.idle_ms);
     if let Some(connection) = hub.pool.take(upstream.traffic, limit, offer.kind) {
-        match send(hub, call, upstream, &offer, connection).await {
+        match send(hub, call, upstream, &offer, connection, patience).await {
             Err(None) => {}
             result => return result.map_err(settled),
         }
     }
-    let opened = hub.pool.open(upstream.traffic, hub.settings.connect.min(remaining)).await;
+    let time = hub.settings.connect.min(patience.since(hub.clock.now()));
+    let opened = hub.pool.open(upstream.traffic, time).await;
     let connection = opened.ok_or_else(|| of_loss(Step::Connect, Loss::Closed))?;
-    send(hub, call, upstream, &offer, connection).await.map_err(settled)
+    send(hub, call, upstream, &offer, connection, patience).await.map_err(settled)
 }
 
 /// A failure to send of which nothing was written counts as one to connect.
@@ -199,19 +208,21 @@
     upstream: &Upstream,
     offer: &Offer,
     mut connection: Connection,
+    patience: Time,
 ) -> Result<Answer, Option<Outcome>> {
-    let remaining = offer.deadline.since(hub.clock.now());
-    let request = offer_request(call, offer, remaining);
+    let now = hub.clock.now();
+    let request = offer_request(call, offer, offer.deadline.since(now));
+    let time = patience.since(now);
     let exchange = async {
         let head = match connection.send(request).await {
             Ok(head) => head,
             Err(Failure::Unsent) => return Err(None),
             Err(Failure::Broken) => return Err(Some(of_loss(Step::Offer, Loss::Closed))),
         };
-        receive(call, offer, head, remaining).await
+        receive(call, offer, head, time).await
     };
     let result =
-        timeout(remaining, exchange).await.unwrap_or(Err(Some(of_loss(Step::Offer, Loss::Silent))));
+        timeout(time, exchange).await.unwrap_or(Err(Some(of_loss(Step::Offer, Loss::Silent))));
     let usable = matches!(result, Ok(_) | Err(Some(Outcome::NotRun(..))));
     if usable {
         hub.pool.put(upstream.traffic, connection);
--- a/crates/traffic/src/tally.rs
+++ b/crates/traffic/src/tally.rs
@@ -23,6 +23,8 @@
     Unknown(String, Doubt),
     /// A call to a service was offered again.
     Retried(String),
+    /// An upstream of a service answered, and took more than half of the time for the call.
+    Slow(String, SocketAddr),
     /// An upstream of a service was ejected.
     Ejected(String, SocketAddr),
 }
@@ -56,6 +58,7 @@
             Kind::Unknown { service, doubt: doubt.to_string(), count }
         }
         Count::Retried(service) => Kind::Retried { service, count },
+        Count::Slow(service, peer) => Kind::Slow { service, peer, count },
         Count::Ejected(service, peer) => Kind::Ejected { service, peer },
     }
 }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -1,7 +1,9 @@
 //! The measures of the project, as a table and as JSON lines.
 
 mod calls;
+mod chain;
 mod fleet;
+mod libraries;
 mod memory;
 mod overload;
 mod report;
@@ -21,7 +23,7 @@
 const MEMORY_NODES: [usize; 3] = [60, 120, 570];
 
 /// Parts of the bench that can be run alone.
-const PARTS: [&str; 4] = ["memory", "overload", "fleet", "calls"];
+const PARTS: [&str; 6] = ["memory", "overload", "libraries", "fleet", "calls", "chain"];
 
 /// Runs all measures, or those of one part.
 pub(crate) fn run(mut arguments: Arguments) -> Result<(), Failure> {
@@ -43,6 +45,9 @@
     if wanted("overload") {
         overload::run(&mut report);
     }
+    if wanted("libraries") {
+        libraries::run(&mut report)?;
+    }
     if wanted("fleet") {
         for &count in &nodes {
             fleet::run(&programs, count, &mut report)?;
@@ -51,6 +56,9 @@
     if wanted("calls") {
         calls::run(&programs, &mut report)?;
     }
+    if wanted("chain") {
+        chain::run(&programs, &mut report)?;
+    }
     if let Some(path) = json {
         report.write(&path)?;
     }
--- a/xtask/src/bench/calls.rs
+++ b/xtask/src/bench/calls.rs
@@ -23,14 +23,17 @@
 
 const UPSTREAMS: usize = 4;
 const SLOTS: usize = 10;
-const WORK: Duration = Duration::from_millis(5);
+const WORK: Duration = Duration::from_millis(20);
 const SPAN: Duration = Duration::from_secs(4);
 const LIMIT: Duration = Duration::from_secs(30);
 const PROFILE: &str = r#"{"deadline_ms": 1500}"#;
 
+/// Name of the load of two callers.
+const LIGHT: &str = "light";
+
 /// Parallel callers per load, in per cent of all slots; light load is two callers.
 const LOADS: [(&str, usize); 3] =
-    [("light", 2), ("80", UPSTREAMS * SLOTS * 80 / 100), ("150", UPSTREAMS * SLOTS * 150 / 100)];
+    [(LIGHT, 2), ("80", UPSTREAMS * SLOTS * 80 / 100), ("150", UPSTREAMS * SLOTS * 150 / 100)];
 
 /// A way in which one of four upstreams fails.
 #[derive(Clone, Copy, Debug)]
@@ -81,7 +84,7 @@
         daemon: programs.join("baobabrelayd"),
         instances,
         upstream: upstream::Settings { work: WORK, slots: SLOTS, ..upstream::Settings::default() },
-        traffic_threads: 2,
+        traffic_threads: 1,
         ..Settings::default()
     };
     let mesh = Mesh::start(&settings)?;
@@ -100,6 +103,10 @@
 }
 
 fn latency(mesh: &Mesh, load: &str, callers: usize, report: &mut Report) {
+    // At light load the upstreams answer at once: the timer of a stand-in that works for some ms
+    // is off by up to a ms, which would hide what the nodes add.
+    let work = if load == LIGHT { Duration::ZERO } else { WORK };
+    mesh.spots.iter().for_each(|spot| spot.upstream.set_work(work));
     let upstreams: Vec<SocketAddr> = mesh.spots[1..].iter().map(|s| s.upstream.address()).collect();
     let straight = drive(mesh, callers, "/balance", move |i| upstreams[i % UPSTREAMS]);
     let entry = mesh.spots[0].traffic;
@@ -176,13 +183,15 @@
     let posts: Vec<Made> = join(mesh, posts);
     for (kind, made) in [("reads", &reads), ("posts", &posts)] {
         let failed: Vec<&Made> = made.iter().filter(|m| !m.answered).collect();
-        let last = failed.iter().map(|m| (m.begun + m.elapsed).duration_since(begun)).max();
+        let last_begun = failed.iter().map(|m| m.begun.duration_since(begun)).max();
+        let last_told = failed.iter().map(|m| (m.begun + m.elapsed).duration_since(begun)).max();
         let after: Vec<Made> = made.iter().copied().filter(|m| m.begun >= begun).collect();
         report.add(
             Line::new("recovery_ms", mesh.spots.len())
                 .word("fault", name)
                 .word("calls", kind)
-                .figure("value", last.unwrap_or_default().as_secs_f64() * 1e3)
+                .figure("value", last_begun.unwrap_or_default().as_secs_f64() * 1e3)
+                .figure("last_told_ms", last_told.unwrap_or_default().as_secs_f64() * 1e3)
                 .count("failed", failed.len() as u64)
                 .count("made", made.len() as u64)
                 .figure("p99_after", times_of(&after).ms(99.0)),
--- /dev/null
+++ b/xtask/src/bench/libraries.rs
@@ -0,0 +1,62 @@
+//! What the HTTP libraries of the house list cost per call, beside the one chosen for calls.
+
+use standins::{
+    caller::{Call, Caller},
+    upstream::{Settings, Upstream},
+};
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Response, Server};
+use tokio::runtime::Builder;
+
+use super::report::{Line, Report, Times};
+use crate::tools::Failure;
+
+const CALLS: usize = 3_000;
+const WARM: usize = 200;
+
+/// Measures one caller's reads, one after the other.
+pub(crate) fn run(report: &mut Report) -> Result<(), Failure> {
+    let runtime = Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let server = Server::http("127.0.0.1:0").map_err(|e| Failure::Chore(e.to_string()))?;
+    let tiny = server.server_addr().to_ip().expect("the server listens at an IP address");
+    thread::spawn(move || {
+        for request in server.incoming_requests() {
+            let _ = request.respond(Response::from_string("x".repeat(64)));
+        }
+    });
+    let upstream = Upstream::start(Settings::default(), runtime.handle())?;
+    add(report, "attohttpc to tiny_http", time(|| fetch(tiny)));
+    let hyper = |target: SocketAddr| {
+        let mut caller = Caller::new(target);
+        let call = Call::get("/x");
+        time(|| runtime.block_on(caller.call(&call)).is_ok())
+    };
+    add(report, "hyper to tiny_http", hyper(tiny));
+    add(report, "hyper to hand-written", hyper(upstream.address()));
+    Ok(())
+}
+
+fn fetch(address: SocketAddr) -> bool {
+    attohttpc::get(format!("http://{address}/x")).send().and_then(|a| a.bytes()).is_ok()
+}
+
+fn time(mut call: impl FnMut() -> bool) -> Times {
+    let mut times = Times::default();
+    for i in 0..CALLS + WARM {
+        let begun = Instant::now();
+        let answered = call();
+        let elapsed: Duration = begun.elapsed();
+        if answered && i >= WARM {
+            times.add(elapsed);
+        }
+    }
+    times
+}
+
+fn add(report: &mut Report, pair: &str, times: Times) {
+    report.add(Line::new("library_call_ms", 1).word("pair", pair).times(&times));
+}
--- a/xtask/src/bench/overload.rs
+++ b/xtask/src/bench/overload.rs
@@ -243,7 +243,14 @@
             .enumerate()
             .map(|(i, record)| Candidate { record, near: true, tried: tried[i] })
             .collect();
-        choose(&candidates, Reach::OwnOnly, Duration::ZERO, self.now, &mut self.random)
+        choose(
+            &candidates,
+            Reach::OwnOnly,
+            Kind::Idempotent,
+            Duration::ZERO,
+            self.now,
+            &mut self.random,
+        )
     }
 
     fn drop_call(&mut self, number: u64) {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -15,7 +15,7 @@
   demo        starts a mesh of real processes and shows what it does
   ci          format, linter, documentation and tests
   fuzz        random scripts against the oracle [--seed N] [--steps M]
-  bench       measures [--nodes 10,40,120] [--json FILE] [--only memory|overload|fleet|calls]
+  bench       measures [--nodes 10,40,120] [--json FILE] [--only PART]
   --help      prints this text
 ";
 
