Pages, reference generated from the code, and retries that name their upstream

Cause: operators had no pages, and the time line said that a call was retried but not which upstream had kept it waiting (seen in the demo's frozen upstream). Reads also waited three times at an upstream that had gone silent, since only failures in a row counted.

Now: the time a read waited in vain counts as latency, which halves every 5 s without calls; the event names peer and reason; profile, settings and metrics pages are written from the tables that the code reads by, with a test.

Ruled out: ejecting after a single silent attempt, which would also take out upstreams that are slow now and then.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -143,6 +143,10 @@
     Retried {
         /// The called service.
         service: String,
+        /// The node of the upstream that failed before.
+        peer: SocketAddr,
+        /// How it failed.
+        reason: String,
         /// How many.
         count: u64,
     },
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -66,6 +66,93 @@
     Pull,
 }
 
+/// A setting, as the reference page lists it.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// JSON pointer of the setting.
+    pub pointer: &'static str,
+    /// What is accepted, with unit and range.
+    pub shape: &'static str,
+    /// Value where the setting is absent; none where it is required.
+    pub default: Option<&'static str>,
+    /// An accepted value, as JSON.
+    pub example: &'static str,
+    /// What it decides.
+    pub help: &'static str,
+}
+
+const fn required(
+    pointer: &'static str,
+    shape: &'static str,
+    example: &'static str,
+    help: &'static str,
+) -> Field {
+    Field { pointer, shape, default: None, example, help }
+}
+
+const fn optional(
+    pointer: &'static str,
+    shape: &'static str,
+    default: &'static str,
+    help: &'static str,
+) -> Field {
+    Field { pointer, shape, default: Some(default), example: default, help }
+}
+
+const NAME: &str = "1 to 63 of a-z, 0-9 and -";
+const ADDRESS: &str = "IP:PORT";
+
+/// Every setting, in the order of the reference page.
+pub const FIELDS: [Field; 17] = [
+    required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
+    required("/service", NAME, "\"paydesk\"", "service of the upstream beside this node"),
+    required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
+    required(
+        "/listen/traffic",
+        ADDRESS,
+        "\"127.0.0.1:7001\"",
+        "where callers and other nodes send calls",
+    ),
+    required(
+        "/listen/peers",
+        ADDRESS,
+        "\"127.0.0.1:7002\"",
+        "where other nodes send messages; names this node",
+    ),
+    required("/listen/operators", ADDRESS, "\"127.0.0.1:7003\"", "operators' page and metrics"),
+    required("/upstream/address", ADDRESS, "\"127.0.0.1:8001\"", "the upstream beside this node"),
+    required("/platform", ADDRESS, "\"127.0.0.1:9000\"", "the platform's configuration service"),
+    optional(
+        "/upstream/slots",
+        "1 to 10000 calls",
+        "10",
+        "calls that the upstream works on at once",
+    ),
+    optional("/contacts", "list of IP:PORT", "[]", "nodes to ask first; may be stale"),
+    optional("/traffic_threads", "1 to 64", "2", "threads that carry calls"),
+    optional(
+        "/calls",
+        "1 to 1000000 calls",
+        "2048",
+        "calls in hand at once; one service may take half of what is free",
+    ),
+    optional(
+        "/body_bytes",
+        "1024 to 17179869184 bytes",
+        "134217728",
+        "request bodies in hand at once",
+    ),
+    optional("/connections", "1 to 65536", "1024", "connections accepted for calls"),
+    optional("/connect_ms", "1 to 60000 ms", "250", "bound on opening a connection"),
+    optional(
+        "/plan",
+        "\"epidemic\", \"tree\" or \"pull\"",
+        "\"epidemic\"",
+        "how new versions are passed on, see SPREADING.md",
+    ),
+    optional("/log", "true or false", "true", "events as JSON lines on standard error"),
+];
+
 const PLANS: [(&str, Plan); 3] =
     [("epidemic", Plan::Epidemic), ("tree", Plan::Tree), ("pull", Plan::Pull)];
 
@@ -129,9 +216,14 @@
         }),
         platform: address(object, "platform"),
         contacts: contacts(object),
-        traffic_threads: object.number("traffic_threads", 1..=64, 2) as usize,
+        traffic_threads: object.number("traffic_threads", 1..=64, usual.traffic_threads as u64)
+            as usize,
         connections: object.number("connections", 1..=65_536, usual.connections as u64) as usize,
-        connect: Duration::from_millis(object.number("connect_ms", 1..=60_000, 250)),
+        connect: Duration::from_millis(object.number(
+            "connect_ms",
+            1..=60_000,
+            usual.connect.as_millis() as u64,
+        )),
         plan: plan(object),
         log: object.flag("log", usual.log),
         room,
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -84,21 +84,21 @@
     }
     let first = random.random_range(0..able.len());
     let second = (first + random.random_range(1..able.len())) % able.len();
-    let guess = usual_latency(candidates, able);
+    let guess = usual_latency(candidates, able, now);
     let score = |i: usize| expected_work(candidates[i].record, guess, slow_start, now);
     let (a, b) = (able[first], able[second]);
     Some(if score(b) < score(a) { b } else { a })
 }
 
 fn expected_work(record: &Record, guess: Duration, slow_start: Duration, now: Time) -> f64 {
-    let latency = record.latency().unwrap_or(guess).as_secs_f64();
+    let latency = record.latency(now).unwrap_or(guess).as_secs_f64();
     (record.in_flight() + 1) as f64 * latency / record.share(now, slow_start)
 }
 
 /// Returns the mean latency of those that have one, so that a new upstream counts as average.
-fn usual_latency(candidates: &[Candidate<'_>], able: &[usize]) -> Duration {
+fn usual_latency(candidates: &[Candidate<'_>], able: &[usize], now: Time) -> Duration {
     let known: Vec<Duration> =
-        able.iter().filter_map(|&i| candidates[i].record.latency()).collect();
+        able.iter().filter_map(|&i| candidates[i].record.latency(now)).collect();
     if known.is_empty() {
         return LATENCY_GUESS;
     }
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -11,6 +11,9 @@
 /// Share of a new sample in the moving average of latencies.
 const SAMPLE_SHARE: f64 = 0.2;
 
+/// Time without a call in which a latency loses half of its weight.
+pub const HALF_LIFE: Duration = Duration::from_secs(5);
+
 /// Failures in a row after which an upstream is ejected.
 const FAILURE_LIMIT: u32 = 3;
 
@@ -33,7 +36,9 @@
     Answered(Duration),
     /// The upstream refused work; it is alive.
     Refused,
-    /// No answer, a broken one, or none in time.
+    /// No answer in the given time.
+    Silent(Duration),
+    /// A broken answer, or a broken connection.
     Failed,
     /// No connection: nobody is there.
     Unreachable,
@@ -45,6 +50,7 @@
     known_since: Time,
     in_flight: usize,
     latency: Option<Duration>,
+    latency_at: Time,
     failures: u32,
     ejections: u32,
     ejected_until: Time,
@@ -58,6 +64,7 @@
             known_since: now,
             in_flight: 0,
             latency: None,
+            latency_at: now,
             failures: 0,
             ejections: 0,
             ejected_until: Time::default(),
@@ -75,20 +82,20 @@
         self.in_flight = self.in_flight.saturating_sub(1);
         match sample {
             Sample::Answered(latency) => {
-                self.latency = Some(match self.latency {
-                    Some(old) => old.mul_f64(1.0 - SAMPLE_SHARE) + latency.mul_f64(SAMPLE_SHARE),
-                    None => latency,
-                });
+                self.average(latency, now);
                 self.failures = 0;
                 self.ejections = 0;
                 self.probation_until = None;
                 Change::None
             }
             Sample::Refused => Change::None,
-            Sample::Failed => {
-                self.failures += 1;
-                if self.failures >= FAILURE_LIMIT { self.eject(now) } else { Change::None }
+            Sample::Silent(waited) => {
+                // The time waited in vain counts as latency, so that the next calls go elsewhere
+                // even before the failures in a row are enough.
+                self.average(waited, now);
+                self.fail(now)
             }
+            Sample::Failed => self.fail(now),
             // Nobody listens: no second call is needed to believe it.
             Sample::Unreachable => self.eject(now),
         }
@@ -130,9 +137,12 @@
         self.in_flight
     }
 
-    /// Returns the average latency seen, if any.
-    pub fn latency(&self) -> Option<Duration> {
-        self.latency
+    /// Returns the average latency seen, if any; it halves for every [`HALF_LIFE`] without a call.
+    ///
+    /// An upstream that was slow once and is avoided since would otherwise be avoided for ever.
+    pub fn latency(&self, now: Time) -> Option<Duration> {
+        let halvings = now.since(self.latency_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.latency.map(|latency| latency.div_f64(halvings.exp2()))
     }
 
     /// Returns the share of calls due to the upstream, from near 0 to 1, during its slow start.
@@ -152,6 +162,17 @@
         SLOW_START_SHARE + (1.0 - SLOW_START_SHARE) * progress
     }
 
+    fn average(&mut self, sample: Duration, now: Time) {
+        let old = self.latency(now).unwrap_or(sample);
+        self.latency = Some(old.mul_f64(1.0 - SAMPLE_SHARE) + sample.mul_f64(SAMPLE_SHARE));
+        self.latency_at = now;
+    }
+
+    fn fail(&mut self, now: Time) -> Change {
+        self.failures += 1;
+        if self.failures >= FAILURE_LIMIT { self.eject(now) } else { Change::None }
+    }
+
     fn eject(&mut self, now: Time) -> Change {
         let doubled = EJECTION_LEAST * 2u32.pow(self.ejections.min(8));
         self.ejections += 1;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -55,6 +55,16 @@
     Unknown(Doubt),
 }
 
+impl Outcome {
+    /// Returns the name of the cause or doubt.
+    pub fn reason(self) -> &'static str {
+        match self {
+            Outcome::NotRun(cause, _) => cause.name(),
+            Outcome::Unknown(doubt) => doubt.name(),
+        }
+    }
+}
+
 /// A step of a call at which it can be lost.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Step {
--- a/crates/policy/tests/choice.rs
+++ b/crates/policy/tests/choice.rs
@@ -153,3 +153,15 @@
     record.end(at(1_700), Sample::Answered(ms(1)));
     assert_eq!(able(&record, 1_700), (true, true));
 }
+
+/// Lookups wait one after the other at an upstream that has gone silent: until three had failed in
+/// a row, it was chosen as often as before.
+#[test]
+fn a_silent_upstream_is_avoided_at_once_and_not_for_ever() {
+    let mut silent = seasoned(ms(2));
+    silent.begin();
+    assert_eq!(silent.end(at(9_000), Sample::Silent(ms(600))), Change::None);
+    assert!(share(&silent, &seasoned(ms(2)), at(9_001)) < 0.05);
+    let later = silent.latency(at(60_000)).expect("it has one");
+    assert!(later < ms(1), "{later:?}");
+}
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -64,6 +64,7 @@
             Ok(answer) => return Ok(answer),
             Err(outcome) => outcome,
         };
+        let address = upstream.address;
         tried.push(upstream);
         last = graver(last, outcome);
         let limit = call.profile.attempts;
@@ -74,7 +75,7 @@
             return Err(last);
         }
         hub.meter.retry(call.service);
-        hub.tally.add(Count::Retried(call.service.to_owned()));
+        hub.tally.add(Count::Retried(call.service.to_owned(), address, outcome.reason()));
     }
 }
 
@@ -141,13 +142,13 @@
     }
     let sample = match &result {
         Ok(_) => Sample::Answered(elapsed),
-        Err(outcome) => sample_of(*outcome),
+        Err(outcome) => sample_of(*outcome, elapsed),
     };
     watch.end(sample);
     result
 }
 
-fn sample_of(outcome: Outcome) -> Sample {
+fn sample_of(outcome: Outcome, elapsed: Duration) -> Sample {
     match outcome {
         // A node that says it leaves, or that another life has replaced, is as good as absent
         // until the view says the same.
@@ -155,6 +156,7 @@
             Sample::Unreachable
         }
         Outcome::NotRun(..) => Sample::Refused,
+        Outcome::Unknown(Doubt::Timeout) => Sample::Silent(elapsed),
         Outcome::Unknown(_) => Sample::Failed,
     }
 }
--- a/crates/traffic/src/explain.rs
+++ b/crates/traffic/src/explain.rs
@@ -56,7 +56,7 @@
                 eligible,
                 reason,
                 in_flight: record.in_flight(),
-                latency: record.latency(),
+                latency: record.latency(now),
             });
         }
         all
--- a/crates/traffic/src/tally.rs
+++ b/crates/traffic/src/tally.rs
@@ -21,8 +21,8 @@
     NotRun(String, Cause),
     /// The outcome of a call to a service is unknown.
     Unknown(String, Doubt),
-    /// A call to a service was offered again.
-    Retried(String),
+    /// A call to a service was offered again after this node's upstream failed for this reason.
+    Retried(String, SocketAddr, &'static str),
     /// An upstream of a service answered, and took more than half of the time for the call.
     Slow(String, SocketAddr),
     /// An upstream of a service was ejected.
@@ -57,7 +57,9 @@
         Count::Unknown(service, doubt) => {
             Kind::Unknown { service, doubt: doubt.to_string(), count }
         }
-        Count::Retried(service) => Kind::Retried { service, count },
+        Count::Retried(service, peer, reason) => {
+            Kind::Retried { service, peer, reason: reason.to_owned(), count }
+        }
         Count::Slow(service, peer) => Kind::Slow { service, peer, count },
         Count::Ejected(service, peer) => Kind::Ejected { service, peer },
     }
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -95,6 +95,7 @@
     reject(&mesh, &programs, &mut show);
     stop(&mut mesh, &mut show)?;
     kill(&mut mesh, &mut show)?;
+    freeze(&mesh, &programs, &mut show)?;
     cut(&mesh, &mut show);
     ask(&mesh, &programs, &mut show)?;
     let seconds = begun.elapsed().as_secs_f64();
@@ -237,6 +238,31 @@
     Ok(())
 }
 
+/// Silences one upstream and shows how the time line tells what happened.
+fn freeze(mesh: &Mesh, programs: &Path, show: &mut Show) -> Result<(), Failure> {
+    let silent = &mesh.spots[4];
+    let address = format!("peer=\"{}\" reason=\"timeout\"", silent.peers);
+    silent.upstream.set_mode(upstream::Mode::Silent);
+    let reads = load(mesh, 5, 40, |_| Call::get("/shelfview/stock/7"));
+    silent.upstream.set_mode(upstream::Mode::Normal);
+    show.step(
+        (reads.count("answered") == 40).into(),
+        &format!("{} goes silent: 40 reads: {:?}", silent.instance, reads.outcomes),
+    );
+    let seen =
+        mesh.wait(BOUND, |mesh| events(programs, mesh).is_ok_and(|text| text.contains(&address)));
+    let text = events(programs, mesh)?;
+    let lines = text.lines().filter(|line| line.contains(&silent.peers.to_string()));
+    lines.filter(|line| !line.contains(" joined ")).for_each(|line| println!("          {line}"));
+    show.step(seen.is_some().into(), "the time line tells which upstream kept the reads waiting");
+    Ok(())
+}
+
+fn events(programs: &Path, mesh: &Mesh) -> Result<String, Failure> {
+    let output = ctl(programs, &["timeline", "--node", &mesh.spots[1].operators.to_string()])?;
+    Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+}
+
 fn cut(mesh: &Mesh, show: &mut Show) {
     mesh.platform.set_mode(platform::Mode::Down);
     thread::sleep(Duration::from_secs(1));
@@ -262,8 +288,7 @@
     let node = mesh.spots[1].operators.to_string();
     let explained = ctl(programs, &["explain", "shelfview", "--node", &node])?;
     show.step(explained.status.success().into(), "baobabctl explain names an eligible upstream");
-    let timeline = ctl(programs, &["timeline", "--node", &node])?;
-    let text = String::from_utf8_lossy(&timeline.stdout).into_owned();
+    let text = events(programs, mesh)?;
     let expected = ["started", "in-force", "rejected", "leaving"];
     show.step(
         expected.iter().all(|event| text.contains(event)).into(),
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod ci;
 mod demo;
 mod fuzz;
+mod reference;
 mod tools;
 
 use pico_args::Arguments;
@@ -16,6 +17,7 @@
   ci          format, linter, documentation and tests
   fuzz        random scripts against the oracle [--seed N] [--steps M]
   bench       measures [--nodes 10,40,120] [--json FILE] [--only PART]
+  reference   writes docs/PROFILES.md, docs/SETTINGS.md and docs/METRICS.md from the code
   --help      prints this text
 ";
 
@@ -54,6 +56,10 @@
             ci::run()
         }
         "bench" => bench::run(arguments),
+        "reference" => {
+            tools::finish(arguments)?;
+            reference::write()
+        }
         "fuzz" => fuzz::run(arguments),
         other => Err(tools::Failure::Usage(format!("unknown chore {other}"))),
     }
