Guards whose removal no test noticed: tests, and a longer random start

Cause: trials on a scratch copy took one guard out at a time and ran the tests. Four removals went unnoticed: the doubt after a pause, the refusal of an older list, the random wait before the first read, and forgetting all connections to a silent address.

Found on the way: 570 strangers read 1,052 times in a second with a random wait of up to 1.2 s.

Other trials, each noticed: fence (older revisions, conflict, rejected again), digest of a pulled delta, settling before the first pull, final states, refutation (by time-out of the fuzzing), tombstones, probing the unreachable, shrinking lists, standbys, announcing membership, dangling references.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -76,7 +76,7 @@
             own,
             contacts: Vec::new(),
             join_wait: Duration::from_millis(400),
-            start_jitter: Duration::from_millis(1_200),
+            start_jitter: Duration::from_millis(2_000),
             plan: Box::new(Epidemic::default()),
             seed: 0,
             product: String::new(),
--- a/crates/fleet/tests/leaving.rs
+++ b/crates/fleet/tests/leaving.rs
@@ -88,6 +88,24 @@
     check(&net, 5, true);
 }
 
+/// A node had begun to suspect others when it was paused. When it wakes, their time to contradict
+/// seems long over; it must hear them first, or it tells everybody that they are out of reach.
+#[test]
+fn a_suspicion_from_before_a_pause_is_not_executed() {
+    let mut net = net(24);
+    net.separate(5, 1);
+    net.run(Duration::from_millis(2_300));
+    net.join();
+    net.pause(5, Duration::from_secs(60));
+    net.run(Duration::from_secs(60));
+    for _ in 0..50 {
+        net.run(Duration::from_millis(100));
+        for peer in (0..24).filter(|&peer| peer != 5) {
+            check(&net, peer, true);
+        }
+    }
+}
+
 /// A platform that has lost its records lists one instance; believing it would empty every service.
 #[test]
 fn a_list_that_shrinks_suddenly_ends_no_lives() {
--- a/crates/fleet/tests/storm.rs
+++ b/crates/fleet/tests/storm.rs
@@ -47,16 +47,26 @@
     check(Source::Down, 0, Duration::from_secs(32));
 }
 
-/// The same at the size of two years from now, with not one contact known.
-#[test]
-fn a_herd_of_570_strangers_keeps_the_limit() {
+/// Starts 570 nodes that know nobody; compares the reads with half of the limit.
+///
+/// Without the random wait before the first read, all 1,140 come at once when the platform is slow.
+#[track_caller]
+fn check_strangers(source: Source) {
     let options =
         Options { nodes: 570, data_centres: 6, services: 48, contacts: 0, ..Options::default() };
     let mut net = Net::new(options);
+    net.set_source(source);
     let newest = net.publish("profiles/base", Some("{}"));
-    let begun = net.run_until_in_force(newest, Duration::from_secs(4));
-    assert!(begun.is_some());
-    assert!(net.peak <= READS_PER_SECOND, "{} reads in a second", net.peak);
+    let begun = net.run_until_in_force(newest, Duration::from_secs(5));
+    assert!(begun.is_some(), "{source:?}: not in force");
+    assert!(net.peak <= READS_PER_SECOND / 2, "{source:?}: {} reads in a second", net.peak);
+}
+
+/// The same at the size of two years from now, with not one contact known.
+#[test]
+fn a_herd_of_570_strangers_keeps_the_limit() {
+    check_strangers(Source::Up);
+    check_strangers(Source::Slow(Duration::from_millis(700)));
 }
 
 /// One data centre restarts as a whole while the others go on.
--- a/crates/traffic/tests/silent_connections.rs
+++ b/crates/traffic/tests/silent_connections.rs
@@ -4,7 +4,10 @@
 
 use fleet::member::State;
 use rig::{Rig, record};
-use standins::{caller::Call, upstream::Settings};
+use standins::{
+    caller::{Call, Caller},
+    upstream::Settings,
+};
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -16,7 +19,7 @@
     time::Duration,
 };
 
-const PROFILE: &str = r#"{"deadline_ms": 900, "idle_ms": 100}"#;
+const PROFILE: &str = r#"{"deadline_ms": 1500, "idle_ms": 3000}"#;
 
 /// A device between two ends. Connections made before [`Device::forget`] swallow every byte.
 struct Device {
@@ -60,11 +63,23 @@
     }
 }
 
+/// Six connections through a device are kept, and then forgotten by it.
 fn rig_behind_device() -> (Rig, Device) {
-    let rig = Rig::new(vec![Settings::default()], PROFILE);
+    let work = Duration::from_millis(60);
+    let rig = Rig::new(vec![Settings { work, ..Settings::default() }], PROFILE);
     let device = Device::start(rig.nodes[0].traffic);
     rig.set_view(&[record(0, device.address, State::Live)]);
-    assert_eq!(rig.call(&Call::post("/paydesk/pay", "warm")).outcome(), "answered");
+    let entry = rig.entry.traffic;
+    let warm: Vec<_> = (0..6)
+        .map(|i| {
+            let call = Call::post("/paydesk/pay", &format!("warm-{i}"));
+            rig.runtime.spawn(async move { Caller::new(entry).call(&call).await })
+        })
+        .collect();
+    for call in warm {
+        let answer = rig.runtime.block_on(call).expect("the task ends").expect("an answer comes");
+        assert_eq!(answer.outcome(), "answered");
+    }
     device.forget();
     (rig, device)
 }
@@ -74,7 +89,7 @@
 #[test]
 fn a_payment_does_not_go_on_an_old_connection() {
     let (rig, _device) = rig_behind_device();
-    thread::sleep(Duration::from_millis(150));
+    thread::sleep(Duration::from_millis(3_100));
     let answer = rig.call(&Call::post("/paydesk/pay", "early"));
     assert_eq!((answer.outcome(), rig.runs("early")), ("answered", 1));
 }
