--- a/crates/baobabctl/src/show.rs
+++ b/crates/baobabctl/src/show.rs
@@ -1,7 +1,12 @@
 //! Asks a node and prints what it says.
 
-use fleet::{clock::Stamp, member::State, status::Fleet, timeline::Event};
-use serde::{Deserialize, de::DeserializeOwned};
+use fleet::{
+    clock::Stamp,
+    member::State,
+    status::{Explanation, Fleet},
+    timeline::Event,
+};
+use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, thread, time::Duration};
 
 use crate::End;
@@ -21,25 +26,6 @@
     Json,
 }
 
-#[derive(Debug, Deserialize)]
-struct Explanation {
-    service: String,
-    known: bool,
-    revision: u64,
-    profile: Option<serde_json::Map<String, serde_json::Value>>,
-    upstreams: Vec<Candidate>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Candidate {
-    instance: String,
-    data_centre: String,
-    eligible: bool,
-    reason: String,
-    in_flight: usize,
-    latency_ms: Option<f64>,
-}
-
 /// Prints the fleet; the answer is no while a node is behind, silent or holds a refused version.
 pub(crate) fn status(node: SocketAddr, form: Form) -> End {
     let Some(text) = fetch(node, "/fleet") else { return End::No };
@@ -169,7 +155,8 @@
         return;
     }
     println!("{service}: revision {revision}");
-    for (name, value) in profile.iter().flatten() {
+    let fields = serde_json::to_value(profile).unwrap_or_default();
+    for (name, value) in fields.as_object().into_iter().flatten() {
         println!("  {name}: {value}");
     }
     if upstreams.is_empty() {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -5,13 +5,16 @@
 //! with real sockets, tests and benches with a virtual clock.
 
 mod fleet;
+mod port;
 mod version;
 
+pub use self::port::{Asked, Effect, Event, Lost};
+
 use model::{
     config::{Snapshot, Version},
     time::Time,
 };
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -27,7 +30,7 @@
     plan::{Epidemic, Plan},
     probe::{self, Prober},
     roster::Roster,
-    source::{self, Answer, Duty, Query, Role, Topic},
+    source::{self, Duty, Query, Role, Topic},
     status,
     timeline::{Event as Note, Kind, Ring},
     view::View,
@@ -84,66 +87,6 @@
     }
 }
 
-/// Something that happened.
-#[derive(Clone, Debug)]
-pub enum Event {
-    /// Time has passed; comes every 50 to 100 ms.
-    Tick,
-    /// The process did not run for the given time.
-    Woke(Duration),
-    /// Another node asks; the reply is among the effects.
-    Asked(Request),
-    /// Another node's answer to a request of this node.
-    Answered(SocketAddr, Response),
-    /// A request to another node failed.
-    Lost(SocketAddr, Lost),
-    /// The platform's answer.
-    Source(Answer),
-    /// Something that traffic wants remembered.
-    Note(Kind),
-    /// The node is to take no more work.
-    Leave,
-    /// The node has finished its work and stops.
-    Stop,
-}
-
-/// A request that got no usable answer.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Lost {
-    /// Which kind of request.
-    pub asked: Asked,
-    /// What was wrong with the answer, if there was one.
-    pub malformed: Option<String>,
-}
-
-/// Kinds of requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Asked {
-    /// A beat.
-    Beat,
-    /// A pull.
-    Pull,
-    /// An exchange of records.
-    Sync,
-}
-
-/// Something to be done.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Send a request and report what comes of it.
-    Send(SocketAddr, Request, Duration),
-    /// Answer the request that this call of `apply` was about.
-    Reply(Response),
-    /// Call the platform and report what comes of it.
-    Read(Query),
-    /// Route by this configuration from now on.
-    InForce(Arc<Snapshot>),
-    /// Route to these upstreams from now on.
-    View(Arc<View>),
-    /// Take no more work.
-    Drain,
-}
-
 /// All control state of a node.
 pub struct Control {
     settings: Settings,
@@ -398,7 +341,6 @@
 
     /// Asks a few contacts for their records and their version.
     fn greet(&mut self, now: Now) {
-        use rand::seq::IndexedRandom;
         let first: Vec<SocketAddr> =
             self.contacts.sample(&mut self.random, FIRST_CONTACTS).copied().collect();
         for contact in first {
--- a/crates/fleet/src/probe.rs
+++ b/crates/fleet/src/probe.rs
@@ -6,7 +6,7 @@
 //! more than that (the "local health" of Lifeguard).
 
 use model::time::Time;
-use rand::rngs::SmallRng;
+use rand::{rngs::SmallRng, seq::IndexedRandom};
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{member::State, roster::Roster};
@@ -131,6 +131,5 @@
     let unknown =
         contacts.iter().filter(|&&a| roster.get(a).is_none_or(|r| r.state == State::Gone));
     all.extend(unknown.copied());
-    use rand::seq::IndexedRandom;
     all.choose(random).copied()
 }
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -1,6 +1,6 @@
 //! What a node tells operators about itself.
 
-use model::{config::Version, fault::Fault};
+use model::{config::Version, fault::Fault, profile::Profile};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -73,3 +73,35 @@
     /// Known nodes that did not answer.
     pub silent: Vec<Member>,
 }
+
+/// How a node would route calls to a service now.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Explanation {
+    /// The service.
+    pub service: String,
+    /// Whether it is in the version in force.
+    pub known: bool,
+    /// Revision in force.
+    pub revision: u64,
+    /// The profile it follows.
+    pub profile: Option<Profile>,
+    /// Its upstreams, those that take no work included.
+    pub upstreams: Vec<Candidate>,
+}
+
+/// An upstream and why it is or is not eligible.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Candidate {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Whether it may be chosen.
+    pub eligible: bool,
+    /// Why, or why not.
+    pub reason: String,
+    /// Own calls on their way to it.
+    pub in_flight: usize,
+    /// Average latency of own calls, in ms, if any.
+    pub latency_ms: Option<f64>,
+}
--- a/crates/model/src/profile.rs
+++ b/crates/model/src/profile.rs
@@ -3,7 +3,7 @@
 //! Every limit is written down once, in [`FIELDS`], which the reader uses and from which the
 //! reference page is generated, so that page and behaviour cannot drift apart.
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 
 use crate::{fault::Fault, read::Object, strict};
 
@@ -128,7 +128,7 @@
 ];
 
 /// How traffic to a service behaves. Units are those of [`FIELDS`].
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Profile {
     /// Name by which services refer to it.
     pub name: String,
@@ -165,7 +165,7 @@
 }
 
 /// Exception for the paths that begin with `prefix`.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Path prefix, after the service's name.
     pub prefix: String,
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -6,10 +6,9 @@
 use fleet::{
     clock::Stamp,
     member::State,
-    status::{Fleet, Member, Node},
+    status::{Explanation, Fleet, Member, Node},
     timeline::Event,
 };
-use model::profile::Profile;
 use peer::Handler;
 use serde::Serialize;
 use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
@@ -26,27 +25,6 @@
 /// Nodes asked at the same time.
 const GATHER_WIDTH: usize = 64;
 
-/// Profile, route and upstreams as a node would choose now.
-#[derive(Debug, Serialize)]
-struct Explanation {
-    service: String,
-    known: bool,
-    revision: u64,
-    profile: Option<Profile>,
-    upstreams: Vec<Candidate>,
-}
-
-/// An upstream and why it is or is not eligible.
-#[derive(Debug, Serialize)]
-struct Candidate {
-    instance: String,
-    data_centre: String,
-    eligible: bool,
-    reason: String,
-    in_flight: usize,
-    latency_ms: Option<f64>,
-}
-
 /// What the page needs.
 struct Page {
     link: Link,
@@ -165,20 +143,12 @@
     fn explain(&self, service: &str) -> Explanation {
         let config = self.hub.config();
         let profile = config.service(service).map(|s| config.profile(s));
-        let candidates = self.hub.explain(service).into_iter().map(|e| Candidate {
-            instance: e.instance,
-            data_centre: e.data_centre,
-            eligible: e.eligible,
-            reason: e.reason,
-            in_flight: e.in_flight,
-            latency_ms: e.latency.map(|l| l.as_secs_f64() * 1e3),
-        });
         Explanation {
             service: service.to_owned(),
             known: profile.is_some(),
             revision: config.version.revision,
             profile: profile.cloned(),
-            upstreams: candidates.collect(),
+            upstreams: self.hub.explain(service),
         }
     }
 }
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -1,8 +1,7 @@
 //! The entry node's part: finds an upstream for a call, and another if the first fails.
 
-use bytes::Bytes;
 use fleet::view::Upstream;
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{Request, Response};
 use model::{
     profile::{Profile, Rule},
     time::Time,
@@ -19,6 +18,7 @@
 
 use crate::{
     body,
+    payload::Payload,
     pool::{Connection, Failure},
     serving::{self, Answer, Offer},
     state::Hub,
@@ -32,10 +32,7 @@
     pub(crate) service: &'a str,
     pub(crate) profile: &'a Profile,
     pub(crate) rule: Rule,
-    pub(crate) method: Method,
-    pub(crate) path: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) payload: Payload,
     pub(crate) received: Time,
     pub(crate) deadline: Time,
     pub(crate) origin: Probe,
@@ -179,10 +176,7 @@
 ) -> Result<Answer, Outcome> {
     let now = hub.clock.now();
     let offer = Offer {
-        method: call.method.clone(),
-        path: call.path.clone(),
-        headers: call.headers.clone(),
-        body: call.body.clone(),
+        payload: call.payload.clone(),
         received: call.received,
         deadline: now + claim::passed_on(call.deadline.since(now)),
         kind: call.kind(),
@@ -267,10 +261,7 @@
 }
 
 fn offer_request(call: &Call<'_>, offer: &Offer, remaining: Duration) -> Request<wire::Body> {
-    let mut request = Request::new(wire::Body::new(offer.body.clone()));
-    *request.method_mut() = offer.method.clone();
-    *request.uri_mut() = offer.path.clone();
-    *request.headers_mut() = offer.headers.clone();
+    let mut request = offer.payload.request();
     let headers = request.headers_mut();
     headers.insert(wire::OFFER, wire::number(offer.incarnation));
     headers.insert(wire::ID, wire::number(offer.id));
--- a/crates/traffic/src/explain.rs
+++ b/crates/traffic/src/explain.rs
@@ -1,30 +1,12 @@
 //! Why an upstream would or would not be chosen now.
 
-use fleet::member::State;
-use std::time::Duration;
+use fleet::{member::State, status::Candidate};
 
 use crate::state::Hub;
 
-/// Standing of one upstream in the eyes of this node.
-#[derive(Clone, Debug)]
-pub struct Eligibility {
-    /// The platform's name of the instance.
-    pub instance: String,
-    /// Its data centre.
-    pub data_centre: String,
-    /// Whether it may be chosen.
-    pub eligible: bool,
-    /// Why, or why not.
-    pub reason: String,
-    /// Own calls on their way to it.
-    pub in_flight: usize,
-    /// Average latency of own calls, if any.
-    pub latency: Option<Duration>,
-}
-
 impl Hub {
     /// Explains every known upstream of `service`.
-    pub fn explain(&self, service: &str) -> Vec<Eligibility> {
+    pub fn explain(&self, service: &str) -> Vec<Candidate> {
         let view = self.view();
         let now = self.clock.now();
         let spill = self.spills(service);
@@ -50,13 +32,13 @@
                 State::Suspect => (true, "suspected, and not yet out of reach".to_owned()),
                 State::Live => (true, "live".to_owned()),
             };
-            all.push(Eligibility {
+            all.push(Candidate {
                 instance: upstream.instance.clone(),
                 data_centre: upstream.data_centre.clone(),
                 eligible,
                 reason,
                 in_flight: record.in_flight(),
-                latency: record.latency(now),
+                latency_ms: record.latency(now).map(|l| l.as_secs_f64() * 1e3),
             });
         }
         all
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -9,6 +9,8 @@
 mod clock;
 mod entry;
 mod explain;
+mod intake;
+mod payload;
 mod pool;
 mod server;
 mod serving;
@@ -19,7 +21,6 @@
 
 pub use crate::{
     clock::Clock,
-    explain::Eligibility,
     server::{Error, Listener},
     state::{Hub, Settings},
     tally::Count,
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use fleet::view::Upstream;
-use hyper::{HeaderMap, Method, Request, Response, Uri};
+use hyper::{Request, Response};
 use model::{profile::Profile, time::Time};
 use policy::{
     admission::{Entry, Ticket},
@@ -17,6 +17,7 @@
 
 use crate::{
     body,
+    payload::Payload,
     pool::{Connection, Failure},
     state::Hub,
     stream::{Look, Probe},
@@ -26,10 +27,7 @@
 /// A call that is offered to this node's upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Offer {
-    pub(crate) method: Method,
-    pub(crate) path: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) payload: Payload,
     /// When its head was read.
     pub(crate) received: Time,
     pub(crate) deadline: Time,
@@ -198,10 +196,7 @@
 }
 
 fn upstream_request(hub: &Hub, offer: &Offer) -> Request<wire::Body> {
-    let mut request = Request::new(wire::Body::new(offer.body.clone()));
-    *request.method_mut() = offer.method.clone();
-    *request.uri_mut() = offer.path.clone();
-    *request.headers_mut() = offer.headers.clone();
+    let mut request = offer.payload.request();
     let remaining = offer.deadline.since(hub.clock.now()).as_millis() as u64;
     let headers = request.headers_mut();
     headers.insert(wire::DEADLINE, wire::number(remaining));
