Rumours end when tables agree; no idle calls to an empty platform

Cause 1: two minutes after 570 nodes had started, each still moved 2,630 bytes a second, 1.2 KB of them rumours that everybody had heard: each record is passed on 21 times by each node. Now an exchange of beats between equal tables counts every rumour as passed on, and a reply to an equal table carries none.

Cause 2: a reader of a platform on which nothing was published asked again at every tick, 20 times a second, since its call was not to wait. It waits now, and a platform that does not hold calls is asked four times a second.

Also: bodies of offers count in the node's room for bodies, as those of calls do; the table is looked through four times a second in place of twenty.

Ruled out: fewer transmissions per rumour, which would slow the news of real changes; the bound is needed only where nobody needs the news.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -48,6 +48,9 @@
 /// Least time between two rounds of unasked announcements of membership changes.
 const HOT_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time between two looks through the whole table.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Nodes to which a node announces that it leaves or stops.
 const FAREWELLS: usize = 8;
 
@@ -110,6 +113,7 @@
     sync_due: Time,
     hot: bool,
     hot_due: Time,
+    upkeep_due: Time,
     view_stale: bool,
     rank: usize,
     effects: Vec<Effect>,
@@ -144,6 +148,7 @@
             sync_due: now.time,
             hot: false,
             hot_due: now.time,
+            upkeep_due: now.time,
             view_stale: true,
             rank: 0,
             effects: Vec::new(),
@@ -218,8 +223,12 @@
             self.settled = true;
             self.pull(now);
         }
-        for address in self.prober.overdue(&self.roster, now.time) {
-            self.judge(address, State::Unreachable, now);
+        if now.time >= self.upkeep_due {
+            self.upkeep_due = now.time + UPKEEP_INTERVAL;
+            for address in self.prober.overdue(&self.roster, now.time) {
+                self.judge(address, State::Unreachable, now);
+            }
+            self.roster.prune();
         }
         let contacts = std::mem::take(&mut self.contacts);
         let targets = self.prober.targets(&self.roster, &contacts, now.time, &mut self.random);
@@ -228,7 +237,6 @@
             self.send_beat(target, now);
         }
         self.call_source(now);
-        self.roster.prune();
     }
 
     fn wake(&mut self, pause: Duration, now: Now) {
@@ -246,9 +254,14 @@
     fn answer(&mut self, request: Request, now: Now) {
         let response = match request {
             Request::Beat(beat) => {
-                let sender = beat.from;
+                let (peer, members) = (beat.from.address, beat.members);
                 self.hear_beat(beat, now);
-                Response::Beat(self.beat_for(sender.address, now))
+                let mut reply = self.beat_for(peer, now);
+                if members == self.roster.digest() {
+                    // The asker holds the same records and needs none of them.
+                    reply.rumours.clear();
+                }
+                Response::Beat(reply)
             }
             Request::Pull(pull) => Response::Pull(self.bundle(pull)),
             Request::Sync(sync) => Response::Sync(self.exchange(sync, now)),
@@ -280,20 +293,17 @@
 
     /// Calls the platform if that is this node's duty now.
     fn call_source(&mut self, now: Now) {
-        let wait = match self.duty.role(self.rank, now.time) {
-            Role::Idle => return,
-            Role::Reader | Role::Standby => source::WATCH,
-        };
-        let held = self.fence.held();
+        if self.duty.role(self.rank, now.time) == Role::Idle {
+            return;
+        }
+        let wait = source::WATCH;
         if self.duty.begin(Topic::Config, now.time) {
-            // With nothing in force the call must not wait: an old revision is better than none.
-            let after = self.source_revision.max(held.unwrap_or(0));
-            let wait = if after == 0 { Duration::ZERO } else { wait };
-            self.effects.push(Effect::Read(Query::Config { base: held, after, wait }));
+            let base = self.fence.held();
+            let after = self.source_revision.max(base.unwrap_or(0));
+            self.effects.push(Effect::Read(Query::Config { base, after, wait }));
         }
         if self.duty.begin(Topic::List, now.time) {
             let after = self.listing_revision;
-            let wait = if after == 0 { Duration::ZERO } else { wait };
             self.effects.push(Effect::Read(Query::List { after, wait }));
         }
     }
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -33,6 +33,8 @@
         let stranger = known < Some(beat.from.incarnation);
         if stranger || beat.members != self.roster.digest() {
             self.start_sync(beat.from, now);
+        } else {
+            self.roster.agree();
         }
     }
 
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -9,7 +9,7 @@
     fence::Verdict,
     message::{Bundle, Pull, Request},
     plan::Occasion,
-    source::{Answer, Failure, Topic},
+    source::{Answer, Failure, News, Topic},
     timeline::Kind,
 };
 
@@ -20,7 +20,7 @@
     pub(super) fn hear_source(&mut self, answer: Answer, now: Now) {
         match answer {
             Answer::Config(delta) => {
-                self.succeed(Topic::Config, now);
+                self.succeed(Topic::Config, News::Some, now);
                 self.note(Kind::Read { revision: delta.revision }, now);
                 self.source_revision = self.source_revision.max(delta.revision);
                 self.check_stale(delta.revision, now);
@@ -28,11 +28,11 @@
                 self.offer(set, None, now);
             }
             Answer::List(listing) => {
-                self.succeed(Topic::List, now);
+                self.succeed(Topic::List, News::Some, now);
                 self.hear_listing(listing, now);
             }
             Answer::Unchanged(topic, revision) => {
-                self.succeed(topic, now);
+                self.succeed(topic, News::None, now);
                 if topic == Topic::Config {
                     self.check_stale(revision, now);
                 }
@@ -166,8 +166,8 @@
         self.stale_source = stale;
     }
 
-    fn succeed(&mut self, topic: Topic, now: Now) {
-        if self.duty.succeed(topic, self.rank, now.time) {
+    fn succeed(&mut self, topic: Topic, news: News, now: Now) {
+        if self.duty.succeed(topic, news, self.rank, now.time) {
             self.note(Kind::SourceBack, now);
         }
     }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -169,6 +169,14 @@
         records
     }
 
+    /// Notes that another node holds the same records: every rumour counts as passed on to it.
+    ///
+    /// After a herd restart hundreds of rumours are under way that everybody has heard.
+    pub fn agree(&mut self) {
+        self.rumours.iter_mut().for_each(|rumour| rumour.left -= 1);
+        self.rumours.retain(|rumour| rumour.left > 0);
+    }
+
     /// Draws up to `count` different nodes that `keep` accepts.
     pub fn draw(
         &self,
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -31,6 +31,9 @@
 /// Most places that are counted for [`SILENCE_STEP`].
 const SILENCE_PLACES: u32 = 40;
 
+/// Pause after an answer without news.
+const UNCHANGED_PAUSE: Duration = Duration::from_millis(250);
+
 /// First upper bound of the random pause after a failed call; doubled up to [`BACKOFF_MOST`].
 const BACKOFF_LEAST: Duration = Duration::from_millis(500);
 
@@ -99,6 +102,15 @@
     pub instances: Vec<Instance>,
 }
 
+/// Whether an answer brought something new.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum News {
+    /// It did.
+    Some,
+    /// It did not.
+    None,
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -195,8 +207,11 @@
     /// Notes a usable answer on `topic` to this node at place `rank`.
     ///
     /// Returns whether the platform was lost before.
-    pub fn succeed(&mut self, topic: Topic, rank: usize, now: Time) -> bool {
-        *self.line(topic) = Line { busy: false, due: now, failures: 0 };
+    pub fn succeed(&mut self, topic: Topic, news: News, rank: usize, now: Time) -> bool {
+        // A platform that does not hold the call although asked to would otherwise be called again
+        // at every tick.
+        let pause = if news == News::Some { Duration::ZERO } else { UNCHANGED_PAUSE };
+        *self.line(topic) = Line { busy: false, due: now + pause, failures: 0 };
         self.contact = Some(Seen { at: now, rank });
         std::mem::replace(&mut self.own_failing, false)
     }
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -85,6 +85,10 @@
     // A node that holds no configuration yet cannot keep the profile's promises.
     let service = config.service(&hub.settings.service);
     let profile = service.map(|s| config.profile(s)).ok_or_else(|| Cause::Unreachable.outcome())?;
+    let mut reserved = Reservation::new(hub);
+    if !reserved.extend(body::declared(&parts.headers).unwrap_or(0)) {
+        return Err(Cause::Overloaded.outcome());
+    }
     let time = deadline.since(received);
     let body = body::receive(incoming, profile.max_request_bytes, time).await;
     let body = body.map_err(|_| Cause::BadRequest.outcome())?;
@@ -151,14 +155,15 @@
         return refuse(hub, service, Cause::BadRequest, Some(StatusCode::BAD_REQUEST));
     };
     let deadline = claim::deadline(received, remaining, rule.deadline_ms);
-    let Some(mut hand) = Hand::take(hub, service) else {
+    let Some(_hand) = Hand::take(hub, service) else {
         return refuse(hub, service, Cause::Saturated, None);
     };
     let declared = body::declared(&parts.headers).unwrap_or(0);
     if declared > profile.max_request_bytes {
         return refuse(hub, service, Cause::BadRequest, Some(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    if !hand.reserve(declared) {
+    let mut reserved = Reservation::new(hub);
+    if !reserved.extend(declared) {
         return refuse(hub, service, Cause::Saturated, None);
     }
     let time = Duration::from_millis(profile.upload_ms).min(deadline.since(received));
@@ -168,7 +173,7 @@
             return refuse(hub, service, Cause::BadRequest, Some(status_of(fault)));
         }
     };
-    if !hand.reserve(body.len().saturating_sub(declared)) {
+    if !reserved.extend(body.len().saturating_sub(declared)) {
         return refuse(hub, service, Cause::Saturated, None);
     }
     let mut headers = parts.headers;
@@ -254,11 +259,39 @@
     headers.get(name)?.to_str().ok()
 }
 
-/// A call in hand, with the bytes reserved for it; given back when dropped.
+/// Bytes of bodies reserved in the node's room; given back when dropped.
+struct Reservation<'a> {
+    hub: &'a Hub,
+    bytes: usize,
+}
+
+impl<'a> Reservation<'a> {
+    fn new(hub: &'a Hub) -> Self {
+        Reservation { hub, bytes: 0 }
+    }
+
+    /// Reserves `more` bytes; returns whether there was room.
+    fn extend(&mut self, more: usize) -> bool {
+        let held = self.hub.bytes.load(Ordering::SeqCst);
+        if !self.hub.settings.room.fits(held, more) {
+            return false;
+        }
+        self.hub.bytes.fetch_add(more, Ordering::SeqCst);
+        self.bytes += more;
+        true
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.hub.bytes.fetch_sub(self.bytes, Ordering::SeqCst);
+    }
+}
+
+/// A call in hand; given back when dropped.
 struct Hand<'a> {
     hub: &'a Hub,
     service: &'a str,
-    bytes: usize,
 }
 
 impl<'a> Hand<'a> {
@@ -273,23 +306,12 @@
             return None;
         }
         hub.calls.fetch_add(1, Ordering::SeqCst);
-        Some(Hand { hub, service, bytes: 0 })
-    }
-
-    fn reserve(&mut self, more: usize) -> bool {
-        let held = self.hub.bytes.load(Ordering::SeqCst);
-        if !self.hub.settings.room.fits(held, more) {
-            return false;
-        }
-        self.hub.bytes.fetch_add(more, Ordering::SeqCst);
-        self.bytes += more;
-        true
+        Some(Hand { hub, service })
     }
 }
 
 impl Drop for Hand<'_> {
     fn drop(&mut self) {
-        self.hub.bytes.fetch_sub(self.bytes, Ordering::SeqCst);
         self.hub.calls.fetch_sub(1, Ordering::SeqCst);
         self.hub.with_service(self.service, |s| s.in_hand -= 1);
     }
--- a/xtask/src/bench/calls.rs
+++ b/xtask/src/bench/calls.rs
@@ -110,7 +110,9 @@
     let upstreams: Vec<SocketAddr> = mesh.spots[1..].iter().map(|s| s.upstream.address()).collect();
     let straight = drive(mesh, callers, "/balance", move |i| upstreams[i % UPSTREAMS]);
     let entry = mesh.spots[0].traffic;
+    let before = processor_times(mesh);
     let through = drive(mesh, callers, "/paydesk/balance", move |_| entry);
+    let after = processor_times(mesh);
     let (baseline, times) = (times_of(&straight), times_of(&through));
     let answered = through.iter().filter(|m| m.answered).count();
     report.add(
@@ -124,6 +126,27 @@
             .figure("calls_per_s", answered as f64 / SPAN.as_secs_f64())
             .figure("not_answered_percent", 100.0 * (1.0 - answered as f64 / through.len() as f64)),
     );
+    let used: Vec<f64> = after.iter().zip(&before).map(|(b, a)| b - a).collect();
+    let per_call = |seconds: f64| 1e6 * seconds / through.len() as f64;
+    report.add(
+        Line::new("processor_us_per_call", mesh.spots.len())
+            .word("load", load)
+            .figure("entry", per_call(used[0]))
+            .figure("serving", per_call(used[1..].iter().sum())),
+    );
+}
+
+/// Returns the processor time that each node's process has used so far, in seconds.
+fn processor_times(mesh: &Mesh) -> Vec<f64> {
+    let used = |node: usize| {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", mesh.pid(node)?)).ok()?;
+        let nanoseconds = tasks.flatten().filter_map(|task| {
+            let times = std::fs::read_to_string(task.path().join("schedstat")).ok()?;
+            times.split_whitespace().next()?.parse::<u64>().ok()
+        });
+        Some(nanoseconds.sum::<u64>() as f64 / 1e9)
+    };
+    (0..mesh.spots.len()).map(|node| used(node).unwrap_or(0.0)).collect()
 }
 
 /// Has `callers` make reads one after the other for a while.
