--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -7,7 +7,7 @@
     clock::Now,
     member::{Record, State},
     message::{Beat, Request, Sender, Sync},
-    roster::{Change, RUMOURS_PER_BEAT, Telling},
+    roster::{Change, RECORDS_PER_SYNC, RUMOURS_PER_BEAT, Telling},
     source::Listing,
     timeline::Kind,
 };
@@ -46,7 +46,15 @@
     }
 
     pub(super) fn hear_sync(&mut self, peer: SocketAddr, sync: Sync, now: Now) {
+        let before = self.roster.digest();
         self.learn_all(peer, &sync.records, now);
+        let learned = self.roster.digest() != before;
+        if learned && sync.records.len() >= RECORDS_PER_SYNC {
+            // The answer was cut at its bound: there is more where it came from. Asking on only
+            // after something was learned ends the exchange where the two tables cannot agree.
+            cov_mark::hit!(sync_goes_on);
+            return self.send_sync(peer, self.roster.buckets());
+        }
         let missing = self.roster.differing(&sync.buckets);
         let theirs = |r: &Record| sync.records.contains(r);
         let records: Vec<Record> = missing.into_iter().filter(|r| !theirs(r)).collect();
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -16,6 +16,9 @@
 /// Most records that one beat carries.
 pub const RUMOURS_PER_BEAT: usize = 6;
 
+/// Records after which an exchange takes in no further bucket.
+pub const RECORDS_PER_SYNC: usize = 128;
+
 /// How often a rumour is passed on, times the binary logarithm of the fleet's size.
 const RUMOUR_FACTOR: u32 = 2;
 
@@ -112,12 +115,22 @@
         self.buckets.to_vec()
     }
 
-    /// Returns all records in buckets whose digest differs from the one in `theirs`.
+    /// Returns the records of buckets whose digest differs from the one in `theirs`: whole buckets
+    /// in order, until there are [`RECORDS_PER_SYNC`].
+    ///
+    /// After a herd restart hundreds of nodes ask a few contacts for everything at once; whole
+    /// tables in all those answers would be the largest use of memory in a node's life.
     pub fn differing(&self, theirs: &[u64]) -> Vec<Record> {
-        let differs = |r: &&Record| {
-            theirs.get(bucket_of(r.address)) != Some(&self.buckets[bucket_of(r.address)])
-        };
-        self.iter().filter(differs).cloned().collect()
+        let mut records = Vec::new();
+        for (bucket, own) in self.buckets.iter().enumerate() {
+            if records.len() >= RECORDS_PER_SYNC {
+                break;
+            }
+            if theirs.get(bucket) != Some(own) {
+                records.extend(self.iter().filter(|r| bucket_of(r.address) == bucket).cloned());
+            }
+        }
+        records
     }
 
     /// Takes a statement from elsewhere into account.
--- a/crates/fleet/tests/storm.rs
+++ b/crates/fleet/tests/storm.rs
@@ -79,3 +79,14 @@
     assert!(net.run_until_in_force(newest, Duration::from_secs(3)).is_some());
     assert!(net.peak <= 60, "{} reads in a second", net.peak);
 }
+
+/// A node that joins hundreds gets their records in parts, and still knows all within a moment.
+#[test]
+fn a_large_table_is_learned_in_parts() {
+    cov_mark::check!(sync_goes_on);
+    let mut net = net(400, 4);
+    net.start(7);
+    net.run(Duration::from_secs(2));
+    let known = net.control(7).map(|control| control.roster().iter().count());
+    assert_eq!(known, Some(400));
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -25,8 +25,8 @@
 /// Largest message, in bytes: a whole configuration with every character escaped.
 const MESSAGE_LIMIT: u32 = 12 << 20;
 
-/// Most connections that a node accepts from others.
-const CONNECTION_LIMIT: u32 = 256;
+/// Most connections that a node accepts from others; a node that is refused asks another.
+const CONNECTION_LIMIT: u32 = 128;
 
 /// JSON-RPC error code of a node that does not answer because it stops.
 const STOPPING: i32 = -32_001;
--- a/crates/standins/src/memory/delivery.rs
+++ b/crates/standins/src/memory/delivery.rs
@@ -11,7 +11,7 @@
 
 use super::{Net, Source, TICK, address, agenda::Due, index_of};
 
-/// Bytes of headers that carry a request and its answer; docs/LIBRARIES.md has the measurement.
+/// Bytes of HTTP headers of a request and its answer, estimated; TCP/IP is not counted.
 const HEADER_BYTES: u64 = 330;
 
 impl Net {
