--- a/crates/traffic/tests/claims.rs
+++ b/crates/traffic/tests/claims.rs
@@ -5,7 +5,7 @@
 use rig::Rig;
 use standins::{
     caller::{Call, Caller},
-    upstream::Settings,
+    upstream::{Mode, Settings},
 };
 use std::{
     io::{Read, Write},
@@ -40,6 +40,23 @@
     assert_eq!((rig.runs("second"), rig.runs("third")), (0, 1));
 }
 
+/// An upstream's only slot stays taken for ever, because the caller of the call that held it went
+/// away while it ran.
+#[test]
+fn a_call_cancelled_while_it_runs_frees_its_slot() {
+    let rig = Rig::new(one_slot(), PROFILE);
+    rig.upstreams[0].set_mode(Mode::Silent);
+    let entry = rig.entry.traffic;
+    let first = rig
+        .runtime
+        .spawn(async move { Caller::new(entry).call(&Call::post("/paydesk/a", "first")).await });
+    rig.wait(|| rig.runs("first") == 1);
+    first.abort();
+    rig.upstreams[0].set_mode(Mode::Normal);
+    rig.wait(|| rig.nodes[0].hub.in_hand() == 0);
+    assert_eq!(rig.call(&Call::post("/paydesk/a", "second")).outcome(), "answered");
+}
+
 /// The upstream never sees more calls at once than it has slots, whoever sends them.
 #[test]
 fn slots_are_never_exceeded() {
--- a/crates/traffic/tests/upstream_faults.rs
+++ b/crates/traffic/tests/upstream_faults.rs
@@ -105,3 +105,17 @@
         assert_eq!((answer.outcome(), rig.runs(&work)), ("answered", 1));
     }
 }
+
+/// A read that may have run at one upstream was not "not run" because another one refused it.
+#[test]
+fn a_refusal_does_not_undo_an_attempt_that_may_have_run() {
+    let rig = Rig::new(vec![Settings::default(), Settings::default()], PROFILE);
+    rig.upstreams[0].set_mode(Mode::CloseAfter);
+    rig.upstreams[1].set_mode(Mode::Refuse);
+    for _ in 0..12 {
+        let before = rig.upstreams[0].ledger().runs;
+        let answer = rig.call(&Call::get("/paydesk/balance"));
+        let ran = rig.upstreams[0].ledger().runs > before;
+        assert!(!ran || answer.outcome() == "unknown", "{}", answer.outcome());
+    }
+}
