Names: the field's terms in the place of images

Cause: a newcomer's reading. 'Door', 'farewell', 'greet' and 'hot' were images of our own; they are now named by what they do. Behaviour unchanged, the fleet tests pass.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -1,6 +1,6 @@
 //! The state machine that owns all control state of a node.
 //!
-//! Invariant *one door*: [`Control::apply`] is the only way to change it. It takes one event and
+//! Invariant *one way in*: [`Control::apply`] is the only way to change it. It takes one event and
 //! the time, and returns what is to be done; it never waits. The node's control thread drives it
 //! with real sockets, tests and benches with a virtual clock.
 
@@ -46,13 +46,13 @@
 const SYNC_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Least time between two rounds of unasked announcements of membership changes.
-const HOT_INTERVAL: Duration = Duration::from_millis(200);
+const URGENT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Time between two looks through the whole table.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Nodes to which a node announces that it leaves or stops.
-const FAREWELLS: usize = 8;
+const END_TARGETS: usize = 8;
 
 /// Contacts that a starting node asks for records at once.
 const FIRST_CONTACTS: usize = 3;
@@ -111,8 +111,8 @@
     settled_at: Time,
     settled: bool,
     sync_due: Time,
-    hot: bool,
-    hot_due: Time,
+    urgent: bool,
+    urgent_due: Time,
     upkeep_due: Time,
     view_stale: bool,
     rank: usize,
@@ -146,8 +146,8 @@
             settled_at: begin,
             settled: false,
             sync_due: now.time,
-            hot: false,
-            hot_due: now.time,
+            urgent: false,
+            urgent_due: now.time,
             upkeep_due: now.time,
             view_stale: true,
             rank: 0,
@@ -157,7 +157,7 @@
         };
         let incarnation = control.roster.own().incarnation;
         control.note(Kind::Started { incarnation }, now);
-        control.greet(now);
+        control.ask_contacts(now);
         control
     }
 
@@ -350,7 +350,7 @@
     }
 
     /// Asks a few contacts for their records and their version.
-    fn greet(&mut self, now: Now) {
+    fn ask_contacts(&mut self, now: Now) {
         let first: Vec<SocketAddr> =
             self.contacts.sample(&mut self.random, FIRST_CONTACTS).copied().collect();
         for contact in first {
@@ -367,11 +367,11 @@
 
     /// Announces membership changes that others must know within a moment.
     fn spread_news(&mut self, now: Now) {
-        if !self.hot || now.time < self.hot_due {
+        if !self.urgent || now.time < self.urgent_due {
             return;
         }
-        self.hot = false;
-        self.hot_due = now.time + HOT_INTERVAL;
+        self.urgent = false;
+        self.urgent_due = now.time + URGENT_INTERVAL;
         let weight = self.fence.snapshot().convergence_weight();
         for target in self.plan_targets(0, weight) {
             self.send_beat(target, now);
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Control, Effect, FAREWELLS, SYNC_INTERVAL, SYNC_TIMEOUT};
+use super::{Control, END_TARGETS, Effect, SYNC_INTERVAL, SYNC_TIMEOUT};
 use crate::{
     clock::Now,
     member::{Record, State},
@@ -30,8 +30,8 @@
         }
         self.hear_version(beat.from.address, beat.version, now);
         let known = self.roster.get(beat.from.address).map(|r| r.incarnation);
-        let stranger = known < Some(beat.from.incarnation);
-        if stranger || beat.members != self.roster.digest() {
+        let newer_life = known < Some(beat.from.incarnation);
+        if newer_life || beat.members != self.roster.digest() {
             self.start_sync(beat.from, now);
         } else {
             self.roster.agree();
@@ -108,7 +108,7 @@
             Change::None => return,
             Change::ToldToLeave => return self.leave(now),
             Change::Minor => {}
-            Change::Major | Change::Refuted => self.hot = true,
+            Change::Major | Change::Refuted => self.urgent = true,
         }
         self.view_stale = true;
         if change != Change::Refuted {
@@ -139,7 +139,7 @@
         self.remove_unlisted(&listing, now);
         if self.roster.others().next().is_none() {
             // The contacts of the settings were stale: every instance has been replaced since.
-            self.greet(now);
+            self.ask_contacts(now);
         }
     }
 
@@ -176,23 +176,23 @@
         if self.roster.own().state.is_final() {
             return;
         }
-        self.say_farewell(State::Leaving, now);
+        self.announce_end(State::Leaving, now);
         self.effects.push(Effect::Drain);
     }
 
     pub(super) fn stop(&mut self, now: Now) {
         if self.roster.own().state != State::Gone {
-            self.say_farewell(State::Gone, now);
+            self.announce_end(State::Gone, now);
         }
     }
 
-    fn say_farewell(&mut self, state: State, now: Now) {
+    fn announce_end(&mut self, state: State, now: Now) {
         let peer = self.roster.own().address;
         self.roster.update_own(state, now.time);
         self.view_stale = true;
         let kind = if state == State::Gone { Kind::Gone { peer } } else { Kind::Leaving { peer } };
         self.note(kind, now);
-        let targets = self.roster.draw(FAREWELLS, &mut self.random, |r| r.state.takes_work());
+        let targets = self.roster.draw(END_TARGETS, &mut self.random, |r| r.state.takes_work());
         for target in targets {
             self.send_beat(target, now);
         }
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -1,6 +1,6 @@
 //! The table of all known nodes.
 //!
-//! Invariant *one door*: records change only through [`Roster::learn`] and, for the own record,
+//! Invariant *one way in*: records change only through [`Roster::learn`] and, for the own record,
 //! [`Roster::update_own`], so that digest, rumours and the change flag cannot fall out of step.
 
 use model::time::Time;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -44,13 +44,13 @@
 ///
 /// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
 /// run"; after the end, an offer already written could only be answered "unknown".
-const FAREWELL: Duration = Duration::from_secs(1);
+const LEAVE_LEAST: Duration = Duration::from_secs(1);
 
 /// A leaving node ends only after no offer has come for this long.
 const QUIET: Duration = Duration::from_millis(300);
 
 /// Time for the last messages to others.
-const LAST_WORDS: Duration = Duration::from_millis(200);
+const FLUSH: Duration = Duration::from_millis(200);
 
 /// Interval at which the progress of a planned stop is looked at.
 const POLL: Duration = Duration::from_millis(10);
@@ -149,7 +149,7 @@
         Ok(Node { hub, link, _peers: peers, _traffic: traffic })
     }
 
-    /// Takes no more work, finishes what is in hand, says farewell and returns.
+    /// Takes no more work, finishes what is in hand, tells other nodes and returns.
     ///
     /// Calls still in hand after the profile's `drain_ms` are cut; without that bound, one caller
     /// that never reads its answer could keep an instance alive for ever.
@@ -157,19 +157,19 @@
         let begun = Instant::now();
         self.hub.leave();
         self.link.send(Event::Leave);
-        let limit = self.hub.drain_limit().max(FAREWELL);
+        let limit = self.hub.drain_limit().max(LEAVE_LEAST);
         let mut busy = Instant::now();
         while begun.elapsed() < limit {
             if self.hub.in_hand() > 0 {
                 busy = Instant::now();
             }
-            if begun.elapsed() >= FAREWELL && busy.elapsed() >= QUIET {
+            if begun.elapsed() >= LEAVE_LEAST && busy.elapsed() >= QUIET {
                 break;
             }
             thread::sleep(POLL);
         }
         self.link.send(Event::Stop);
-        thread::sleep(LAST_WORDS);
+        thread::sleep(FLUSH);
     }
 }
 
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -1,4 +1,4 @@
-//! The serving node's part: the only door to its upstream.
+//! The serving node's part: the only way to its upstream.
 //!
 //! Slots, leaving, deadlines and the claim are decided here, next to the upstream, on fresh facts.
 
