Read the whole change once more: work done twice, twins, what nothing used

Ruled out: building a reply without rumours in place of clearing them for a node with an equal table; it would change how often a rumour counts as told.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -310,9 +310,7 @@
 
     /// Returns this node's place among the readers of its data centre.
     fn find_rank(&self) -> usize {
-        let own = self.roster.own();
-        let near = |r: &&Record| r.data_centre == own.data_centre && r.state.takes_work();
-        source::rank(own.address, self.roster.others().filter(near).map(|r| r.address))
+        source::rank(self.roster.own().address, self.roster.working_neighbours())
     }
 
     fn sender(&self) -> Sender {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -71,8 +71,7 @@
 /// Returns the working nodes of the own data centre that follow this one by address, in a ring.
 fn successors(roster: &Roster, count: usize) -> Vec<SocketAddr> {
     let own = roster.own();
-    let near = |r: &&Record| r.state.takes_work() && r.data_centre == own.data_centre;
-    let all: Vec<SocketAddr> = roster.others().filter(near).map(|r| r.address).collect();
+    let all: Vec<SocketAddr> = roster.working_neighbours().collect();
     let after = all.iter().filter(|&&a| a > own.address);
     let before = all.iter().filter(|&&a| a < own.address);
     after.chain(before).take(count).copied().collect()
--- a/crates/fleet/src/roster.rs
+++ b/crates/fleet/src/roster.rs
@@ -105,6 +105,13 @@
         self.iter().filter(|r| r.address != self.own)
     }
 
+    /// Iterates over the addresses of the other nodes of the own data centre that take work.
+    pub fn working_neighbours(&self) -> impl Iterator<Item = SocketAddr> {
+        let own = &self.own().data_centre;
+        let near = move |r: &&Record| r.state.takes_work() && &r.data_centre == own;
+        self.others().filter(near).map(|r| r.address)
+    }
+
     /// Returns the digest of all records; equal digests mean equal tables.
     pub fn digest(&self) -> u64 {
         self.buckets.iter().fold(0, |all, bucket| all ^ bucket)
@@ -121,13 +128,17 @@
     /// After a herd restart hundreds of nodes ask a few contacts for everything at once; whole
     /// tables in all those answers would be the largest use of memory in a node's life.
     pub fn differing(&self, theirs: &[u64]) -> Vec<Record> {
+        let mut groups = vec![Vec::new(); BUCKETS];
+        for record in self.iter() {
+            groups[bucket_of(record.address)].push(record);
+        }
         let mut records = Vec::new();
-        for (bucket, own) in self.buckets.iter().enumerate() {
+        for (bucket, group) in groups.into_iter().enumerate() {
             if records.len() >= RECORDS_PER_SYNC {
                 break;
             }
-            if theirs.get(bucket) != Some(own) {
-                records.extend(self.iter().filter(|r| bucket_of(r.address) == bucket).cloned());
+            if theirs.get(bucket) != Some(&self.buckets[bucket]) {
+                records.extend(group.into_iter().cloned());
             }
         }
         records
--- a/crates/standins/src/memory.rs
+++ b/crates/standins/src/memory.rs
@@ -92,8 +92,6 @@
     paused_until: Option<Time>,
     paused_at: Time,
     held: Vec<Due>,
-    sent: u64,
-    received: u64,
 }
 
 /// What was counted.
@@ -176,8 +174,6 @@
                 paused_until: None,
                 paused_at: net.now,
                 held: Vec::new(),
-                sent: 0,
-                received: 0,
             });
         }
         for node in 0..nodes {
@@ -216,11 +212,6 @@
         self.slots[node].control.is_some() && !self.slots[node].drained
     }
 
-    /// Returns the bytes that a node has sent and received.
-    pub fn bytes_of(&self, node: usize) -> u64 {
-        self.slots[node].sent + self.slots[node].received
-    }
-
     /// Returns what was counted since the last call.
     pub fn take_counts(&mut self) -> Counts {
         std::mem::take(&mut self.counts)
--- a/crates/standins/src/memory/delivery.rs
+++ b/crates/standins/src/memory/delivery.rs
@@ -93,7 +93,7 @@
         let life = self.slots[from].life;
         for effect in self.effects_of(to, Event::Asked(request)) {
             if let Effect::Reply(response) = effect {
-                self.count(to, from, size_of_response(&response));
+                self.count(size_of_response(&response));
                 if !self.is_lost(from, to) {
                     let from_address = address(to);
                     let back = Due::Response { call, from: from_address, to: from, life, response };
@@ -137,7 +137,7 @@
 
     fn send(&mut self, from: usize, peer: SocketAddr, request: Request, timeout: Duration) {
         let Some(to) = index_of(peer).filter(|&to| to < self.len()) else { return };
-        self.count(from, to, size_of_request(&request));
+        self.count(size_of_request(&request));
         self.calls += 1;
         let (call, life) = (self.calls, self.slots[from].life);
         self.open.insert(call);
@@ -226,11 +226,9 @@
         self.groups[a] != self.groups[b] || self.random.random_range(0..100) < self.loss
     }
 
-    fn count(&mut self, from: usize, to: usize, bytes: u64) {
+    fn count(&mut self, bytes: u64) {
         self.counts.messages += 1;
         self.counts.bytes += bytes;
-        self.slots[from].sent += bytes;
-        self.slots[to].received += bytes;
     }
 }
 
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -107,9 +107,6 @@
     let reach = if call.profile.spill { Reach::Spill } else { Reach::OwnOnly };
     let slow_start = Duration::from_millis(call.profile.slow_start_ms);
     hub.with_service(call.service, |service| {
-        for upstream in &able {
-            service.record(upstream, now);
-        }
         let records: Vec<_> = able.iter().map(|u| service.record(u, now).clone()).collect();
         let candidates: Vec<Candidate<'_>> = able
             .iter()
--- a/xtask/src/bench/calls.rs
+++ b/xtask/src/bench/calls.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinHandle;
 
 use super::report::{Line, Report, Times};
-use crate::tools::Failure;
+use crate::tools::{Failure, require};
 
 const UPSTREAMS: usize = 4;
 const SLOTS: usize = 10;
@@ -96,7 +96,7 @@
     let ready = mesh
         .wait_in_force(revision, LIMIT)
         .and_then(|_| mesh.wait_upstreams("paydesk", UPSTREAMS, LIMIT));
-    ready.ok_or_else(|| Failure::Chore("the mesh does not get ready".to_owned()))?;
+    require(ready, "the mesh does not get ready")?;
     // The upstreams' slow start is over after this.
     thread::sleep(Duration::from_secs(2));
     Ok(mesh)
--- a/xtask/src/bench/chain.rs
+++ b/xtask/src/bench/chain.rs
@@ -13,7 +13,7 @@
 };
 
 use super::report::{Line, Report, Times};
-use crate::tools::Failure;
+use crate::tools::{Failure, require};
 
 /// Depth of the chain, as deep as the users' calls go.
 const DEPTH: usize = 27;
@@ -72,7 +72,7 @@
     let ready = mesh
         .wait_in_force(revision, LIMIT)
         .and_then(|_| mesh.wait_upstreams("level-26", WIDTH, LIMIT));
-    ready.ok_or_else(|| Failure::Chore("the chain does not get ready".to_owned()))?;
+    require(ready, "the chain does not get ready")?;
     thread::sleep(Duration::from_secs(3));
     Ok(mesh)
 }
--- a/xtask/src/bench/fleet.rs
+++ b/xtask/src/bench/fleet.rs
@@ -13,7 +13,7 @@
 };
 
 use super::report::{Line, Report, Times};
-use crate::tools::Failure;
+use crate::tools::{Failure, require};
 
 const CHANGES: u64 = 25;
 const SERVICES: [&str; 5] = ["shelfview", "paydesk", "ledgerhub", "forecast", "groups"];
@@ -176,7 +176,3 @@
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
-
-fn require<T>(value: Option<T>, reason: &str) -> Result<T, Failure> {
-    value.ok_or_else(|| Failure::Chore(reason.to_owned()))
-}
--- a/xtask/src/tools.rs
+++ b/xtask/src/tools.rs
@@ -52,3 +52,8 @@
     let target = target.map_or_else(|| root().join("target"), PathBuf::from);
     Ok(target.join("release"))
 }
+
+/// Turns a missing value into a failure.
+pub(crate) fn require<T>(value: Option<T>, reason: &str) -> Result<T, Failure> {
+    value.ok_or_else(|| Failure::Chore(reason.to_owned()))
+}
