--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -8,7 +8,7 @@
 mod port;
 mod version;
 
-pub use self::port::{Asked, Effect, Event, Lost};
+pub use self::port::{Asked, Effect, Event, Lost, Machine};
 
 use model::{
     config::{Snapshot, Version},
@@ -24,6 +24,7 @@
 
 use crate::{
     clock::{Clock, Now, Stamp},
+    directory::Update,
     fence::Fence,
     member::{Record, State},
     message::{Beat, Request, Response, Sender, Sync},
@@ -169,6 +170,8 @@
             Event::Asked(request) => self.answer(request, now),
             Event::Answered(peer, response) => self.hear(peer, response, now),
             Event::Lost(peer, lost) => self.lose(peer, lost, now),
+            // Only nodes in listed mode send summaries.
+            Event::Heard(_) => {}
             Event::Source(answer) => self.hear_source(answer, now),
             Event::Note(kind) => self.note(kind, now),
             Event::Leave => self.leave(now),
@@ -265,6 +268,8 @@
             }
             Request::Pull(pull) => Response::Pull(self.bundle(pull)),
             Request::Sync(sync) => Response::Sync(self.exchange(sync, now)),
+            // This node holds no list of upstreams; an empty one of revision 0 changes nothing.
+            Request::Fetch(_) => Response::Fetch(Update::default()),
         };
         self.effects.push(Effect::Reply(response));
     }
@@ -277,6 +282,7 @@
             }
             Response::Pull(bundle) => self.hear_bundle(peer, bundle, now),
             Response::Sync(sync) => self.hear_sync(peer, sync, now),
+            Response::Fetch(_) => {}
         }
     }
 
@@ -287,7 +293,7 @@
         match lost.asked {
             Asked::Beat => self.suspect(peer, now),
             Asked::Pull => self.abandon_pull(peer, now),
-            Asked::Sync => {}
+            Asked::Sync | Asked::Fetch => {}
         }
     }
 
@@ -391,6 +397,24 @@
     }
 }
 
+impl Machine for Control {
+    fn apply(&mut self, event: Event, now: Now) -> Vec<Effect> {
+        Control::apply(self, event, now)
+    }
+
+    fn status(&mut self, now: Now) -> status::Node {
+        Control::status(self, now)
+    }
+
+    fn events_after(&self, stamp: Stamp) -> Vec<Note> {
+        Control::events_after(self, stamp)
+    }
+
+    fn count(&self, state: State) -> usize {
+        self.roster.iter().filter(|r| r.state == state).count()
+    }
+}
+
 fn member_status(record: &Record) -> status::Member {
     status::Member {
         instance: record.instance.clone(),
--- a/crates/fleet/src/control/port.rs
+++ b/crates/fleet/src/control/port.rs
@@ -4,9 +4,12 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    message::{Request, Response},
+    clock::{Now, Stamp},
+    member::State,
+    message::{Digest, Request, Response},
     source::{Answer, Query},
-    timeline::Kind,
+    status,
+    timeline::{self, Kind},
     view::View,
 };
 
@@ -23,6 +26,8 @@
     Answered(SocketAddr, Response),
     /// A request to another node failed.
     Lost(SocketAddr, Lost),
+    /// Another node's summary.
+    Heard(Digest),
     /// The platform's answer.
     Source(Answer),
     /// Something that traffic wants remembered.
@@ -51,6 +56,8 @@
     Pull,
     /// An exchange of records.
     Sync,
+    /// A fetch of the list of upstreams.
+    Fetch,
 }
 
 /// Something to be done.
@@ -58,6 +65,8 @@
 pub enum Effect {
     /// Send a request and report what comes of it.
     Send(SocketAddr, Request, Duration),
+    /// Send a summary to these nodes; nobody answers.
+    Tell(Vec<SocketAddr>, Digest),
     /// Answer the request that this call of `apply` was about.
     Reply(Response),
     /// Call the platform and report what comes of it.
@@ -66,6 +75,20 @@
     InForce(Arc<Snapshot>),
     /// Route to these upstreams from now on.
     View(Arc<View>),
+    /// Tell callers that they may send work here.
+    Open,
     /// Take no more work.
     Drain,
 }
+
+/// The control state of a node, in whichever mode it finds the others.
+pub trait Machine: Send {
+    /// Takes one event into account and returns what is to be done, in order.
+    fn apply(&mut self, event: Event, now: Now) -> Vec<Effect>;
+    /// Returns what operators are told.
+    fn status(&mut self, now: Now) -> status::Node;
+    /// Returns the events after `stamp`.
+    fn events_after(&self, stamp: Stamp) -> Vec<timeline::Event>;
+    /// Returns the number of known nodes in `state`.
+    fn count(&self, state: State) -> usize;
+}
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -9,7 +9,7 @@
     fence::Verdict,
     message::{Bundle, Pull, Request},
     plan::Occasion,
-    source::{Answer, Failure, News, Topic},
+    source::{Answer, News, Topic},
     timeline::Kind,
 };
 
@@ -31,6 +31,8 @@
                 self.succeed(Topic::List, News::Some, now);
                 self.hear_listing(listing, now);
             }
+            // Only a node in listed mode asks for both together.
+            Answer::News(_) => {}
             Answer::Unchanged(topic, revision) => {
                 self.succeed(topic, News::None, now);
                 if topic == Topic::Config {
@@ -39,7 +41,7 @@
             }
             Answer::Failed(topic, failure) => {
                 if self.duty.fail(topic, now.time, &mut self.random) {
-                    self.note(Kind::SourceLost { reason: reason(failure) }, now);
+                    self.note(Kind::SourceLost { reason: failure.to_string() }, now);
                 }
             }
         }
@@ -172,11 +174,3 @@
         }
     }
 }
-
-fn reason(failure: Failure) -> String {
-    match failure {
-        Failure::Refused => "over its limit of reads".to_owned(),
-        Failure::Unreachable(reason) => reason,
-        Failure::Malformed(fault) => fault.to_string(),
-    }
-}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 
 pub mod clock;
 pub mod control;
+pub mod directory;
 pub mod fence;
+pub mod listed;
 pub mod member;
 pub mod message;
 pub mod plan;
--- /dev/null
+++ b/crates/fleet/src/listed/peers.rs
@@ -0,0 +1,192 @@
+//! The nodes that a node in listed mode tells its summary to, and what it has heard of them.
+
+use model::time::Time;
+use rand::{rngs::SmallRng, seq::SliceRandom};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{message::Digest, source};
+
+/// Summaries that a node sends in a second. At 40, and about as many received, they take under
+/// 1 % of a core; with up to eight other nodes each is told five times a second.
+const DIGESTS_PER_SECOND: usize = 40;
+
+/// Shortest time between two rounds of summaries, however few the nodes are.
+const ROUND_LEAST: Duration = Duration::from_millis(200);
+
+/// Longest time in which every other node is told once.
+const ROUND_MOST: Duration = Duration::from_secs(2);
+
+/// Rounds without a summary of another node after which it counts as out of reach.
+///
+/// One or two summaries may be lost on the way; four in a row are not.
+const SILENT_ROUNDS: u32 = 4;
+
+/// Added to [`SILENT_ROUNDS`] for the time that a slow node needs.
+const SILENT_EXTRA: Duration = Duration::from_millis(400);
+
+/// How long a node that is no longer listed is still told.
+///
+/// One that was killed while the platform was down knows nobody when it returns; it learns of the
+/// others from their summaries.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// What is known of another node.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) digest: Option<Digest>,
+    heard: Time,
+    listed: Time,
+}
+
+/// Standing of another node, by its own word or its silence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Reach {
+    /// It was heard of lately, or is new.
+    Heard,
+    /// It said that it takes no more work.
+    Leaving,
+    /// It was heard before and is silent now.
+    Silent,
+}
+
+/// All other nodes, by address for messages between nodes.
+#[derive(Debug)]
+pub(super) struct Peers {
+    own: SocketAddr,
+    data_centre: String,
+    peers: BTreeMap<SocketAddr, Peer>,
+    order: Vec<SocketAddr>,
+    due: Time,
+}
+
+impl Peers {
+    pub(super) fn new(own: SocketAddr, data_centre: String) -> Self {
+        Peers { own, data_centre, peers: BTreeMap::new(), order: Vec::new(), due: Time::default() }
+    }
+
+    /// Takes note of a node beside a listed upstream.
+    pub(super) fn list(&mut self, address: SocketAddr, now: Time) {
+        if address != self.own {
+            let new = Peer { digest: None, heard: now, listed: now };
+            self.peers.entry(address).or_insert(new).listed = now;
+        }
+    }
+
+    /// Takes a summary into account; returns whether the node's standing may have changed.
+    pub(super) fn hear(&mut self, digest: Digest, now: Time) -> bool {
+        let address = digest.from.address;
+        if address == self.own {
+            return false;
+        }
+        let before = self.reach(address, now);
+        let new = Peer { digest: None, heard: now, listed: now };
+        let peer = self.peers.entry(address).or_insert(new);
+        peer.heard = now;
+        peer.digest = Some(digest);
+        before != self.reach(address, now)
+    }
+
+    /// Forgets the silence so far: this process did not run, so it heard nobody.
+    pub(super) fn wake(&mut self, now: Time) {
+        self.peers.values_mut().for_each(|peer| peer.heard = now);
+    }
+
+    /// Drops nodes that are neither listed nor heard of.
+    pub(super) fn prune(&mut self, now: Time) {
+        self.peers
+            .retain(|_, p| now.since(p.listed) < REMEMBERED || now.since(p.heard) < REMEMBERED);
+    }
+
+    /// Returns the standing of the node at `address`; nodes never heard of count as heard.
+    ///
+    /// A node that has heard nobody lately is itself cut off or was starved, and learns nothing
+    /// from the silence of one among them.
+    pub(super) fn reach(&self, address: SocketAddr, now: Time) -> Reach {
+        let Some(peer) = self.peers.get(&address) else { return Reach::Heard };
+        let Some(digest) = &peer.digest else { return Reach::Heard };
+        let limit = self.round() * SILENT_ROUNDS + SILENT_EXTRA;
+        if now.since(peer.heard) > limit {
+            return Reach::Silent;
+        }
+        if digest.leaving { Reach::Leaving } else { Reach::Heard }
+    }
+
+    /// Returns this node's place among the readers of its data centre.
+    pub(super) fn rank(&self, now: Time) -> usize {
+        let able = self.peers.iter().filter(|(address, peer)| {
+            let near = |d: &Digest| d.data_centre == self.data_centre && !d.failing;
+            peer.digest.as_ref().is_some_and(near) && self.reach(**address, now) == Reach::Heard
+        });
+        source::rank(self.own, able.map(|(address, _)| *address))
+    }
+
+    /// Returns the nodes whose turn it is to be told.
+    pub(super) fn turn(&mut self, now: Time, random: &mut SmallRng) -> Vec<SocketAddr> {
+        if now < self.due || self.peers.is_empty() {
+            return Vec::new();
+        }
+        // A round is told in slices, so that hundreds of nodes cost no burst of messages.
+        let slices = self.round().div_duration_f64(ROUND_LEAST).max(1.0);
+        let count = (self.peers.len() as f64 / slices).ceil() as usize;
+        self.due = now + ROUND_LEAST;
+        if self.order.len() < count {
+            self.order = self.peers.keys().copied().collect();
+            self.order.shuffle(random);
+        }
+        self.order.split_off(self.order.len().saturating_sub(count))
+    }
+
+    /// Returns the nodes to tell of news that this node was among the first to hear: all of the
+    /// own data centre, and some of each other one.
+    pub(super) fn audience(&self, far: usize, random: &mut SmallRng) -> Vec<SocketAddr> {
+        let mut targets = Vec::new();
+        let mut others: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
+        for (address, peer) in &self.peers {
+            match peer.digest.as_ref().map(|d| d.data_centre.as_str()) {
+                Some(name) if name != self.data_centre => {
+                    others.entry(name).or_default().push(*address);
+                }
+                _ => targets.push(*address),
+            }
+        }
+        for mut group in others.into_values() {
+            group.shuffle(random);
+            targets.extend(group.into_iter().take(far));
+        }
+        targets
+    }
+
+    /// Returns some nodes drawn at random.
+    pub(super) fn some(&self, count: usize, random: &mut SmallRng) -> Vec<SocketAddr> {
+        let mut all: Vec<SocketAddr> = self.peers.keys().copied().collect();
+        all.shuffle(random);
+        all.truncate(count);
+        all
+    }
+
+    /// Returns the node that holds the most by `measure`, above `held`, and was heard of last.
+    pub(super) fn ahead(
+        &self,
+        held: u64,
+        measure: impl Fn(&Digest) -> u64,
+        skip: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(address, _)| !skip(**address))
+            .filter_map(|(address, peer)| Some((measure(peer.digest.as_ref()?), peer, address)))
+            .filter(|(revision, ..)| *revision > held)
+            .max_by_key(|(revision, peer, _)| (*revision, peer.heard))
+            .map(|(.., address)| *address)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Returns the time in which every other node is told once.
+    fn round(&self) -> Duration {
+        let whole = Duration::from_secs(1) * self.peers.len() as u32 / DIGESTS_PER_SECOND as u32;
+        whole.clamp(ROUND_LEAST, ROUND_MOST)
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/listed/watch.rs
@@ -0,0 +1,156 @@
+//! When a node in listed mode calls the platform.
+//!
+//! Calls are priced and limited, so in each data centre only the two nodes that come first in a
+//! rendezvous order watch. The others step in when no answer of the platform has been heard of for
+//! longer than a watch takes, one after the other by their places in the order.
+
+use model::time::Time;
+use rand::{RngExt, rngs::SmallRng};
+use std::time::Duration;
+
+/// Settings of a [`Watch`].
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Nodes per data centre that watch. Two, so that one may be refused, silent or restarting
+    /// while the other still hears of a change at once.
+    pub readers: usize,
+    /// How long the platform may hold a call. A connection that went silent shows only when this
+    /// time and the adapter's patience are over, so it is well under the two seconds in which an
+    /// upstream that leaves must be left alone.
+    pub wait: Duration,
+    /// Pause after an answer with news, so that a storm of changes costs few calls. An eighth of
+    /// the time in which a version must be in force.
+    pub pause: Duration,
+    /// Age of the freshest contact after which the first node that is no reader steps in: the
+    /// wait of a watch and the time until its answer is heard of.
+    pub silence: Duration,
+    /// Added to `silence` for each further place, so that one node steps in and not all.
+    pub silence_step: Duration,
+    /// Most places that are counted for `silence_step`.
+    pub silence_places: usize,
+    /// First upper bound of the random pause after a failed call; doubled up to `backoff_most`.
+    pub backoff_least: Duration,
+    /// Upper bound of the random pause after failed calls. Below the two seconds in which entries
+    /// of upstreams are back after an outage.
+    pub backoff_most: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            readers: 2,
+            wait: Duration::from_millis(800),
+            pause: Duration::from_millis(250),
+            silence: Duration::from_millis(1_150),
+            silence_step: Duration::from_millis(100),
+            silence_places: 6,
+            backoff_least: Duration::from_millis(150),
+            backoff_most: Duration::from_millis(1_000),
+        }
+    }
+}
+
+/// The calls of one node to the platform.
+#[derive(Debug)]
+pub(super) struct Watch {
+    settings: Settings,
+    busy: bool,
+    due: Time,
+    failures: u32,
+    /// First failure of those in a row.
+    failing_since: Option<Time>,
+    /// First answer after the latest row of failures.
+    returned: Option<Time>,
+    /// Latest moment at which the platform answered any node, as far as known.
+    contact: Option<Time>,
+}
+
+impl Watch {
+    pub(super) fn new(settings: Settings, begin: Time) -> Self {
+        Watch {
+            settings,
+            busy: false,
+            due: begin,
+            failures: 0,
+            failing_since: None,
+            returned: None,
+            contact: None,
+        }
+    }
+
+    /// Tells whether a node at place `rank` of its data centre's order calls the platform.
+    pub(super) fn is_due(&self, rank: usize, now: Time) -> bool {
+        if self.busy || now < self.due {
+            return false;
+        }
+        if rank < self.settings.readers {
+            return true;
+        }
+        let place = (rank - self.settings.readers).min(self.settings.silence_places) as u32;
+        let limit = self.settings.silence + self.settings.silence_step * place;
+        let silent = self.contact.is_none_or(|contact| now.since(contact) > limit);
+        if silent {
+            cov_mark::hit!(listed_standby);
+        }
+        silent
+    }
+
+    pub(super) fn begin(&mut self) -> Duration {
+        self.busy = true;
+        self.settings.wait
+    }
+
+    /// Notes an answer; returns whether the platform had failed this node before.
+    pub(super) fn succeed(&mut self, has_news: bool, now: Time) -> bool {
+        self.busy = false;
+        self.due = if has_news { now + self.settings.pause } else { now };
+        self.failures = 0;
+        self.contact = Some(now);
+        let failed = self.failing_since.take().is_some();
+        if failed {
+            self.returned = Some(now);
+        }
+        failed
+    }
+
+    /// Notes a failed call; returns whether it is the first in a row.
+    ///
+    /// The pause is random, or nodes that failed together would come back together.
+    pub(super) fn fail(&mut self, now: Time, random: &mut SmallRng) -> bool {
+        let doubled = self.settings.backoff_least * 2u32.pow(self.failures.min(8));
+        let bound = doubled.min(self.settings.backoff_most);
+        self.busy = false;
+        self.failures += 1;
+        self.due = now + bound.mul_f64(random.random_range(0.5..1.0));
+        let first = self.failing_since.is_none();
+        self.failing_since.get_or_insert(now);
+        first
+    }
+
+    /// Calls again as soon as possible, as after a pause of the process.
+    pub(super) fn hurry(&mut self, now: Time) {
+        self.due = now;
+    }
+
+    /// Takes note of a contact that another node has heard of.
+    pub(super) fn hear(&mut self, age: Duration, now: Time) {
+        let at = Time::at(now.since(Time::default()).saturating_sub(age));
+        self.contact = self.contact.max(Some(at));
+    }
+
+    /// Returns the age of the freshest known contact.
+    pub(super) fn contact_age(&self, now: Time) -> Option<Duration> {
+        self.contact.map(|contact| now.since(contact))
+    }
+
+    /// Tells whether the platform fails this node.
+    pub(super) fn is_failing(&self) -> bool {
+        self.failing_since.is_some()
+    }
+
+    /// Returns for how much longer removals are in doubt: `span` from the platform's return.
+    pub(super) fn doubt(&self, span: Duration, now: Time) -> Duration {
+        let returned = self.returned.map(|at| (at + span).since(now));
+        returned.unwrap_or_default()
+    }
+}
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-use crate::{clock::Stamp, member::Record, source::Contact};
+use crate::{clock::Stamp, directory::Update, member::Record, source::Contact};
 
 /// Number of groups into which records are divided to find differences.
 pub const BUCKETS: usize = 32;
@@ -77,6 +77,39 @@
     pub records: Vec<Record>,
 }
 
+/// Asks for the list of upstreams.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Fetch {
+    /// Revision up to which the asker holds everything; none asks for the whole list.
+    pub have: Option<u64>,
+}
+
+/// Summary that a node in listed mode sends to others, unasked and without an answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Digest {
+    /// Who speaks.
+    #[serde(rename = "f")]
+    pub from: Sender,
+    /// The sender's data centre.
+    #[serde(rename = "d")]
+    pub data_centre: String,
+    /// Revision of the configuration in force at the sender; 0 for none.
+    #[serde(rename = "c")]
+    pub config: u64,
+    /// Revision up to which the sender holds the list of upstreams; 0 for nothing.
+    #[serde(rename = "l")]
+    pub list: u64,
+    /// Time since the platform last answered any node that the sender has heard of, in ms.
+    #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
+    pub contact_ms: Option<u64>,
+    /// Whether the platform fails the sender.
+    #[serde(default, rename = "x")]
+    pub failing: bool,
+    /// Whether the sender takes no more work.
+    #[serde(default, rename = "z")]
+    pub leaving: bool,
+}
+
 /// What one node asks of another.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
@@ -86,6 +119,8 @@
     Pull(Pull),
     /// Exchanges records.
     Sync(Sync),
+    /// Asks for the list of upstreams.
+    Fetch(Fetch),
 }
 
 /// Answer to a [`Request`] of the same name.
@@ -97,4 +132,6 @@
     Pull(Bundle),
     /// Records.
     Sync(Sync),
+    /// Changes of the list of upstreams.
+    Fetch(Update),
 }
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -10,9 +10,11 @@
 use model::{document::Delta, fault::Fault, time::Time};
 use rand::{RngExt, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt, net::SocketAddr, time::Duration};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::directory::Update;
+
 /// Nodes per data centre that read the platform.
 pub const READERS: usize = 2;
 
@@ -70,6 +72,14 @@
         /// How long the platform may hold the call.
         wait: Duration,
     },
+    /// Configuration and list of upstreams together, from a platform that keeps both under one
+    /// revision.
+    News {
+        /// Revision up to which the asker holds everything; none: everything is wanted at once.
+        after: Option<u64>,
+        /// How long the platform may hold the call.
+        wait: Duration,
+    },
 }
 
 /// Which of the platform's two values a call is about.
@@ -79,6 +89,8 @@
     Config,
     /// The list of instances.
     List,
+    /// Configuration and list of upstreams together.
+    News,
 }
 
 /// An instance in the platform's list.
@@ -111,6 +123,17 @@
     None,
 }
 
+/// What has changed on a platform that keeps configuration and list under one revision.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Bulletin {
+    /// Revision up to which the asker now holds everything.
+    pub revision: u64,
+    /// The configuration, if it changed.
+    pub config: Option<Delta>,
+    /// Changes of the list, if there are any.
+    pub list: Option<Update>,
+}
+
 /// What came of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
@@ -118,6 +141,8 @@
     Config(Delta),
     /// A new list.
     List(Listing),
+    /// Changes of either.
+    News(Bulletin),
     /// Nothing newer; the platform's present revision.
     Unchanged(Topic, u64),
     /// No usable answer.
@@ -133,6 +158,19 @@
     Unreachable(String),
     /// The answer could not be understood.
     Malformed(Fault),
+    /// The platform has forgotten what changed since the asked revision.
+    Forgotten,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Refused => f.write_str("over its limit of reads"),
+            Failure::Unreachable(reason) => f.write_str(reason),
+            Failure::Malformed(fault) => fault.fmt(f),
+            Failure::Forgotten => f.write_str("the history since the asked revision is gone"),
+        }
+    }
 }
 
 /// When the next call on one topic is due, and whether one is under way.
@@ -262,7 +300,7 @@
 
     fn line(&mut self, topic: Topic) -> &mut Line {
         match topic {
-            Topic::Config => &mut self.config,
+            Topic::Config | Topic::News => &mut self.config,
             Topic::List => &mut self.list,
         }
     }
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -121,6 +121,26 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// The platform's list changed about an upstream.
+    Upstream {
+        /// Its identity.
+        id: String,
+        /// Its service.
+        service: String,
+        /// Its address.
+        address: SocketAddr,
+        /// What changed: `listed`, `leaving`, `doubted`, `gone` or `revised`.
+        change: String,
+        /// Revision up to which the list is held now.
+        revision: u64,
+        /// The node that told it; none for the platform.
+        from: Option<SocketAddr>,
+    },
+    /// The node began or ceased to tell callers that it takes work.
+    Ready {
+        /// Whether it takes work.
+        ready: bool,
+    },
     /// Calls were answered "not run" within the last second.
     NotRun {
         /// The called service.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,6 @@
 //! The immutable picture of the fleet that the traffic threads read.
 
-use std::{collections::HashMap, net::SocketAddr};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use crate::member::{Record, State};
 
@@ -13,18 +13,24 @@
     pub traffic: SocketAddr,
     /// The platform's name of the instance.
     pub instance: String,
-    /// Life of its node.
+    /// Life of its node; 0 where the platform's list names upstreams and not nodes.
     pub incarnation: u64,
+    /// Identity that the upstream itself must confirm, if the platform lists it.
+    pub identity: Option<Arc<str>>,
     /// Its data centre.
     pub data_centre: String,
     /// Whether that is the reader's own data centre.
     pub near: bool,
     /// Its standing.
     pub state: State,
+    /// Calls that it works on at once; 0 where that is not known.
+    pub slots: usize,
+    /// How much longer it was slow after its start when it was listed, in ms.
+    pub cold_ms: u64,
 }
 
 /// All upstreams by service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct View {
     by_service: HashMap<String, Vec<Upstream>>,
 }
@@ -42,12 +48,32 @@
                 data_centre: record.data_centre.clone(),
                 near: record.data_centre == data_centre,
                 state: record.state,
+                identity: None,
+                slots: 0,
+                cold_ms: 0,
             };
-            view.by_service.entry(record.service.clone()).or_default().push(upstream);
+            view.add(&record.service, upstream);
         }
         view
     }
 
+    /// Adds an upstream of `service`.
+    pub fn add(&mut self, service: &str, upstream: Upstream) {
+        match self.by_service.get_mut(service) {
+            Some(upstreams) => upstreams.push(upstream),
+            None => {
+                self.by_service.insert(service.to_owned(), vec![upstream]);
+            }
+        }
+    }
+
+    /// Iterates over all upstreams with the names of their services.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Upstream)> {
+        self.by_service
+            .iter()
+            .flat_map(|(name, upstreams)| upstreams.iter().map(move |u| (name.as_str(), u)))
+    }
+
     /// Returns every known upstream of `service`, also those that take no work.
     ///
     /// ```
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -10,8 +10,10 @@
     arena::{Arena, Key},
     document::{COUNT_LIMIT, DOCUMENT_LIMIT, Document, SET_LIMIT, Set},
     fault::Fault,
+    limits::{self, Limits},
     profile::{self, Profile},
     read,
+    route::{self, Route, Target},
     service::{self, Service},
 };
 
@@ -21,6 +23,9 @@
 /// Prefix of the keys that hold services.
 pub const SERVICES: &str = "services/";
 
+/// Prefix of the keys that hold routes.
+pub const ROUTES: &str = "routes/";
+
 /// Most faults reported for one version; more would not help an operator and would cost memory.
 const FAULT_LIMIT: usize = 32;
 
@@ -47,8 +52,13 @@
     /// The version it was built from.
     pub version: Version,
     profiles: Arena<Profile>,
+    /// Bounds on what callers may send.
+    pub limits: Limits,
     services: Arena<Service>,
     by_name: HashMap<String, Key<Service>>,
+    routes: Arena<Route>,
+    /// Routes of each host, those with the longest prefix first.
+    by_host: HashMap<String, Vec<Key<Route>>>,
 }
 
 impl Snapshot {
@@ -62,6 +72,27 @@
         self.profiles.get(service.profile)
     }
 
+    /// Returns the service that `key` was issued for by this snapshot.
+    pub fn target(&self, key: Key<Service>) -> &Service {
+        self.services.get(key)
+    }
+
+    /// Returns whether calls are addressed by routes, and not by the names of services.
+    pub fn has_routes(&self) -> bool {
+        !self.routes.is_empty()
+    }
+
+    /// Finds the route of `host` with the longest prefix that begins `path`.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let routes = self.by_host.get(host)?;
+        routes.iter().map(|&key| self.routes.get(key)).find(|r| path.starts_with(&r.terms.prefix))
+    }
+
+    /// Iterates over all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.iter().map(|(_, route)| route)
+    }
+
     /// Iterates over all services.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.services.iter().map(|(_, service)| service)
@@ -90,11 +121,15 @@
     let mut snapshot = Snapshot { version: set.version(), ..Snapshot::default() };
     let profiles = add_profiles(set, &mut snapshot, &mut faults);
     add_services(set, &profiles, &mut snapshot, &mut faults);
+    add_routes(set, &mut snapshot, &mut faults);
+    if let Some(document) = set.iter().find(|d| d.key == limits::KEY) {
+        snapshot.limits = limits::read(&document.key, &document.text, &mut faults);
+    }
     for document in set.iter().filter(|d| !is_known(&d.key)) {
         faults.push(Fault::new(
             &document.key,
             "",
-            "the key is neither profiles/NAME nor services/NAME",
+            "the key is none of profiles/NAME, services/NAME, routes/NAME and limits",
         ));
     }
     if faults.is_empty() {
@@ -159,6 +194,51 @@
     }
 }
 
+fn add_routes(set: &Set, snapshot: &mut Snapshot, faults: &mut Vec<Fault>) {
+    for (name, document) in named(set, ROUTES) {
+        check_name(name, document, faults);
+        let Some(draft) = route::read(&document.key, &document.text, faults) else { continue };
+        let targets = find_targets(&draft.shares, document, snapshot, faults);
+        let host = draft.terms.host.clone();
+        let prefix = draft.terms.prefix.clone();
+        let key =
+            snapshot.routes.insert(Route { name: name.to_owned(), terms: draft.terms, targets });
+        let of_host = snapshot.by_host.entry(host).or_default();
+        if of_host.iter().any(|&k| snapshot.routes.get(k).terms.prefix == prefix) {
+            // Two routes for the same calls: which of them holds would depend on their order.
+            let reason = format!("another route of this host has the prefix \"{prefix}\"");
+            faults.push(Fault::new(&document.key, "/prefix", reason));
+        }
+        of_host.push(key);
+    }
+    let routes = &snapshot.routes;
+    for keys in snapshot.by_host.values_mut() {
+        keys.sort_by_key(|&key| std::cmp::Reverse(routes.get(key).terms.prefix.len()));
+    }
+}
+
+fn find_targets(
+    shares: &[route::Share],
+    document: &Document,
+    snapshot: &Snapshot,
+    faults: &mut Vec<Fault>,
+) -> Vec<Target> {
+    let mut targets = Vec::new();
+    for (i, share) in shares.iter().enumerate() {
+        match snapshot.by_name.get(&share.service) {
+            Some(&service) => targets.push(Target { service, weight: share.weight }),
+            None => {
+                cov_mark::hit!(dangling_target);
+                let reason =
+                    format!("names the service \"{}\", which does not exist", share.service);
+                let pointer = format!("/targets/{i}/service");
+                faults.push(Fault::new(&document.key, pointer, reason));
+            }
+        }
+    }
+    targets
+}
+
 fn named<'a>(set: &'a Set, prefix: &'static str) -> impl Iterator<Item = (&'a str, &'a Document)> {
     set.iter().filter_map(move |d| d.key.strip_prefix(prefix).map(|name| (name, d)))
 }
@@ -174,5 +254,8 @@
 }
 
 fn is_known(key: &str) -> bool {
-    key.starts_with(PROFILES) || key.starts_with(SERVICES)
+    key.starts_with(PROFILES)
+        || key.starts_with(SERVICES)
+        || key.starts_with(ROUTES)
+        || key == limits::KEY
 }
--- a/crates/model/src/read.rs
+++ b/crates/model/src/read.rs
@@ -145,6 +145,11 @@
         result
     }
 
+    /// Tells whether the field is present and not yet taken.
+    pub fn has(&self, name: &str) -> bool {
+        self.fields.contains_key(name)
+    }
+
     /// Adds a fault at the field `name`.
     pub fn fault(&mut self, name: &str, reason: impl Into<String>) {
         let pointer = format!("{}/{name}", self.pointer);
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -3,16 +3,20 @@
 use crossbeam::channel::{self, Receiver, Sender, TrySendError};
 use fleet::{
     clock::Stamp,
-    control::{Asked, Control, Effect, Event, Lost},
+    control::{Asked, Control, Effect, Event, Lost, Machine},
+    listed,
     member::{Record, State},
-    message::{Request, Response},
+    message::{Digest, Request, Response},
     plan,
     source::{Answer, Failure, Query, Topic},
     status,
     timeline::{self, Kind},
 };
-use peer::Reply;
-use platform::Source;
+use peer::{
+    Reply,
+    datagram::{self, Socket},
+};
+use source::Source;
 use std::{io, net::SocketAddr, sync::Arc, thread, time::Duration};
 use telemetry::metric::Meter;
 use tokio::{runtime::Handle, sync::oneshot};
@@ -20,12 +24,18 @@
 
 use crate::{
     VERSION, now,
-    settings::{Plan, Settings},
+    settings::{Discovery, Plan, Settings},
 };
 
 /// Time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(50);
 
+/// How long a node with the platform's list listens for others before it calls the platform.
+///
+/// The others tell each node several times a second; one that hears of them first takes both
+/// configuration and list from them and costs the platform nothing.
+const JOIN_WAIT: Duration = Duration::from_millis(150);
+
 /// Time between two collections of traffic's counts.
 const COLLECT: Duration = Duration::from_secs(1);
 
@@ -45,6 +55,7 @@
 /// What the control thread needs besides the settings.
 pub(crate) struct Parts {
     pub(crate) own: Record,
+    pub(crate) source: Arc<dyn Source>,
     pub(crate) hub: Arc<Hub>,
     pub(crate) clock: Clock,
     pub(crate) meter: Arc<Meter>,
@@ -108,12 +119,22 @@
 pub(crate) fn start(settings: &Settings, parts: Parts) -> io::Result<Link> {
     let (sender, receiver) = channel::bounded(BACKLOG);
     let link = Link { sender };
-    let source = Arc::new(platform::Http::new(settings.platform, &settings.instance));
-    let config = start_reader(0, source.clone(), link.clone())?;
-    let list = start_reader(1, source, link.clone())?;
-    let control = Control::new(control_settings(settings, &parts), now(&parts.clock));
-    let mut driver =
-        Driver { control, parts, link: link.clone(), config, list, logged: Stamp::default() };
+    let config = start_reader(0, parts.source.clone(), link.clone())?;
+    let list = start_reader(1, parts.source.clone(), link.clone())?;
+    let mut digests = None;
+    let begin = now(&parts.clock);
+    let machine: Box<dyn Machine> = match settings.discovery {
+        Discovery::Gossip => Box::new(Control::new(control_settings(settings, &parts), begin)),
+        Discovery::List => {
+            let socket = Socket::bind(settings.listen.peers).map_err(io::Error::other)?;
+            let socket = Arc::new(socket);
+            start_listener(socket.clone(), link.clone())?;
+            digests = Some(socket);
+            Box::new(listed::Control::new(listed_settings(settings, &parts), begin))
+        }
+    };
+    let logged = Stamp::default();
+    let mut driver = Driver { machine, parts, link: link.clone(), config, list, digests, logged };
     thread::Builder::new().name("control".to_owned()).spawn(move || driver.run(&receiver))?;
     Ok(link)
 }
@@ -133,6 +154,40 @@
     }
 }
 
+fn listed_settings(settings: &Settings, parts: &Parts) -> listed::Settings {
+    listed::Settings {
+        instance: settings.instance.clone(),
+        service: settings.service.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: settings.listen.peers,
+        traffic_port: settings.listen.nodes.unwrap_or(settings.listen.traffic).port(),
+        upstream: settings.upstream.address,
+        incarnation: parts.own.incarnation,
+        join_wait: JOIN_WAIT,
+        reading: listed::Reading::default(),
+        seed: rand::random(),
+        product: VERSION.to_owned(),
+    }
+}
+
+/// Starts a thread that takes the summaries of other nodes.
+fn start_listener(socket: Arc<Socket>, link: Link) -> io::Result<()> {
+    let work = move || {
+        while link.is_open() {
+            match socket.hear() {
+                Ok(digest) => link.send(Event::Heard(digest)),
+                Err(datagram::Error::Malformed { from, source }) => {
+                    let reason = source.to_string();
+                    link.send(Event::Note(Kind::BadMessage { peer: from, reason }));
+                }
+                // Nothing can be done about the socket; the loop must not spin on it.
+                Err(_) => thread::sleep(TICK),
+            }
+        }
+    };
+    thread::Builder::new().name("digests".to_owned()).spawn(work).map(drop)
+}
+
 /// Starts a thread that makes one call to the platform after the other.
 fn start_reader(number: usize, source: Arc<dyn Source>, link: Link) -> io::Result<Sender<Query>> {
     let (sender, receiver) = channel::bounded::<Query>(1);
@@ -147,11 +202,12 @@
 
 /// Drives the state machine.
 struct Driver {
-    control: Control,
+    machine: Box<dyn Machine>,
     parts: Parts,
     link: Link,
     config: Sender<Query>,
     list: Sender<Query>,
+    digests: Option<Arc<Socket>>,
     logged: Stamp,
 }
 
@@ -179,17 +235,17 @@
             Message::Event(event) => self.apply(event, None),
             Message::Ask(request, reply) => self.apply(Event::Asked(request), Some(reply)),
             Message::Status(reply) => {
-                let status = self.control.status(now(&self.parts.clock));
+                let status = self.machine.status(now(&self.parts.clock));
                 let _ = reply.send(status);
             }
             Message::Events(stamp, reply) => {
-                let _ = reply.send(self.control.events_after(stamp));
+                let _ = reply.send(self.machine.events_after(stamp));
             }
         }
     }
 
     fn apply(&mut self, event: Event, mut reply: Option<oneshot::Sender<Response>>) {
-        for effect in self.control.apply(event, now(&self.parts.clock)) {
+        for effect in self.machine.apply(event, now(&self.parts.clock)) {
             match effect {
                 Effect::Reply(response) => {
                     if let Some(reply) = reply.take() {
@@ -204,17 +260,29 @@
                     self.parts.hub.set_config(snapshot);
                 }
                 Effect::View(view) => self.parts.hub.set_view(view),
+                Effect::Tell(targets, digest) => self.tell(&targets, &digest),
+                Effect::Open => self.parts.hub.set_open(true),
                 Effect::Drain => self.parts.hub.leave(),
             }
         }
         self.log();
     }
 
+    fn tell(&self, targets: &[SocketAddr], digest: &Digest) {
+        let Some(socket) = &self.digests else { return };
+        for _ in 0..targets.len() {
+            self.parts.meter.message("digest");
+        }
+        // A summary that could not be sent is as good as lost; the next one follows soon.
+        let _unsent = socket.tell(targets, digest);
+    }
+
     fn send(&self, peer: SocketAddr, request: Request, timeout: Duration) {
         let asked = match request {
             Request::Beat(_) => Asked::Beat,
             Request::Pull(_) => Asked::Pull,
             Request::Sync(_) => Asked::Sync,
+            Request::Fetch(_) => Asked::Fetch,
         };
         self.parts.meter.message(name(asked));
         let link = self.link.clone();
@@ -235,6 +303,7 @@
         self.parts.meter.read();
         let (lane, topic) = match query {
             Query::Config { .. } => (&self.config, Topic::Config),
+            Query::News { .. } => (&self.config, Topic::News),
             Query::List { .. } => (&self.list, Topic::List),
         };
         if lane.try_send(query).is_err() {
@@ -250,14 +319,13 @@
         }
         self.parts.meter.control_cpu(crate::process::control_seconds());
         for (state, name) in STATES {
-            let count = self.control.roster().iter().filter(|r| r.state == state).count();
-            self.parts.meter.members(name, count as u64);
+            self.parts.meter.members(name, self.machine.count(state) as u64);
         }
     }
 
     /// Logs the events since the last time.
     fn log(&mut self) {
-        for event in self.control.events_after(self.logged) {
+        for event in self.machine.events_after(self.logged) {
             self.logged = event.stamp;
             if matches!(event.kind, Kind::Rejected { .. }) {
                 self.parts.meter.rejection();
@@ -272,5 +340,6 @@
         Asked::Beat => "beat",
         Asked::Pull => "pull",
         Asked::Sync => "sync",
+        Asked::Fetch => "fetch",
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,6 +24,7 @@
     member::{Record, State},
 };
 use snafu::{ResultExt, Snafu};
+use source::Source;
 use std::{
     io,
     net::SocketAddr,
@@ -33,9 +34,12 @@
 };
 use telemetry::metric;
 use tokio::runtime::{Builder, Runtime};
-use traffic::{Clock, Hub, Listener};
+use traffic::{Clock, Door, Hub, Listener};
 
-use crate::{control::Link, settings::Settings};
+use crate::{
+    control::Link,
+    settings::{Discovery, Settings, Stop},
+};
 
 /// Version of the product.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
@@ -99,13 +103,20 @@
 pub struct Node {
     hub: Arc<Hub>,
     link: Link,
+    stop: Stop,
     _peers: Runtime,
     _traffic: Runtime,
 }
 
 impl Node {
-    /// Starts a node.
+    /// Starts a node that reads the platform at the address of its settings.
     pub fn start(settings: &Settings) -> Result<Self, Error> {
+        let source = source::Http::new(settings.platform, &settings.instance);
+        Node::start_with(settings, Arc::new(source))
+    }
+
+    /// Starts a node that reads the platform through `source`.
+    pub fn start_with(settings: &Settings, source: Arc<dyn Source>) -> Result<Self, Error> {
         if settings.log {
             // A second node in the same process shares the logger of the first.
             let _ = telemetry::log::init(log::LevelFilter::Info);
@@ -127,11 +138,11 @@
             .enable_all()
             .build()
             .context(ThreadSnafu)?;
-        let listener =
-            traffic.block_on(Listener::bind(settings.listen.traffic)).context(TrafficSnafu)?;
+        let listeners = traffic.block_on(bind(settings)).context(TrafficSnafu)?;
         let own = own_record(settings, incarnation);
         let parts = control::Parts {
             own,
+            source,
             hub: hub.clone(),
             clock,
             meter: meter.clone(),
@@ -145,8 +156,10 @@
         peers.spawn(handle.stopped());
         operators::start(settings, link.clone(), hub.clone(), meter, peers.handle().clone())?;
         start_pulse(hub.clone(), link.clone()).context(ThreadSnafu)?;
-        traffic.spawn(listener.serve(hub.clone()));
-        Ok(Node { hub, link, _peers: peers, _traffic: traffic })
+        for listener in listeners {
+            traffic.spawn(listener.serve(hub.clone()));
+        }
+        Ok(Node { hub, link, stop: settings.stop, _peers: peers, _traffic: traffic })
     }
 
     /// Takes no more work, finishes what is in hand, tells other nodes and returns.
@@ -154,10 +167,15 @@
     /// Calls still in hand after the profile's `drain_ms` are cut; without that bound, one caller
     /// that never reads its answer could keep an instance alive for ever.
     pub fn stop(self) {
+        self.hub.set_open(false);
+        // Callers find out by asking, so they still come for a while; until they have left, this
+        // node and its upstream are of use to everybody.
+        thread::sleep(self.stop.linger);
         let begun = Instant::now();
         self.hub.leave();
         self.link.send(Event::Leave);
-        let limit = self.hub.drain_limit().max(LEAVE_LEAST);
+        let left = self.stop.limit.saturating_sub(self.stop.linger);
+        let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
         let mut busy = Instant::now();
         while begun.elapsed() < limit {
             if self.hub.in_hand() > 0 {
@@ -173,6 +191,19 @@
     }
 }
 
+/// Opens every address at which calls are taken.
+async fn bind(settings: &Settings) -> Result<Vec<Listener>, traffic::Error> {
+    let listen = settings.listen;
+    let callers = if listen.nodes.is_some() { Door::Callers } else { Door::All };
+    let mut listeners = vec![Listener::bind_door(listen.traffic, callers).await?];
+    for (address, door) in [(listen.nodes, Door::Nodes), (listen.ready, Door::Ready)] {
+        if let Some(address) = address {
+            listeners.push(Listener::bind_door(address, door).await?);
+        }
+    }
+    Ok(listeners)
+}
+
 fn own_record(settings: &Settings, incarnation: u64) -> Record {
     Record {
         address: settings.listen.peers,
@@ -189,14 +220,21 @@
 fn hub_settings(settings: &Settings, incarnation: u64) -> traffic::Settings {
     traffic::Settings {
         own: settings.listen.peers,
-        incarnation,
+        incarnation: match settings.discovery {
+            Discovery::Gossip => Some(incarnation),
+            // Upstreams are named by identities of their own.
+            Discovery::List => None,
+        },
         service: settings.service.clone(),
         upstream: settings.upstream.address,
         slots: settings.upstream.slots,
+        offset: rand::random(),
         room: settings.room,
         connect: settings.connect,
         connections: settings.connections,
         pause: policy::pause::Settings::default(),
+        names: settings.names.clone(),
+        budget: settings.budget,
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,8 +1,9 @@
 //! Settings of a node, read from a JSON file and checked as a whole.
 
 use model::{fault::Fault, read::Object, strict};
-use policy::share::Room;
+use policy::{budget, share::Room};
 use std::{net::SocketAddr, time::Duration};
+use traffic::wire::{HeaderName, Names, Precision};
 
 /// Settings of a node.
 #[derive(Clone, Debug)]
@@ -31,15 +32,52 @@
     pub connect: Duration,
     /// How new versions are passed on.
     pub plan: Plan,
-    /// Whether events are logged as JSON lines on standard error.
+    /// Whether events are logged as JSON lines.
     pub log: bool,
+    /// How upstreams and other nodes are found.
+    pub discovery: Discovery,
+    /// Names of headers towards callers and upstreams.
+    pub names: Names,
+    /// Bound on repeated calls of the whole fleet, if there is one.
+    pub budget: Option<budget::Settings>,
+    /// How a planned stop goes.
+    pub stop: Stop,
+}
+
+/// How upstreams and other nodes are found.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Discovery {
+    /// By the nodes' own word.
+    Gossip,
+    /// By the platform's list of upstreams; a node listens at the IP address of its upstream.
+    List,
+}
+
+/// How a planned stop goes.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// For how long a node that tells callers that it takes no new work still takes it. Callers
+    /// that ask once a second leave after two refusals.
+    pub linger: Duration,
+    /// Longest time of the whole stop.
+    pub limit: Duration,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Stop { linger: Duration::ZERO, limit: Duration::from_secs(600) }
+    }
 }
 
 /// Addresses a node listens at.
 #[derive(Clone, Copy, Debug)]
 pub struct Listen {
-    /// For calls.
+    /// For calls; of callers only where `nodes` is given.
     pub traffic: SocketAddr,
+    /// For calls of other nodes, if they have an address of their own.
+    pub nodes: Option<SocketAddr>,
+    /// For the question whether this node takes new work, if anybody asks it.
+    pub ready: Option<SocketAddr>,
     /// For messages between nodes.
     pub peers: SocketAddr,
     /// For the operators' page.
@@ -101,9 +139,10 @@
 
 const NAME: &str = "1 to 63 of a-z, 0-9 and -";
 const ADDRESS: &str = "IP:PORT";
+const HEADER: &str = "name of a header";
 
 /// Every setting, in the order of the reference page.
-pub const FIELDS: [Field; 17] = [
+pub const FIELDS: [Field; 32] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of the upstream beside this node"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -150,7 +189,67 @@
         "\"epidemic\"",
         "how new versions are passed on, see SPREADING.md",
     ),
-    optional("/log", "true or false", "true", "events as JSON lines on standard error"),
+    optional("/log", "true or false", "true", "events as JSON lines on standard output"),
+    optional(
+        "/listen/nodes",
+        ADDRESS,
+        "null",
+        "where other nodes send calls; absent: where callers do",
+    ),
+    optional(
+        "/listen/ready",
+        ADDRESS,
+        "null",
+        "answers 200 while callers may send new work here, 503 otherwise; absent: nobody asks",
+    ),
+    optional(
+        "/discovery",
+        "\"gossip\" or \"list\"",
+        "\"gossip\"",
+        "upstreams by the nodes' own word, or by the platform's list",
+    ),
+    optional(
+        "/headers/deadline",
+        HEADER,
+        "\"baobab-deadline-ms\"",
+        "remaining time of a call in ms, from callers and to upstreams",
+    ),
+    optional("/headers/request", HEADER, "null", "a caller's id of a request, echoed by upstreams"),
+    optional(
+        "/headers/caller",
+        HEADER,
+        "null",
+        "tells upstreams the service of the instance where a call began",
+    ),
+    optional(
+        "/headers/identity",
+        HEADER,
+        "null",
+        "tells an upstream which identity is meant; another one refuses the call",
+    ),
+    optional("/headers/refused", HEADER, "null", "marks an upstream's answer that it did not run"),
+    optional("/headers/stamp", HEADER, "null", "marks every answer that an upstream made itself"),
+    optional(
+        "/retry_after",
+        "\"seconds\" or \"milliseconds\"",
+        "\"seconds\"",
+        "how finely Retry-After is told: whole seconds, or with three decimals",
+    ),
+    optional(
+        "/repeats/percent",
+        "0 to 1000 % of calls",
+        "null",
+        "repeated calls that the whole fleet may send to a service within the window; absent: by profile",
+    ),
+    optional("/repeats/slack", "0 to 1000000 calls", "0", "repeats beyond that share"),
+    optional("/repeats/window_ms", "1000 to 600000 ms", "10000", "length of the sliding window"),
+    optional(
+        "/stop/linger_ms",
+        "0 to 600000 ms",
+        "0",
+        "a stopping node that says so at /listen/ready works on as before for this long",
+    ),
+    optional("/stop/limit_ms", "100 to 3600000 ms", "600000", "longest time of a planned stop"),
 ];
 
 const PLANS: [(&str, Plan); 3] =
@@ -166,7 +265,13 @@
             instance: String::new(),
             service: String::new(),
             data_centre: String::new(),
-            listen: Listen { traffic: NOWHERE, peers: NOWHERE, operators: NOWHERE },
+            listen: Listen {
+                traffic: NOWHERE,
+                nodes: None,
+                ready: None,
+                peers: NOWHERE,
+                operators: NOWHERE,
+            },
             upstream: Upstream { address: NOWHERE, slots: 10 },
             platform: NOWHERE,
             contacts: Vec::new(),
@@ -176,6 +281,10 @@
             connect: Duration::from_millis(250),
             plan: Plan::Epidemic,
             log: true,
+            discovery: Discovery::Gossip,
+            names: Names::default(),
+            budget: None,
+            stop: Stop::default(),
         }
     }
 }
@@ -188,6 +297,11 @@
 /// ```
 pub fn read(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
     let value = strict::parse(file, text).map_err(|fault| vec![fault])?;
+    read_value(file, value)
+}
+
+/// Reads settings from a parsed value; see [`read`].
+pub fn read_value(file: &str, value: serde_json::Value) -> Result<Settings, Vec<Fault>> {
     let mut faults = Vec::new();
     let mut object = Object::new(file, "", value, &mut faults);
     let settings = read_object(&mut object);
@@ -207,6 +321,8 @@
         data_centre: object.name("data_centre"),
         listen: object.object("listen", |listen| Listen {
             traffic: address(listen, "traffic"),
+            nodes: optional_address(listen, "nodes"),
+            ready: optional_address(listen, "ready"),
             peers: address(listen, "peers"),
             operators: address(listen, "operators"),
         }),
@@ -226,10 +342,76 @@
         )),
         plan: plan(object),
         log: object.flag("log", usual.log),
+        discovery: discovery(object),
+        names: names(object),
+        budget: repeats(object),
+        stop: object.object("stop", |stop| Stop {
+            linger: millis(stop, "linger_ms", 0..=600_000, usual.stop.linger),
+            limit: millis(stop, "limit_ms", 100..=3_600_000, usual.stop.limit),
+        }),
         room,
     }
 }
 
+fn millis(
+    object: &mut Object<'_>,
+    name: &str,
+    range: std::ops::RangeInclusive<u64>,
+    usual: Duration,
+) -> Duration {
+    Duration::from_millis(object.number(name, range, usual.as_millis() as u64))
+}
+
+fn discovery(object: &mut Object<'_>) -> Discovery {
+    let known = |text: &str| matches!(text, "gossip" | "list");
+    match object.optional_text("discovery", "\"gossip\" or \"list\"", known).as_deref() {
+        Some("list") => Discovery::List,
+        _ => Discovery::Gossip,
+    }
+}
+
+fn names(object: &mut Object<'_>) -> Names {
+    let usual = Names::default();
+    let names = object.object("headers", |headers| Names {
+        deadline: header(headers, "deadline").unwrap_or(usual.deadline),
+        request: header(headers, "request"),
+        caller: header(headers, "caller"),
+        identity: header(headers, "identity"),
+        refused: header(headers, "refused"),
+        stamp: header(headers, "stamp"),
+        precision: usual.precision,
+    });
+    let known = |text: &str| matches!(text, "seconds" | "milliseconds");
+    let shape = "\"seconds\" or \"milliseconds\"";
+    match object.optional_text("retry_after", shape, known).as_deref() {
+        Some("milliseconds") => Names { precision: Precision::Millis, ..names },
+        _ => names,
+    }
+}
+
+fn header(object: &mut Object<'_>, name: &str) -> Option<HeaderName> {
+    let parse = |text: &str| HeaderName::from_bytes(text.as_bytes()).ok();
+    let text = object.optional_text(name, HEADER, |text| parse(text).is_some())?;
+    parse(&text)
+}
+
+fn repeats(object: &mut Object<'_>) -> Option<budget::Settings> {
+    let usual = budget::Settings::default();
+    let given = object.has("repeats");
+    let settings = object.object("repeats", |repeats| budget::Settings {
+        ratio: repeats.number("percent", 0..=1_000, 0) as f64 / 100.0,
+        slack: repeats.number("slack", 0..=1_000_000, 0) as f64,
+        window: millis(repeats, "window_ms", 1_000..=600_000, usual.window),
+        ..usual
+    });
+    given.then_some(settings)
+}
+
+fn optional_address(object: &mut Object<'_>, name: &str) -> Option<SocketAddr> {
+    let valid = |text: &str| text.parse::<SocketAddr>().is_ok();
+    object.optional_text(name, ADDRESS_SHAPE, valid)?.parse().ok()
+}
+
 fn address(object: &mut Object<'_>, name: &str) -> SocketAddr {
     let text = object.text(name, ADDRESS_SHAPE, |text| text.parse::<SocketAddr>().is_ok());
     text.parse().unwrap_or(NOWHERE)
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,9 +4,12 @@
 //! [`fleet::message`] into calls and back; it decides nothing. It is an API border: nodes of two
 //! product versions talk to each other through it.
 
+pub mod datagram;
+
 use fleet::{
     clock::Stamp,
-    message::{Beat, Bundle, Pull, Request, Response, Sync},
+    directory::Update,
+    message::{Beat, Bundle, Fetch, Pull, Request, Response, Sync},
     status, timeline,
 };
 use jsonrpsee::{
@@ -93,6 +96,7 @@
         Request::Beat(beat) => call(peer, "beat", beat, timeout).await.map(Response::Beat),
         Request::Pull(pull) => call(peer, "pull", pull, timeout).await.map(Response::Pull),
         Request::Sync(sync) => call(peer, "sync", sync, timeout).await.map(Response::Sync),
+        Request::Fetch(fetch) => call(peer, "fetch", fetch, timeout).await.map(Response::Fetch),
     }
 }
 
@@ -161,6 +165,12 @@
             _ => None,
         })
     });
+    register::<Fetch, Update>(&mut module, "fetch", |handler, fetch| {
+        map(handler.ask(Request::Fetch(fetch)), |response| match response {
+            Response::Fetch(update) => Some(update),
+            _ => None,
+        })
+    });
     register::<(), status::Node>(&mut module, "status", |handler, ()| handler.status());
     register::<Stamp, Vec<timeline::Event>>(&mut module, "events", |handler, stamp| {
         handler.events(stamp)
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -3,6 +3,10 @@
 //! A queue without a bound turns overload into lateness: every call waits until its deadline and
 //! the upstream works only for callers who have gone. So the queue is bounded in length and in
 //! time: a call whose expected wait exceeds its remaining time is refused at once.
+//!
+//! Calls of a more urgent rank go first. A call that would be answered later than its objective
+//! takes a slot from one that could be in time, so where an objective is known the expected answer
+//! must meet it.
 
 use model::time::Time;
 use std::{collections::VecDeque, time::Duration};
@@ -20,6 +24,15 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Ticket(pub u64);
 
+/// Urgency of a call among those that wait at one upstream.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Rank {
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Time by which an answer is worth most; none where only the deadline counts.
+    pub objective: Option<Time>,
+}
+
 /// Answer to an arriving call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Entry {
@@ -35,6 +48,7 @@
 struct Waiter {
     ticket: Ticket,
     deadline: Time,
+    priority: u8,
 }
 
 /// Slots and queue of one upstream.
@@ -69,23 +83,59 @@
         now: Time,
         deadline: Time,
         queue_limit: usize,
+    ) -> Entry {
+        self.arrive_ranked(ticket, Rank::default(), now, deadline, queue_limit)
+    }
+
+    /// Decides on a call of `rank`; see [`arrive`](Gate::arrive).
+    pub fn arrive_ranked(
+        &mut self,
+        ticket: Ticket,
+        rank: Rank,
+        now: Time,
+        deadline: Time,
+        queue_limit: usize,
     ) -> Entry {
         if self.busy < self.slots {
             self.busy += 1;
             return Entry::Run;
         }
         self.queue.retain(|w| w.deadline > now);
-        let wait = self.expected_wait(self.queue.len() + 1);
+        let place = self.queue.partition_point(|w| w.priority <= rank.priority);
+        let wait = self.expected_wait(place + 1);
         let full = self.queue.len() >= queue_limit;
         let hopeless = now + wait >= deadline;
-        if full || hopeless {
+        let answered = now + wait + self.service_time;
+        let untimely = rank.objective.is_some_and(|objective| answered > objective);
+        if full || hopeless || untimely {
             cov_mark::hit!(gate_refuses);
             return Entry::Refuse(self.retry_after());
         }
-        self.queue.push_back(Waiter { ticket, deadline });
+        self.queue.insert(place, Waiter { ticket, deadline, priority: rank.priority });
         Entry::Wait
     }
 
+    /// Sets the number of slots, as when an upstream of another size takes the place of one.
+    ///
+    /// Returns the calls that may run now; their slots are taken.
+    pub fn resize(&mut self, slots: usize, now: Time) -> Vec<Ticket> {
+        self.slots = slots;
+        let mut granted = Vec::new();
+        while self.busy < self.slots {
+            let Some(waiter) = self.queue.pop_front() else { break };
+            if waiter.deadline > now {
+                self.busy += 1;
+                granted.push(waiter.ticket);
+            }
+        }
+        granted
+    }
+
+    /// Returns the number of slots.
+    pub fn slots(&self) -> usize {
+        self.slots
+    }
+
     /// Frees a slot after `service_time` (none where the call did not reach the upstream) and
     /// passes it on to the next call that still has time; that call's slot is taken.
     ///
@@ -94,6 +144,11 @@
         if let Some(sample) = service_time {
             self.service_time = average(self.service_time, sample);
         }
+        if self.busy > self.slots {
+            // There are fewer slots than before: this one is not passed on.
+            self.busy -= 1;
+            return None;
+        }
         while let Some(waiter) = self.queue.pop_front() {
             if waiter.deadline > now {
                 return Some(waiter.ticket);
@@ -130,7 +185,7 @@
     }
 
     fn expected_wait(&self, place: usize) -> Duration {
-        self.service_time.mul_f64(place as f64 / self.slots as f64)
+        self.service_time.mul_f64(place as f64 / self.slots.max(1) as f64)
     }
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -14,6 +14,15 @@
 /// Time without a call in which a latency loses half of its weight.
 pub const HALF_LIFE: Duration = Duration::from_secs(5);
 
+/// Share of a new sample in the moving share of failures.
+///
+/// At a tenth, an upstream that fails half of its calls shows after about five of them, and one
+/// failure in a thousand never does.
+const FAILURE_SAMPLE_SHARE: f64 = 0.1;
+
+/// Time in which what a serving node told of its load loses half of its weight.
+const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
+
 /// Failures in a row after which an upstream is ejected.
 const FAILURE_LIMIT: u32 = 3;
 
@@ -38,6 +47,8 @@
     Refused,
     /// No answer in the given time.
     Silent(Duration),
+    /// A whole answer after the given time, by which the upstream says that it failed.
+    Erred(Duration),
     /// A broken answer, or a broken connection.
     Failed,
     /// No connection: nobody is there.
@@ -55,6 +66,22 @@
     ejections: u32,
     ejected_until: Time,
     probation_until: Option<Time>,
+    failure_share: f64,
+    failure_at: Time,
+    /// Whether the last ejection was for want of a connection.
+    unreachable: bool,
+    /// Calls of others that the serving node held when it last told.
+    others: f64,
+    others_at: Time,
+}
+
+/// Calls that a serving node holds, as it tells with each answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Calls that its upstream works on.
+    pub busy: usize,
+    /// Calls that wait for a slot.
+    pub waiting: usize,
 }
 
 impl Record {
@@ -69,6 +96,11 @@
             ejections: 0,
             ejected_until: Time::default(),
             probation_until: None,
+            failure_share: 0.0,
+            failure_at: now,
+            unreachable: false,
+            others: 0.0,
+            others_at: now,
         }
     }
 
@@ -80,8 +112,9 @@
     /// Notes how a call ended; returns whether that ejects the upstream.
     pub fn end(&mut self, now: Time, sample: Sample) -> Change {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.note_failure(sample, now);
         match sample {
-            Sample::Answered(latency) => {
+            Sample::Answered(latency) | Sample::Erred(latency) => {
                 self.average(latency, now);
                 self.failures = 0;
                 self.ejections = 0;
@@ -97,7 +130,11 @@
             }
             Sample::Failed => self.fail(now),
             // Nobody listens: no second call is needed to believe it.
-            Sample::Unreachable => self.eject(now),
+            Sample::Unreachable => {
+                let change = self.eject(now);
+                self.unreachable = true;
+                change
+            }
         }
     }
 
@@ -106,6 +143,37 @@
         self.in_flight = self.in_flight.saturating_sub(1);
     }
 
+    /// Takes note of what the serving node told with an answer to one of this node's calls, which
+    /// has been counted as ended.
+    pub fn hear_load(&mut self, load: Load, now: Time) {
+        let held = load.busy + load.waiting;
+        self.others = held.saturating_sub(self.in_flight) as f64;
+        self.others_at = now;
+    }
+
+    /// Returns the calls that the upstream is expected to hold: the own ones, and those of others
+    /// as last told, which count less the older the word is.
+    pub fn expected_load(&self, now: Time) -> f64 {
+        let halvings = now.since(self.others_at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
+        self.in_flight as f64 + self.others / halvings.exp2()
+    }
+
+    /// Returns the share of failures among the last calls; it halves for every [`HALF_LIFE`]
+    /// without a call.
+    pub fn failure_share(&self, now: Time) -> f64 {
+        let halvings = now.since(self.failure_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.failure_share / halvings.exp2()
+    }
+
+    /// Ends an ejection early: the upstream's node has been heard of again.
+    pub fn pardon(&mut self, now: Time) {
+        if self.ejected_until > now && self.unreachable {
+            self.ejected_until = now;
+            self.ejections = 0;
+            self.probation_until = None;
+        }
+    }
+
     /// Tells whether the upstream gets no calls at `now`.
     pub fn is_ejected(&self, now: Time) -> bool {
         now < self.ejected_until
@@ -127,6 +195,11 @@
         }
     }
 
+    /// Returns for how long the upstream has been known.
+    pub fn age(&self, now: Time) -> Duration {
+        now.since(self.known_since)
+    }
+
     /// Returns when the ejection ends.
     pub fn ejected_until(&self) -> Time {
         self.ejected_until
@@ -173,7 +246,20 @@
         if self.failures >= FAILURE_LIMIT { self.eject(now) } else { Change::None }
     }
 
+    fn note_failure(&mut self, sample: Sample, now: Time) {
+        let failed = match sample {
+            Sample::Answered(_) => 0.0,
+            Sample::Erred(_) | Sample::Silent(_) | Sample::Failed => 1.0,
+            // Neither says how the upstream treats the calls that it takes.
+            Sample::Refused | Sample::Unreachable => return,
+        };
+        let old = self.failure_share(now);
+        self.failure_share = old + (failed - old) * FAILURE_SAMPLE_SHARE;
+        self.failure_at = now;
+    }
+
     fn eject(&mut self, now: Time) -> Change {
+        self.unreachable = false;
         let doubled = EJECTION_LEAST * 2u32.pow(self.ejections.min(8));
         self.ejections += 1;
         self.failures = 0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,11 +5,14 @@
 //! reads no clock; it must not know HTTP, sockets or the peer protocol. It is not an API border.
 
 pub mod admission;
+pub mod budget;
 pub mod choice;
 pub mod claim;
 pub mod connection;
 pub mod health;
 pub mod outcome;
 pub mod pause;
+pub mod placement;
 pub mod retry;
 pub mod share;
+pub mod split;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -11,6 +11,8 @@
 pub enum Cause {
     /// The service is not in the configuration, or no configuration is in force.
     UnknownService,
+    /// The node holds no configuration yet.
+    Unready,
     /// The service has no upstream that may take work.
     NoUpstream,
     /// Slots and queue of the upstream are full, or the queue is longer than the time left.
@@ -153,7 +155,11 @@
     pub fn retry_after(self) -> Duration {
         match self {
             Cause::Leaving | Cause::Paused | Cause::Replaced | Cause::Cancelled => BRIEF,
-            Cause::Unreachable | Cause::Overloaded | Cause::Refused | Cause::Saturated => MODERATE,
+            Cause::Unready
+            | Cause::Unreachable
+            | Cause::Overloaded
+            | Cause::Refused
+            | Cause::Saturated => MODERATE,
             Cause::UnknownService | Cause::NoUpstream | Cause::Late | Cause::BadRequest => LONG,
         }
     }
@@ -169,7 +175,8 @@
 const LONG: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 12] = [
+const CAUSES: [(Cause, &str); 13] = [
+    (Cause::Unready, "unready"),
     (Cause::UnknownService, "unknown-service"),
     (Cause::NoUpstream, "no-upstream"),
     (Cause::Overloaded, "overloaded"),
--- /dev/null
+++ b/crates/policy/src/placement.rs
@@ -0,0 +1,98 @@
+//! Choice of an upstream whose slots and load are known.
+//!
+//! Many entry nodes share few upstreams, so the calls that one node has in flight say little about
+//! an upstream's load. Serving nodes therefore tell how many calls they hold with each answer, and
+//! the entry node adds what it has sent since. The upstream with the lowest expected work is taken:
+//! share of slots in use, weighed by how slow the upstream is and how often it fails. Another data
+//! centre's upstream costs a fixed addition, so work stays near while there is room, and spills over
+//! in proportion to room before a queue forms.
+
+use model::time::Time;
+use rand::{Rng, RngExt};
+use std::time::Duration;
+
+use crate::{health::Record, retry::Kind};
+
+/// Addition for an upstream in another data centre, as a share of its slots.
+///
+/// Crossing costs bytes between data centres and about 2 ms. At a quarter, an upstream near by is
+/// filled to a quarter more of its slots than one elsewhere before work goes there.
+const FAR: f64 = 0.25;
+
+/// Random addition of at most this share of the slots, so that nodes with the same view do not
+/// all send their next call to the same upstream.
+const JITTER: f64 = 0.08;
+
+/// Latency assumed where no upstream has answered yet.
+const LATENCY_GUESS: Duration = Duration::from_millis(50);
+
+/// Slots assumed of an upstream whose size is not known.
+const SLOTS_GUESS: usize = 8;
+
+/// An upstream that is slow after its start counts as this many times slower than it is.
+///
+/// Upstreams take about twice as long while cold; their first answers show it only after a while.
+const COLD: f64 = 2.0;
+
+/// An upstream that could be chosen.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// What was seen and heard of it.
+    pub record: &'a Record,
+    /// Calls that it works on at once; 0 where that is not known.
+    pub slots: usize,
+    /// Whether it is in the entry node's own data centre.
+    pub near: bool,
+    /// Whether this call was already offered to it.
+    pub tried: bool,
+    /// Whether it is slow after its start.
+    pub cold: bool,
+}
+
+/// Returns the index of the chosen candidate, or none where no untried one is left.
+///
+/// Upstreams in good standing come first. Where none is left, the one whose ejection ends first is
+/// tried, so that ejection never empties a service.
+pub fn choose(
+    candidates: &[Candidate<'_>],
+    kind: Kind,
+    now: Time,
+    random: &mut impl Rng,
+) -> Option<usize> {
+    let untried = || (0..candidates.len()).filter(|&i| !candidates[i].tried);
+    let able = untried().filter(|&i| candidates[i].record.is_able(kind, now));
+    let usual = usual_latency(candidates, now);
+    let mut best: Option<(f64, usize)> = None;
+    for index in able {
+        let jitter = random.random_range(0.0..JITTER);
+        let work = expected_work(&candidates[index], usual, now) + jitter;
+        if best.is_none_or(|(least, _)| work < least) {
+            best = Some((work, index));
+        }
+    }
+    let chosen = best.map(|(_, index)| index);
+    chosen.or_else(|| untried().min_by_key(|&i| candidates[i].record.ejected_until()))
+}
+
+/// Returns the expected work at an upstream, in shares of its slots.
+fn expected_work(candidate: &Candidate<'_>, usual: Duration, now: Time) -> f64 {
+    let slots = if candidate.slots == 0 { SLOTS_GUESS } else { candidate.slots };
+    let record = candidate.record;
+    let held = record.expected_load(now) + 1.0;
+    let latency = record.latency(now).unwrap_or(usual);
+    let slowness = latency.as_secs_f64() / usual.as_secs_f64();
+    let cold = if candidate.cold { COLD } else { 1.0 };
+    let failing = 1.0 - record.failure_share(now);
+    let far = if candidate.near { 0.0 } else { FAR };
+    held / slots as f64 * slowness * cold / (failing * failing).max(0.01) + far
+}
+
+/// Returns the mean latency of those that have one.
+fn usual_latency(candidates: &[Candidate<'_>], now: Time) -> Duration {
+    let known: Vec<Duration> = candidates.iter().filter_map(|c| c.record.latency(now)).collect();
+    if known.is_empty() {
+        return LATENCY_GUESS;
+    }
+    let mean = known.iter().sum::<Duration>() / known.len() as u32;
+    mean.max(Duration::from_micros(100))
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -92,6 +92,42 @@
     Step::GiveUp
 }
 
+/// Decides on a failed attempt under a budget that counts what reaches upstreams.
+///
+/// `made` and `limit` count upstreams that the call may have reached: a refusal by a serving node's
+/// own state costs its upstream nothing, so another one is tried freely. `spend` takes a repeat out
+/// of the budget and tells whether there was one.
+///
+/// ```
+/// use policy::{outcome::Cause, retry::{Attempt, Kind, Step, decide_arrivals}};
+/// let refused = Attempt { outcome: Cause::Overloaded.outcome(), kind: Kind::Once, made: 0, limit: 1 };
+/// assert_eq!(decide_arrivals(refused, || false), Step::Again);
+/// ```
+pub fn decide_arrivals(attempt: Attempt, spend: impl FnOnce() -> bool) -> Step {
+    let safe = match attempt.outcome {
+        Outcome::NotRun(cause, _) => is_curable(cause),
+        Outcome::Unknown(_) => attempt.kind == Kind::Idempotent,
+    };
+    if !safe {
+        return Step::GiveUp;
+    }
+    if attempt.made == 0 {
+        return Step::Again;
+    }
+    if attempt.made >= attempt.limit || !spend() {
+        return Step::GiveUp;
+    }
+    Step::Again
+}
+
+/// Tells whether the upstream itself may have seen the call.
+pub fn is_arrival(outcome: Outcome) -> bool {
+    match outcome {
+        Outcome::NotRun(cause, _) => matches!(cause, Cause::Refused | Cause::Replaced),
+        Outcome::Unknown(_) => true,
+    }
+}
+
 /// Returns how long the entry node waits for the next attempt, out of the `remaining` time.
 ///
 /// Only its own patience is divided: the deadline that is passed on is not, or a call that passes
@@ -133,6 +169,7 @@
         | Cause::Paused
         | Cause::Replaced => true,
         Cause::UnknownService
+        | Cause::Unready
         | Cause::NoUpstream
         | Cause::Late
         | Cause::Cancelled
--- a/crates/platform/src/lib.rs
+++ b/crates/source/src/lib.rs
@@ -93,6 +93,10 @@
 impl Source for Http {
     fn read(&self, query: Query) -> Answer {
         match query {
+            Query::News { .. } => {
+                let reason = "this platform keeps configuration and list apart".to_owned();
+                Answer::Failed(Topic::News, Failure::Unreachable(reason))
+            }
             Query::Config { base, after, wait } => {
                 let base = base.map(|b| format!("&base={b}")).unwrap_or_default();
                 let path = format!("/v1/config?after={after}&wait_ms={}{base}", wait.as_millis());
--- a/crates/standins/src/memory/delivery.rs
+++ b/crates/standins/src/memory/delivery.rs
@@ -131,7 +131,7 @@
             Effect::Read(query) => self.read(node, query),
             Effect::InForce(snapshot) => self.check_in_force(node, &snapshot),
             Effect::Drain => self.slots[node].drained = true,
-            Effect::Reply(_) | Effect::View(_) => {}
+            Effect::Reply(_) | Effect::View(_) | Effect::Tell(..) | Effect::Open => {}
         }
     }
 
@@ -161,7 +161,8 @@
         self.counts.reads += 1;
         self.peak = self.peak.max(self.reads.len());
         let life = self.slots[node].life;
-        let (Query::Config { wait, .. } | Query::List { wait, .. }) = query;
+        let (Query::Config { wait, .. } | Query::List { wait, .. } | Query::News { wait, .. }) =
+            query;
         let until = self.now + wait;
         let delay =
             if let Source::Slow(delay) = self.source { delay } else { self.options.latency };
@@ -173,6 +174,7 @@
         let topic = match query {
             Query::Config { .. } => Topic::Config,
             Query::List { .. } => Topic::List,
+            Query::News { .. } => Topic::News,
         };
         let life = self.slots[node].life;
         if self.source == Source::Down || self.cut.contains(&node) {
@@ -195,6 +197,8 @@
             }
             Query::Config { .. } => Answer::Unchanged(topic, self.served.version().revision),
             Query::List { .. } => Answer::Unchanged(topic, self.listing.revision),
+            // These nodes find each other by gossip and ask for the two things apart.
+            Query::News { .. } => Answer::Failed(topic, Failure::Refused),
         };
         self.put(self.options.latency, Due::Source { to: node, life, answer });
     }
@@ -237,6 +241,7 @@
         Request::Beat(_) => Asked::Beat,
         Request::Pull(_) => Asked::Pull,
         Request::Sync(_) => Asked::Sync,
+        Request::Fetch(_) => Asked::Fetch,
     }
 }
 
@@ -246,6 +251,7 @@
             Request::Beat(beat) => size(beat),
             Request::Pull(pull) => size(pull),
             Request::Sync(sync) => size(sync),
+            Request::Fetch(fetch) => size(fetch),
         }
 }
 
@@ -255,6 +261,7 @@
             Response::Beat(beat) => size(beat),
             Response::Pull(bundle) => size(bundle),
             Response::Sync(sync) => size(sync),
+            Response::Fetch(update) => size(update),
         }
 }
 
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -1,16 +1,15 @@
 //! The entry node's part: finds an upstream for a call, and another if the first fails.
 
 use fleet::view::Upstream;
-use hyper::{Request, Response};
-use model::{
-    profile::{Profile, Rule},
-    time::Time,
-};
+use hyper::{Request, Response, header::HeaderValue};
+use model::{profile::Profile, time::Time};
 use policy::{
-    choice::{self, Candidate, Reach},
+    admission::Rank,
+    choice::{self, Reach},
     claim,
-    health::{Change, Sample},
+    health::{Change, Record, Sample},
     outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss},
+    placement,
     retry::{self, Kind},
 };
 use std::{sync::Arc, time::Duration};
@@ -31,24 +30,50 @@
 pub(crate) struct Call<'a> {
     pub(crate) service: &'a str,
     pub(crate) profile: &'a Profile,
-    pub(crate) rule: Rule,
+    pub(crate) terms: Terms,
     pub(crate) payload: Payload,
     pub(crate) received: Time,
     pub(crate) deadline: Time,
     pub(crate) origin: Probe,
 }
 
+/// What holds for a call by its route, or by its service's profile.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Terms {
+    /// Whether it may run more than once.
+    pub(crate) kind: Kind,
+    /// Longest time until the final answer, in ms.
+    pub(crate) timeout_ms: u64,
+    /// Most upstreams that it is sent to.
+    pub(crate) attempts: u32,
+    /// Time within which an answer is worth most, in ms, if the route names one.
+    pub(crate) objective_ms: Option<u64>,
+    /// Urgency among the calls of the service; 0 is the most urgent.
+    pub(crate) priority: u8,
+}
+
+/// Most nodes that one call is offered to, whether its upstream sees it or not.
+///
+/// Each refusal costs a round trip of about 2 ms; four of them stay within an eighth of the
+/// shortest objectives, 100 ms.
+const OFFER_LIMIT: usize = 4;
+
 impl Call<'_> {
     fn kind(&self) -> Kind {
-        if self.rule.idempotent { Kind::Idempotent } else { Kind::Once }
+        self.terms.kind
+    }
+
+    fn rank(&self) -> Rank {
+        let objective = self.terms.objective_ms.map(|ms| self.received + Duration::from_millis(ms));
+        Rank { priority: self.terms.priority, objective }
     }
 }
 
 /// Offers the call to one upstream after the other until one answers or nothing more may be tried.
 pub(crate) async fn run(hub: &Arc<Hub>, call: &Call<'_>) -> Result<Answer, Outcome> {
-    let percent = call.profile.retry_budget_percent;
-    hub.with_service(call.service, |service| service.budget.earn(percent));
+    note_call(hub, call);
     let mut tried: Vec<Upstream> = Vec::new();
+    let mut arrivals = 0;
     let mut last = Cause::NoUpstream.outcome();
     loop {
         if let Some(outcome) = lost_meanwhile(hub, call) {
@@ -64,12 +89,9 @@
         };
         let address = upstream.address;
         tried.push(upstream);
+        arrivals += u32::from(retry::is_arrival(outcome));
         last = graver(last, outcome);
-        let limit = call.profile.attempts;
-        let attempt = retry::Attempt { outcome, kind: call.kind(), made, limit };
-        let step =
-            hub.with_service(call.service, |service| retry::decide(attempt, &mut service.budget));
-        if step == retry::Step::GiveUp {
+        if next_step(hub, call, outcome, tried.len(), arrivals) == retry::Step::GiveUp {
             return Err(last);
         }
         hub.meter.retry(call.service);
@@ -77,6 +99,40 @@
     }
 }
 
+/// Counts a call towards the budget for repeats.
+fn note_call(hub: &Hub, call: &Call<'_>) {
+    let now = hub.clock.now();
+    hub.with_service(call.service, |service| match &hub.settings.budget {
+        Some(settings) => service.window.call(settings, now),
+        None => service.budget.earn(call.profile.retry_budget_percent),
+    });
+}
+
+/// Decides whether a failed attempt is followed by another one.
+fn next_step(
+    hub: &Hub,
+    call: &Call<'_>,
+    outcome: Outcome,
+    offers: usize,
+    arrivals: u32,
+) -> retry::Step {
+    let limit = call.terms.attempts;
+    let kind = call.kind();
+    let Some(settings) = &hub.settings.budget else {
+        let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
+        return hub.with_service(call.service, |s| retry::decide(attempt, &mut s.budget));
+    };
+    if offers >= OFFER_LIMIT {
+        return retry::Step::GiveUp;
+    }
+    let attempt = retry::Attempt { outcome, kind, made: arrivals, limit };
+    let nodes = hub.fleet_size();
+    let now = hub.clock.now();
+    retry::decide_arrivals(attempt, || {
+        hub.with_service(call.service, |s| s.window.repeat(settings, nodes, now))
+    })
+}
+
 /// Returns the outcome that holds for all attempts together.
 ///
 /// If one attempt may have run, "not run" of a later one does not make the call not run.
@@ -104,21 +160,59 @@
     let now = hub.clock.now();
     let able: Vec<&Upstream> =
         view.upstreams(call.service).iter().filter(|u| u.state.takes_work()).collect();
-    let reach = if call.profile.spill { Reach::Spill } else { Reach::OwnOnly };
-    let slow_start = Duration::from_millis(call.profile.slow_start_ms);
     hub.with_service(call.service, |service| {
-        let records: Vec<_> = able.iter().map(|u| service.record(u, now).clone()).collect();
-        let candidates: Vec<Candidate<'_>> = able
-            .iter()
-            .zip(&records)
-            .map(|(u, record)| Candidate { record, near: u.near, tried: tried.contains(u) })
-            .collect();
-        let chosen =
-            choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())?;
-        Some(able[chosen].clone())
+        for upstream in &able {
+            service.record(upstream, now);
+        }
+        let records: Vec<&Record> = able.iter().map(|u| service.seen(u)).collect::<Option<_>>()?;
+        let chosen = match hub.settings.incarnation {
+            Some(_) => choose_near(call, &able, &records, tried, now),
+            None => choose_room(call, &able, &records, tried, now),
+        };
+        chosen.map(|index| able[index].clone())
     })
 }
 
+/// Chooses by what this node has seen alone.
+fn choose_near(
+    call: &Call<'_>,
+    able: &[&Upstream],
+    records: &[&Record],
+    tried: &[Upstream],
+    now: Time,
+) -> Option<usize> {
+    let reach = if call.profile.spill { Reach::Spill } else { Reach::OwnOnly };
+    let slow_start = Duration::from_millis(call.profile.slow_start_ms);
+    let candidates: Vec<choice::Candidate<'_>> = able
+        .iter()
+        .zip(records)
+        .map(|(u, record)| choice::Candidate { record, near: u.near, tried: tried.contains(u) })
+        .collect();
+    choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())
+}
+
+/// Chooses by the room that upstreams are known to have.
+fn choose_room(
+    call: &Call<'_>,
+    able: &[&Upstream],
+    records: &[&Record],
+    tried: &[Upstream],
+    now: Time,
+) -> Option<usize> {
+    let candidates: Vec<placement::Candidate<'_>> = able
+        .iter()
+        .zip(records)
+        .map(|(u, record)| placement::Candidate {
+            record,
+            slots: u.slots,
+            near: u.near,
+            tried: tried.contains(u),
+            cold: record.age(now) < Duration::from_millis(u.cold_ms),
+        })
+        .collect();
+    placement::choose(&candidates, call.kind(), now, &mut rand::rng())
+}
+
 /// Chooses among all upstreams again, where every one was tried and the last was silent.
 ///
 /// The connection may have been silent and not the upstream; the next attempt uses a new one.
@@ -137,13 +231,14 @@
     let begun = hub.clock.now();
     let mut watch = Watch::new(hub, call.service, upstream, begun);
     let remaining = call.deadline.since(begun);
-    let time = retry::attempt_time(remaining, call.kind(), made - 1, call.profile.attempts);
+    let time = retry::attempt_time(remaining, call.kind(), made - 1, call.terms.attempts);
     let result = attempt(hub, call, upstream, begun + time).await;
     let elapsed = hub.clock.now().since(begun);
     if result.is_ok() && elapsed > remaining / 2 {
         hub.tally.add(Count::Slow(call.service.to_owned(), upstream.address));
     }
     let sample = match &result {
+        Ok(answer) if answer.head.status().is_server_error() => Sample::Erred(elapsed),
         Ok(_) => Sample::Answered(elapsed),
         Err(outcome) => sample_of(*outcome, elapsed),
     };
@@ -177,13 +272,18 @@
         received: call.received,
         deadline: now + claim::passed_on(call.deadline.since(now)),
         kind: call.kind(),
+        rank: call.rank(),
         incarnation: upstream.incarnation,
+        identity: upstream.identity.clone(),
         origin: call.origin.clone(),
         id: hub.next_id(),
     };
     if serving::is_own(hub, upstream) {
         let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
-        return work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
+        let result = work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
+        let (load, now) = (hub.load(), hub.clock.now());
+        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+        return result;
     }
     let limit = Duration::from_millis(call.profile.idle_ms);
     if let Some(connection) = hub.pool.take(upstream.traffic, limit, offer.kind) {
@@ -213,7 +313,7 @@
     patience: Time,
 ) -> Result<Answer, Option<Outcome>> {
     let now = hub.clock.now();
-    let request = offer_request(call, offer, offer.deadline.since(now));
+    let request = offer_request(call, offer, now);
     let time = patience.since(now);
     let exchange = async {
         let head = match connection.send(request).await {
@@ -221,7 +321,7 @@
             Err(Failure::Unsent) => return Err(None),
             Err(Failure::Broken) => return Err(Some(of_loss(Step::Offer, Loss::Closed))),
         };
-        receive(call, offer, head, time).await
+        receive(hub, call, upstream, offer, head, time).await
     };
     let result =
         timeout(time, exchange).await.unwrap_or(Err(Some(of_loss(Step::Offer, Loss::Silent))));
@@ -236,7 +336,9 @@
 
 /// Receives a serving node's answer whole and reads the outcome it tells.
 async fn receive(
+    hub: &Hub,
     call: &Call<'_>,
+    upstream: &Upstream,
     offer: &Offer,
     head: Response<hyper::body::Incoming>,
     time: Duration,
@@ -245,6 +347,10 @@
     if wire::read_number(&parts.headers, wire::ID) != Ok(Some(offer.id)) {
         return Err(Some(Outcome::Unknown(Doubt::BadAnswer)));
     }
+    if let Some(load) = wire::read_load(&parts.headers) {
+        let now = hub.clock.now();
+        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+    }
     let body = body::receive(incoming, call.profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
         body::Fault::Slow => Some(of_loss(Step::Answer, Loss::Silent)),
@@ -257,16 +363,27 @@
     }
 }
 
-fn offer_request(call: &Call<'_>, offer: &Offer, remaining: Duration) -> Request<wire::Body> {
+fn offer_request(call: &Call<'_>, offer: &Offer, now: Time) -> Request<wire::Body> {
+    let remaining = offer.deadline.since(now);
     let mut request = offer.payload.request();
     let headers = request.headers_mut();
     headers.insert(wire::OFFER, wire::number(offer.incarnation));
     headers.insert(wire::ID, wire::number(offer.id));
     headers.insert(wire::DEADLINE, wire::number(remaining.as_millis() as u64));
     headers.insert(wire::IDEMPOTENT, wire::number((offer.kind == Kind::Idempotent).into()));
-    if let Ok(service) = hyper::header::HeaderValue::from_str(call.service) {
+    if let Ok(service) = HeaderValue::from_str(call.service) {
         headers.insert(wire::SERVICE, service);
     }
+    headers.insert(wire::PRIORITY, wire::number(offer.rank.priority.into()));
+    if let Some(objective) = offer.rank.objective {
+        let left = objective.since(now);
+        headers.insert(wire::OBJECTIVE, wire::number(left.as_millis() as u64));
+    }
+    if let Some(identity) = &offer.identity
+        && let Ok(identity) = HeaderValue::from_str(identity)
+    {
+        headers.insert(wire::IDENTITY, identity);
+    }
     request
 }
 
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -6,8 +6,9 @@
     header::{self, HeaderValue},
     http::uri::PathAndQuery,
 };
-use model::{profile::Profile, time::Time};
+use model::{config::Snapshot, profile::Profile, route, time::Time};
 use policy::{
+    admission::Rank,
     claim,
     outcome::{Cause, Outcome},
     retry::Kind,
@@ -19,8 +20,9 @@
 
 use crate::{
     body,
-    entry::{self, Call},
+    entry::{self, Call, Terms},
     payload::Payload,
+    server::Door,
     serving::{self, Answer, Offer},
     state::Hub,
     stream::Probe,
@@ -36,13 +38,20 @@
     hub: &Arc<Hub>,
     request: Request<Incoming>,
     origin: Probe,
+    door: Door,
 ) -> Response<wire::Body> {
     let received = hub.clock.now();
-    let mut response = match request.headers().contains_key(wire::OFFER) {
-        true => handle_offer(hub, request, origin, received).await,
-        false => handle_call(hub, request, origin, received).await,
+    let is_offer = match door {
+        Door::All => request.headers().contains_key(wire::OFFER),
+        Door::Nodes => true,
+        Door::Callers | Door::Ready => false,
     };
-    if hub.is_leaving() {
+    let mut response = if is_offer {
+        handle_offer(hub, request, origin, received).await
+    } else {
+        handle_call(hub, request, origin, received).await
+    };
+    if hub.is_leaving() || (hub.was_open() && !hub.is_open()) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
@@ -59,11 +68,13 @@
     let result = take_offer(hub, request, origin, received).await;
     let mut response = match result {
         Ok(answer) => whole(answer),
-        Err(outcome) => wire::response(outcome),
+        Err(outcome) => wire::response(outcome, wire::Precision::Seconds),
     };
+    let headers = response.headers_mut();
     if let Ok(Some(id)) = id {
-        response.headers_mut().insert(wire::ID, wire::number(id));
+        headers.insert(wire::ID, wire::number(id));
     }
+    headers.insert(wire::LOAD, wire::load(hub.load()));
     response
 }
 
@@ -81,6 +92,8 @@
     let (incarnation, id) = (number(wire::OFFER)?, number(wire::ID)?);
     let deadline = claim::deadline(received, Some(number(wire::DEADLINE)?), DEADLINE_LIMIT_MS);
     let idempotent = number(wire::IDEMPOTENT)? == 1;
+    let rank = offered_rank(&parts.headers, received)?;
+    let identity = header_text(&parts.headers, wire::IDENTITY).map(Arc::from);
     let config = hub.config();
     // A node that holds no configuration yet cannot keep the profile's promises.
     let service = config.service(&hub.settings.service);
@@ -90,7 +103,9 @@
         return Err(Cause::Overloaded.outcome());
     }
     let time = deadline.since(received);
-    let body = body::receive(incoming, profile.max_request_bytes, time).await;
+    let limit =
+        if config.has_routes() { config.limits.body_bytes } else { profile.max_request_bytes };
+    let body = body::receive(incoming, limit, time).await;
     let body = body.map_err(|_| Cause::BadRequest.outcome())?;
     let mut headers = parts.headers;
     wire::strip(&mut headers);
@@ -99,6 +114,8 @@
         received,
         deadline,
         kind: if idempotent { Kind::Idempotent } else { Kind::Once },
+        rank,
+        identity,
         incarnation,
         origin,
         id,
@@ -106,6 +123,16 @@
     serving::run(hub, profile, offer).await
 }
 
+fn offered_rank(headers: &HeaderMap, received: Time) -> Result<Rank, Outcome> {
+    let malformed = |_: wire::Malformed| Cause::BadRequest.outcome();
+    let priority = wire::read_number(headers, wire::PRIORITY).map_err(malformed)?;
+    let objective = wire::read_number(headers, wire::OBJECTIVE).map_err(malformed)?;
+    Ok(Rank {
+        priority: priority.unwrap_or(0).min(u8::MAX.into()) as u8,
+        objective: objective.map(|ms| received + Duration::from_millis(ms)),
+    })
+}
+
 /// Answers a caller.
 async fn handle_call(
     hub: &Arc<Hub>,
@@ -114,19 +141,14 @@
     received: Time,
 ) -> Response<wire::Body> {
     let config = hub.config();
-    let (name, path) = match address(&request) {
-        Some(address) => address,
-        None => return refuse(hub, "", Cause::UnknownService, None),
-    };
-    let mut response = match config.service(&name) {
-        None => refuse(hub, "", Cause::UnknownService, None),
-        Some(service) => {
-            let profile = config.profile(service);
-            let target = Target { service: &service.name, profile, path };
+    let mut response = match find_target(hub, &config, &request) {
+        Err(cause) => refuse(hub, "", cause, None),
+        Ok(target) => {
+            let service = target.service;
             let response = take_call(hub, request, target, origin, received).await;
             let outcome = response.headers().get(wire::OUTCOME).and_then(|v| v.to_str().ok());
             let elapsed = hub.clock.now().since(received);
-            hub.meter.call(&service.name, known_outcome(outcome), elapsed);
+            hub.meter.call(service, known_outcome(outcome), elapsed);
             response
         }
     };
@@ -134,11 +156,77 @@
     response
 }
 
+/// Finds where a call goes: by the routes of the configuration if it has any, else by the name of
+/// a service.
+fn find_target<'a>(
+    hub: &Hub,
+    config: &'a Snapshot,
+    request: &Request<Incoming>,
+) -> Result<Target<'a>, Cause> {
+    if config.version.revision == 0 && hub.settings.incarnation.is_none() {
+        // Without any configuration nothing is known, not even that a route is missing.
+        return Err(Cause::Unready);
+    }
+    if config.has_routes() {
+        return find_route(hub, config, request);
+    }
+    let (name, path) = address(request).ok_or(Cause::UnknownService)?;
+    let service = config.service(&name).ok_or(Cause::UnknownService)?;
+    let profile = config.profile(service);
+    let rule = profile.rule(request.method().as_str(), path.path());
+    let kind = if rule.idempotent { Kind::Idempotent } else { Kind::Once };
+    let terms = Terms {
+        kind,
+        timeout_ms: rule.deadline_ms,
+        attempts: profile.attempts,
+        objective_ms: None,
+        priority: 0,
+    };
+    Ok(Target {
+        service: &service.name,
+        profile,
+        path,
+        terms,
+        body_limit: profile.max_request_bytes,
+    })
+}
+
+fn find_route<'a>(
+    hub: &Hub,
+    config: &'a Snapshot,
+    request: &Request<Incoming>,
+) -> Result<Target<'a>, Cause> {
+    let host = header_text(request.headers(), header::HOST).unwrap_or("");
+    let host = host.split(':').next().unwrap_or("").to_ascii_lowercase();
+    let route = config.route(&host, request.uri().path()).ok_or(Cause::UnknownService)?;
+    let weights: Vec<u32> = route.targets.iter().map(|t| t.weight).collect();
+    let part = hub.next_part(&route.name, &weights).ok_or(Cause::UnknownService)?;
+    let service = config.target(route.targets[part].service);
+    let idempotent = route.terms.kind == route::Kind::Idempotent;
+    let terms = Terms {
+        kind: if idempotent { Kind::Idempotent } else { Kind::Once },
+        timeout_ms: route.terms.timeout_ms,
+        attempts: route.terms.attempts,
+        objective_ms: Some(route.terms.objective_ms),
+        priority: route.terms.priority,
+    };
+    Ok(Target {
+        service: &service.name,
+        profile: config.profile(service),
+        path: request.uri().clone(),
+        terms,
+        body_limit: config.limits.body_bytes,
+    })
+}
+
 /// Where a call goes.
 struct Target<'a> {
     service: &'a str,
     profile: &'a Profile,
     path: Uri,
+    terms: Terms,
+    /// Largest request body, in bytes.
+    body_limit: usize,
 }
 
 async fn take_call(
@@ -148,18 +236,18 @@
     origin: Probe,
     received: Time,
 ) -> Response<wire::Body> {
-    let Target { service, profile, path } = target;
+    let Target { service, profile, path, terms, body_limit } = target;
     let (parts, incoming) = request.into_parts();
-    let rule = profile.rule(parts.method.as_str(), path.path());
-    let Ok(remaining) = wire::read_number(&parts.headers, wire::DEADLINE) else {
+    let names = &hub.settings.names;
+    let Ok(remaining) = wire::read_number(&parts.headers, names.deadline.clone()) else {
         return refuse(hub, service, Cause::BadRequest, Some(StatusCode::BAD_REQUEST));
     };
-    let deadline = claim::deadline(received, remaining, rule.deadline_ms);
+    let deadline = claim::deadline(received, remaining, terms.timeout_ms);
     let Some(_hand) = Hand::take(hub, service) else {
         return refuse(hub, service, Cause::Saturated, None);
     };
     let declared = body::declared(&parts.headers).unwrap_or(0);
-    if declared > profile.max_request_bytes {
+    if declared > body_limit {
         return refuse(hub, service, Cause::BadRequest, Some(StatusCode::PAYLOAD_TOO_LARGE));
     }
     let mut reserved = Reservation::new(hub);
@@ -167,7 +255,7 @@
         return refuse(hub, service, Cause::Saturated, None);
     }
     let time = Duration::from_millis(profile.upload_ms).min(deadline.since(received));
-    let body = match body::receive(incoming, profile.max_request_bytes, time).await {
+    let body = match body::receive(incoming, body_limit, time).await {
         Ok(body) => body,
         Err(fault) => {
             return refuse(hub, service, Cause::BadRequest, Some(status_of(fault)));
@@ -178,10 +266,14 @@
     }
     let mut headers = parts.headers;
     wire::strip(&mut headers);
+    wire::strip_claims(&mut headers, names);
+    if let (Some(name), Ok(own)) = (&names.caller, HeaderValue::from_str(&hub.settings.service)) {
+        headers.insert(name.clone(), own);
+    }
     let call = Call {
         service,
         profile,
-        rule,
+        terms,
         payload: Payload { method: parts.method, path, headers, body },
         received,
         deadline,
@@ -223,7 +315,7 @@
         }
         Outcome::Unknown(doubt) => hub.tally.add(Count::Unknown(service.to_owned(), doubt)),
     }
-    wire::response(outcome)
+    wire::response(outcome, hub.settings.names.precision)
 }
 
 /// Passes on a whole answer.
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod intake;
 mod payload;
 mod pool;
+mod ready;
 mod server;
 mod serving;
 mod state;
@@ -21,7 +22,7 @@
 
 pub use crate::{
     clock::Clock,
-    server::{Error, Listener},
+    server::{Door, Error, Listener},
     state::{Hub, Settings},
     tally::Count,
 };
--- a/crates/traffic/src/server.rs
+++ b/crates/traffic/src/server.rs
@@ -10,7 +10,7 @@
     time::sleep,
 };
 
-use crate::{intake, state::Hub, stream::Stream};
+use crate::{intake, ready, state::Hub, stream::Stream};
 
 /// Bound on waiting for a request's head, which also ends idle connections.
 ///
@@ -29,17 +29,37 @@
     source: std::io::Error,
 }
 
-/// The socket that callers and other nodes connect to.
+/// Who may speak at an address.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Door {
+    /// Callers and other nodes, told apart by the header of an offer.
+    #[default]
+    All,
+    /// Callers only; what looks like an offer is a call.
+    Callers,
+    /// Other nodes only.
+    Nodes,
+    /// Whoever asks whether this node takes new work.
+    Ready,
+}
+
+/// A socket that callers or other nodes connect to.
 #[derive(Debug)]
 pub struct Listener {
     socket: TcpListener,
+    door: Door,
 }
 
 impl Listener {
-    /// Listens at `address`.
+    /// Listens at `address` for callers and other nodes.
     pub async fn bind(address: SocketAddr) -> Result<Self, Error> {
+        Listener::bind_door(address, Door::All).await
+    }
+
+    /// Listens at `address` for those that `door` admits.
+    pub async fn bind_door(address: SocketAddr, door: Door) -> Result<Self, Error> {
         let socket = TcpListener::bind(address).await.context(Snafu { address })?;
-        Ok(Listener { socket })
+        Ok(Listener { socket, door })
     }
 
     /// Returns the address listened at.
@@ -55,7 +75,7 @@
             let Ok(permit) = room.clone().acquire_owned().await else { return };
             match self.socket.accept().await {
                 Ok((socket, _)) => {
-                    tokio::spawn(serve_connection(hub.clone(), socket, permit));
+                    tokio::spawn(serve_connection(hub.clone(), self.door, socket, permit));
                 }
                 Err(_) => sleep(ACCEPT_PAUSE).await,
             }
@@ -65,6 +85,7 @@
 
 async fn serve_connection(
     hub: Arc<Hub>,
+    door: Door,
     socket: tokio::net::TcpStream,
     _permit: OwnedSemaphorePermit,
 ) {
@@ -72,10 +93,15 @@
     let origin = stream.probe();
     let service = service_fn(|request| {
         let (hub, origin) = (hub.clone(), origin.clone());
-        async move { Ok::<_, Infallible>(intake::handle(&hub, request, origin).await) }
+        async move {
+            Ok::<_, Infallible>(match door {
+                Door::Ready => ready::answer(&hub, &request),
+                _ => intake::handle(&hub, request, origin, door).await,
+            })
+        }
     });
     let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).pipeline_flush(true);
     // An error here means that the other side broke the connection or the protocol; each call on
     // it has been answered or cancelled by its own means.
     let _ = builder.serve_connection(stream, service).await;
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -4,10 +4,13 @@
 
 use bytes::Bytes;
 use fleet::view::Upstream;
-use hyper::{Request, Response};
+use hyper::{
+    Request, Response, StatusCode,
+    header::{self, HeaderValue},
+};
 use model::{profile::Profile, time::Time};
 use policy::{
-    admission::{Entry, Ticket},
+    admission::{Entry, Rank, Ticket},
     claim,
     outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss},
     retry::Kind,
@@ -32,8 +35,12 @@
     pub(crate) received: Time,
     pub(crate) deadline: Time,
     pub(crate) kind: Kind,
+    /// Its urgency.
+    pub(crate) rank: Rank,
     /// Life of the node that it is meant for.
     pub(crate) incarnation: u64,
+    /// Identity that the upstream must confirm, if it was listed with one.
+    pub(crate) identity: Option<Arc<str>>,
     /// The connection that it came on.
     pub(crate) origin: Probe,
     /// Identifies the attempt.
@@ -116,7 +123,7 @@
             Err(Failure::Unsent) => return Err(Sent::Not),
             Err(Failure::Broken) => return Err(Sent::Lost(of_loss(Step::Run, Loss::Closed))),
         };
-        receive(profile, offer, head, remaining).await.map_err(Sent::Lost)
+        receive(hub, profile, offer, head, remaining).await.map_err(Sent::Lost)
     };
     let result = timeout(remaining, exchange).await;
     slot.service_time = Some(hub.clock.now().since(begun));
@@ -125,7 +132,15 @@
         return Err(Sent::Lost(of_loss(Step::Run, Loss::Silent)));
     };
     let answer = result?;
-    hub.pool.put(hub.settings.upstream, connection);
+    let rejected_early = !answer.head.status().is_success() && !offer.payload.body.is_empty();
+    if !rejected_early {
+        // An upstream may reject a long request before it has read all of it and read on later;
+        // the next request on the connection would be taken for the rest.
+        hub.pool.put(hub.settings.upstream, connection);
+    }
+    if let Some(cause) = refusal(hub, &answer.head) {
+        return Err(Sent::Lost(of_loss(Step::Run, Loss::Refusal(cause))));
+    }
     if Some(answer.head.status().as_u16()) == profile.refused_status {
         return Err(Sent::Lost(of_loss(Step::Run, Loss::Refusal(Cause::Refused))));
     }
@@ -134,19 +149,16 @@
 
 /// Receives the upstream's answer whole and checks that it belongs to this call.
 async fn receive(
+    hub: &Hub,
     profile: &Profile,
     offer: &Offer,
     head: Response<hyper::body::Incoming>,
     time: Duration,
 ) -> Result<Answer, Outcome> {
-    let (parts, incoming) = head.into_parts();
-    // An upstream that echoes the id lets a crossed answer be told from the right one; HTTP/1.1
-    // alone cannot.
-    match wire::read_number(&parts.headers, wire::ID) {
-        Ok(None) => {}
-        Ok(Some(id)) if id == offer.id => {}
-        _ => return Err(Outcome::Unknown(Doubt::BadAnswer)),
+    if !belongs(hub, offer, &head) || !is_authentic(hub, &head) {
+        return Err(Outcome::Unknown(Doubt::BadAnswer));
     }
+    let (parts, incoming) = head.into_parts();
     let body = body::receive(incoming, profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
         body::Fault::Slow => of_loss(Step::Answer, Loss::Silent),
@@ -155,6 +167,51 @@
     Ok(Answer { head: Response::from_parts(parts, ()), body })
 }
 
+/// Tells whether an answer is to this call.
+///
+/// An upstream that echoes an id lets a crossed or late answer be told from the right one;
+/// HTTP/1.1 alone cannot.
+fn belongs<T>(hub: &Hub, offer: &Offer, head: &Response<T>) -> bool {
+    let Some(name) = &hub.settings.names.request else {
+        return match wire::read_number(head.headers(), wire::ID) {
+            Ok(None) => true,
+            Ok(Some(id)) => id == offer.id,
+            Err(wire::Malformed) => false,
+        };
+    };
+    match (offer.payload.headers.get(name), head.headers().get(name)) {
+        (Some(asked), Some(told)) => asked == told,
+        (None, _) => true,
+        // A refusal need not say to what: it proves nothing but that this call has not run.
+        (Some(_), None) => refusal(hub, head).is_some(),
+    }
+}
+
+/// Tells whether an answer can be passed on as the upstream's own.
+///
+/// A success without the upstream's mark, or in an encoding that nobody asked for, is not what the
+/// upstream sent. A status that promises "not run" without the mark of a refusal promises more
+/// than is known.
+fn is_authentic<T>(hub: &Hub, head: &Response<T>) -> bool {
+    let names = &hub.settings.names;
+    let stamped = names.stamp.as_ref().is_none_or(|name| head.headers().contains_key(name));
+    let plain = !head.headers().contains_key(header::CONTENT_ENCODING);
+    let promises = names.refused.is_some() && wire::promises_not_run(head.status());
+    if head.status().is_success() {
+        return stamped && plain;
+    }
+    !promises || refusal(hub, head).is_some()
+}
+
+/// Returns why the upstream has not run the call, if its answer says that it has not.
+fn refusal<T>(hub: &Hub, head: &Response<T>) -> Option<Cause> {
+    let name = hub.settings.names.refused.as_ref()?;
+    if head.status() == StatusCode::MISDIRECTED_REQUEST {
+        return Some(Cause::Replaced);
+    }
+    head.headers().contains_key(name).then_some(Cause::Refused)
+}
+
 /// Checks every reason not to run the call on the facts of this moment.
 fn check_claim(hub: &Hub, offer: &Offer) -> Result<(), Outcome> {
     let now = hub.clock.now();
@@ -163,15 +220,15 @@
         deadline: offer.deadline,
         paused: hub.in_doubt(offer.received, now),
         wanted: offer.origin.look() != Look::Closed,
-        leaving: hub.is_leaving(),
-        own: offer.incarnation == hub.settings.incarnation,
+        leaving: hub.is_leaving() || hub.has_left(offer.identity.as_deref()),
+        own: hub.settings.incarnation.is_none_or(|own| own == offer.incarnation),
     };
     claim::refusal(facts).map_or(Ok(()), |cause| Err(cause.outcome()))
 }
 
 async fn wait_for_slot(hub: &Arc<Hub>, profile: &Profile, offer: &Offer) -> Result<Slot, Outcome> {
     let ticket = Ticket(hub.next_id());
-    let (entry, granted) = hub.arrive(ticket, offer.deadline, profile.queue_limit);
+    let (entry, granted) = hub.arrive(ticket, offer.rank, offer.deadline, profile.queue_limit);
     match entry {
         Entry::Run => return Ok(Slot::new(hub)),
         Entry::Refuse(after) => return Err(Outcome::NotRun(Cause::Overloaded, after)),
@@ -198,9 +255,17 @@
 fn upstream_request(hub: &Hub, offer: &Offer) -> Request<wire::Body> {
     let mut request = offer.payload.request();
     let remaining = offer.deadline.since(hub.clock.now()).as_millis() as u64;
+    let names = &hub.settings.names;
     let headers = request.headers_mut();
-    headers.insert(wire::DEADLINE, wire::number(remaining));
-    headers.insert(wire::ID, wire::number(offer.id));
+    headers.insert(names.deadline.clone(), wire::number(remaining));
+    if names.request.is_none() {
+        headers.insert(wire::ID, wire::number(offer.id));
+    }
+    if let (Some(name), Some(identity)) = (&names.identity, &offer.identity)
+        && let Ok(identity) = HeaderValue::from_str(identity)
+    {
+        headers.insert(name.clone(), identity);
+    }
     request
 }
 
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -7,11 +7,13 @@
 };
 use model::{config::Snapshot, time::Time};
 use policy::{
-    admission::{Gate, Ticket},
-    health::Record,
+    admission::{Gate, Rank, Ticket},
+    budget,
+    health::{Load, Record},
     pause,
     retry::Budget,
     share::Room,
+    split::Split,
 };
 use std::{
     collections::HashMap,
@@ -25,21 +27,24 @@
 use telemetry::metric::Meter;
 use tokio::sync::oneshot;
 
-use crate::{clock::Clock, pool::Pool, tally::Tally};
+use crate::{clock::Clock, pool::Pool, tally::Tally, wire};
 
 /// Settings of a node's traffic.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The node's address for messages between nodes, by which views name it.
     pub own: SocketAddr,
-    /// Life of the node.
-    pub incarnation: u64,
+    /// Life of the node, which offers must name; none where the platform's list names upstreams
+    /// by identities that they confirm themselves.
+    pub incarnation: Option<u64>,
     /// Service of its upstream.
     pub service: String,
     /// Address of its upstream.
     pub upstream: SocketAddr,
-    /// Calls that the upstream can work on at once.
+    /// Calls that the upstream can work on at once, until the list tells it.
     pub slots: usize,
+    /// Where the sequence of each split begins; random, so that nodes begin at different parts.
+    pub offset: u64,
     /// Room for calls in hand.
     pub room: Room,
     /// Longest time for opening a connection.
@@ -48,6 +53,31 @@
     pub connections: usize,
     /// How pauses of the process are found.
     pub pause: pause::Settings,
+    /// Names of headers.
+    pub names: wire::Names,
+    /// Bound on repeated calls of the whole fleet; none where profiles bound each node's.
+    pub budget: Option<budget::Settings>,
+}
+
+impl Default for Settings {
+    /// Values for tests and tools; a node names its own addresses.
+    fn default() -> Self {
+        let nowhere = SocketAddr::new(std::net::Ipv4Addr::UNSPECIFIED.into(), 0);
+        Settings {
+            own: nowhere,
+            incarnation: None,
+            service: String::new(),
+            upstream: nowhere,
+            slots: 10,
+            offset: 0,
+            room: Room::default(),
+            connect: Duration::from_millis(250),
+            connections: 1_024,
+            pause: pause::Settings::default(),
+            names: wire::Names::default(),
+            budget: None,
+        }
+    }
 }
 
 /// What all calls of a node share.
@@ -64,6 +94,10 @@
     ids: AtomicU64,
     gate: Mutex<Queue>,
     services: Mutex<HashMap<String, Service>>,
+    splits: Mutex<HashMap<String, Split>>,
+    /// Whether callers may send new work here.
+    open: AtomicBool,
+    opened: AtomicBool,
     /// Calls in hand as entry node.
     pub(crate) calls: AtomicUsize,
     /// Calls in hand as serving node.
@@ -82,18 +116,27 @@
 #[derive(Default)]
 pub(crate) struct Service {
     pub(crate) budget: Budget,
+    pub(crate) window: budget::Window,
     pub(crate) in_hand: usize,
     upstreams: HashMap<Life, Record>,
 }
 
-/// One life of one upstream's node.
-type Life = (SocketAddr, u64);
+/// One life of one upstream, by the address and life of its node and its own identity.
+type Life = (SocketAddr, u64, Option<Arc<str>>);
+
+fn life(upstream: &Upstream) -> Life {
+    (upstream.address, upstream.incarnation, upstream.identity.clone())
+}
 
 impl Service {
     /// Returns the observations of `upstream`, begun now if there are none.
     pub(crate) fn record(&mut self, upstream: &Upstream, now: Time) -> &mut Record {
-        let life = (upstream.address, upstream.incarnation);
-        self.upstreams.entry(life).or_insert_with(|| Record::new(now))
+        self.upstreams.entry(life(upstream)).or_insert_with(|| Record::new(now))
+    }
+
+    /// Returns the observations of `upstream`, if there are any.
+    pub(crate) fn seen(&self, upstream: &Upstream) -> Option<&Record> {
+        self.upstreams.get(&life(upstream))
     }
 }
 
@@ -115,6 +158,9 @@
             ids: AtomicU64::new(1),
             gate: Mutex::new(queue),
             services: Mutex::default(),
+            splits: Mutex::default(),
+            open: AtomicBool::new(false),
+            opened: AtomicBool::new(false),
             calls: AtomicUsize::new(0),
             offers: AtomicUsize::new(0),
             bytes: AtomicUsize::new(0),
@@ -133,7 +179,7 @@
         let mut services = lock(&self.services);
         for (name, service) in services.iter_mut() {
             let known = view.upstreams(name);
-            let is_known = |life: &Life| known.iter().any(|u| (u.address, u.incarnation) == *life);
+            let is_known = |known_life: &Life| known.iter().any(|u| life(u) == *known_life);
             service.upstreams.retain(|life, record| is_known(life) || record.in_flight() > 0);
         }
         // Slow start counts from the moment at which an upstream becomes known, not from its
@@ -143,6 +189,73 @@
                 service.record(upstream, now);
             }
         }
+        drop(services);
+        self.resize(&view);
+    }
+
+    /// Takes the number of slots of the own upstream from the list, where that tells it.
+    fn resize(&self, view: &View) {
+        let own = view.upstreams(&self.settings.service).iter();
+        let listed = own.filter(|u| u.address == self.settings.own && u.slots > 0);
+        let Some(slots) = listed.map(|u| u.slots).max() else { return };
+        let mut queue = lock(&self.gate);
+        if queue.gate.slots() == slots {
+            return;
+        }
+        for ticket in queue.gate.resize(slots, self.clock.now()) {
+            if let Some(waiter) = queue.waiters.remove(&ticket) {
+                // A waiting call removes itself under this lock before it drops its receiver.
+                let _ = waiter.send(());
+            }
+        }
+    }
+
+    /// Tells callers from now on whether they may send new work here.
+    pub fn set_open(&self, open: bool) {
+        self.open.store(open, Ordering::SeqCst);
+        self.opened.fetch_or(open, Ordering::SeqCst);
+    }
+
+    /// Tells whether callers were ever told that they may send new work here.
+    pub(crate) fn was_open(&self) -> bool {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether callers may send new work here.
+    pub fn is_open(&self) -> bool {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether the upstream `identity` beside this node is known to take no more work.
+    pub(crate) fn has_left(&self, identity: Option<&str>) -> bool {
+        let view = self.view();
+        let own = view.upstreams(&self.settings.service).iter();
+        let mut named = own.filter(|u| u.address == self.settings.own);
+        named.any(|u| u.identity.as_deref() == identity && u.state == fleet::member::State::Leaving)
+    }
+
+    /// Returns the part of the split of the route `name` that its next call goes to.
+    pub(crate) fn next_part(&self, name: &str, weights: &[u32]) -> Option<usize> {
+        if weights.len() == 1 {
+            return Some(0);
+        }
+        let mut splits = lock(&self.splits);
+        if !splits.contains_key(name) {
+            splits.insert(name.to_owned(), Split::default());
+        }
+        let offset = self.settings.offset;
+        splits.get_mut(name).expect("the split was just inserted").next(weights, offset)
+    }
+
+    /// Returns what this node holds as serving node.
+    pub(crate) fn load(&self) -> Load {
+        let queue = lock(&self.gate);
+        Load { busy: queue.gate.busy(), waiting: queue.gate.waiting() }
+    }
+
+    /// Returns the number of nodes that share the fleet's budget for repeated calls.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.view().iter().count()
     }
 
     /// Takes no more work for the own upstream.
@@ -213,12 +326,14 @@
     pub(crate) fn arrive(
         &self,
         ticket: Ticket,
+        rank: Rank,
         deadline: Time,
         queue_limit: usize,
     ) -> (policy::admission::Entry, oneshot::Receiver<()>) {
         let (sender, receiver) = oneshot::channel();
         let mut queue = lock(&self.gate);
-        let entry = queue.gate.arrive(ticket, self.clock.now(), deadline, queue_limit);
+        let now = self.clock.now();
+        let entry = queue.gate.arrive_ranked(ticket, rank, now, deadline, queue_limit);
         if entry == policy::admission::Entry::Wait {
             queue.waiters.insert(ticket, sender);
         }
--- a/crates/traffic/src/stream.rs
+++ b/crates/traffic/src/stream.rs
@@ -6,7 +6,7 @@
 //! [`Probe`] looks at it directly.
 
 use hyper::rt::{Read, ReadBufCursor, Write};
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::{
     io,
     mem::MaybeUninit,
@@ -14,12 +14,19 @@
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 use tokio::net::TcpStream;
 
 /// Bytes read from a socket at once; larger reads save system calls but cost memory per call.
 const CHUNK: usize = 16 * 1024;
 
+/// Time after which bytes that the other side has not confirmed end a connection.
+///
+/// Three retransmissions of a lost packet fit into it, so that a link that loses a few packets in a
+/// hundred cuts no connection.
+const UNANSWERED: Duration = Duration::from_secs(1);
+
 /// A stream for `hyper`.
 pub(crate) struct Stream {
     socket: Arc<TcpStream>,
@@ -45,7 +52,16 @@
 impl Stream {
     /// Connects to `address`.
     pub(crate) async fn connect(address: SocketAddr) -> io::Result<Stream> {
-        Stream::new(TcpStream::connect(address).await?)
+        let stream = Stream::new(TcpStream::connect(address).await?)?;
+        let socket = SockRef::from(&*stream.socket);
+        // Something between the two ends can forget a connection, or a data centre is cut off:
+        // bytes vanish without an error. Unanswered bytes and probes end the connection within
+        // about a second, and the call on it learns that nobody is there.
+        socket.set_tcp_user_timeout(Some(UNANSWERED))?;
+        socket.set_tcp_keepalive(
+            &TcpKeepalive::new().with_time(UNANSWERED).with_interval(UNANSWERED),
+        )?;
+        Ok(stream)
     }
 
     /// Takes over an open socket.
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -1,10 +1,15 @@
 //! Headers towards callers and between nodes.
 
+pub use hyper::header::HeaderName;
+
 use hyper::{
     HeaderMap, Response, StatusCode,
-    header::{self, HeaderName, HeaderValue},
+    header::{self, HeaderValue},
+};
+use policy::{
+    health::Load,
+    outcome::{Cause, Doubt, Outcome},
 };
-use policy::outcome::{Cause, Doubt, Outcome};
 use std::time::Duration;
 
 /// Names the service, where the path does not.
@@ -34,6 +39,18 @@
 /// Method and path decide for callers; between nodes the entry node tells what it decided.
 pub const IDEMPOTENT: HeaderName = HeaderName::from_static("baobab-idempotent");
 
+/// Identity that the offered upstream must confirm.
+pub const IDENTITY: HeaderName = HeaderName::from_static("baobab-identity");
+
+/// Rank of an offered call; 0 is the most urgent.
+pub const PRIORITY: HeaderName = HeaderName::from_static("baobab-priority");
+
+/// Time left until an offered call's answer loses worth, in ms.
+pub const OBJECTIVE: HeaderName = HeaderName::from_static("baobab-objective-ms");
+
+/// Calls that the serving node holds: `BUSY,WAITING`.
+pub const LOAD: HeaderName = HeaderName::from_static("baobab-load");
+
 /// Prefix of all of the system's headers; upstreams and callers cannot forge them.
 const PREFIX: &str = "baobab-";
 
@@ -46,6 +63,49 @@
 /// Value of [`OUTCOME`] for a call that may have run.
 pub const UNKNOWN: &str = "unknown";
 
+/// How finely `Retry-After` is told.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Precision {
+    /// In whole seconds, as RFC 9110 has it.
+    #[default]
+    Seconds,
+    /// In seconds with three decimals, where all callers are known to read them.
+    Millis,
+}
+
+/// Headers whose names a deployment chooses, towards callers and upstreams.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// Remaining time of a call, in ms.
+    pub deadline: HeaderName,
+    /// A caller's own id of a request; upstreams echo it.
+    pub request: Option<HeaderName>,
+    /// Service of the instance on which a call began; set by the entry node.
+    pub caller: Option<HeaderName>,
+    /// Identity that an upstream is expected to have; another one refuses the call.
+    pub identity: Option<HeaderName>,
+    /// Mark on an upstream's answer that it has not run the call.
+    pub refused: Option<HeaderName>,
+    /// Mark on every answer that an upstream made itself.
+    pub stamp: Option<HeaderName>,
+    /// How finely `Retry-After` is told.
+    pub precision: Precision,
+}
+
+impl Default for Names {
+    fn default() -> Self {
+        Names {
+            deadline: DEADLINE,
+            request: None,
+            caller: None,
+            identity: None,
+            refused: None,
+            stamp: None,
+            precision: Precision::Seconds,
+        }
+    }
+}
+
 /// A whole body in memory.
 pub type Body = http_body_util::Full<bytes::Bytes>;
 
@@ -85,8 +145,16 @@
     )
 }
 
+/// Removes what only the entry node may set on a call.
+pub fn strip_claims(headers: &mut HeaderMap, names: &Names) {
+    headers.remove(&names.deadline);
+    for name in [&names.caller, &names.identity].into_iter().flatten() {
+        headers.remove(name);
+    }
+}
+
 /// Returns the answer that tells a caller, or an entry node, an outcome without an answer.
-pub fn response(outcome: Outcome) -> Response<Body> {
+pub fn response(outcome: Outcome, precision: Precision) -> Response<Body> {
     let mut response = Response::new(Body::default());
     *response.status_mut() = status(outcome);
     let headers = response.headers_mut();
@@ -95,7 +163,7 @@
             headers.insert(OUTCOME, HeaderValue::from_static(NOT_RUN));
             headers.insert(CAUSE, HeaderValue::from_static(cause.name()));
             headers.insert(RETRY_AFTER_MS, number(retry_after.as_millis() as u64));
-            headers.insert(header::RETRY_AFTER, number(whole_seconds(retry_after)));
+            headers.insert(header::RETRY_AFTER, seconds(retry_after, precision));
         }
         Outcome::Unknown(doubt) => {
             headers.insert(OUTCOME, HeaderValue::from_static(UNKNOWN));
@@ -136,18 +204,40 @@
     parsed.map(Some).ok_or(Malformed)
 }
 
+/// Tells whether a status promises that a request has not run and never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 fn status(outcome: Outcome) -> StatusCode {
     match outcome {
         Outcome::NotRun(Cause::UnknownService, _) => StatusCode::NOT_FOUND,
         Outcome::NotRun(Cause::BadRequest, _) => StatusCode::BAD_REQUEST,
-        Outcome::NotRun(Cause::Late, _) => StatusCode::GATEWAY_TIMEOUT,
         Outcome::NotRun(_, _) => StatusCode::SERVICE_UNAVAILABLE,
         Outcome::Unknown(Doubt::Timeout) => StatusCode::GATEWAY_TIMEOUT,
         Outcome::Unknown(_) => StatusCode::BAD_GATEWAY,
     }
 }
 
-/// Rounds up, since `Retry-After` knows whole seconds and a caller must not come too early.
-fn whole_seconds(span: Duration) -> u64 {
-    span.as_millis().div_ceil(1_000).max(1) as u64
+/// Rounds whole seconds up: a caller must not come too early.
+fn seconds(span: Duration, precision: Precision) -> HeaderValue {
+    match precision {
+        Precision::Seconds => number(span.as_millis().div_ceil(1_000).max(1) as u64),
+        Precision::Millis => {
+            let text = format!("{:.3}", span.as_secs_f64());
+            HeaderValue::from_str(&text).expect("digits and a point make a header")
+        }
+    }
+}
+
+/// Returns what a serving node tells of its load.
+pub fn load(load: Load) -> HeaderValue {
+    let text = format!("{},{}", load.busy, load.waiting);
+    HeaderValue::from_str(&text).expect("digits and a comma make a header")
+}
+
+/// Reads what a serving node tells of its load; none where it tells nothing that can be read.
+pub fn read_load(headers: &HeaderMap) -> Option<Load> {
+    let (busy, waiting) = headers.get(LOAD)?.to_str().ok()?.split_once(',')?;
+    Some(Load { busy: busy.parse().ok()?, waiting: waiting.parse().ok()? })
 }
--- a/crates/traffic/tests/rig/mod.rs
+++ b/crates/traffic/tests/rig/mod.rs
@@ -177,7 +177,7 @@
 fn start(runtime: &Runtime, number: usize, upstream: SocketAddr, slots: usize) -> Node {
     let settings = Settings {
         own: own(number),
-        incarnation: LIFE,
+        incarnation: Some(LIFE),
         service: "paydesk".to_owned(),
         upstream,
         slots,
@@ -189,6 +189,7 @@
             gap: Duration::from_secs(3),
             ..policy::pause::Settings::default()
         },
+        ..Settings::default()
     };
     let meter = Arc::new(Meter::new().expect("metrics can be set up"));
     let hub = Hub::new(settings, Clock::default(), meter);
