A change of the configuration alone leaves no gap in the list of upstreams

Cause: an update without upstreams was dropped, and the list stayed complete only up to the revision before it. The next update named a later base and was refused as a gap, so no upstream became known until a change of the list happened to be read from the start. Seen as ten seconds of 'no-upstream'. Ruled out: the empty prefix (the store serves it), decoding (no failure noted).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -84,6 +84,13 @@
     pub removed: Vec<Removal>,
 }
 
+impl Update {
+    /// Tells whether it names no upstream.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.removed.is_empty()
+    }
+}
+
 /// What an update changed about one upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -300,13 +300,10 @@
     }
 
     fn hear_bulletin(&mut self, bulletin: Bulletin, now: Now) {
-        let has_news = bulletin.config.is_some() || bulletin.list.is_some();
+        let has_news = bulletin.config.is_some() || !bulletin.list.is_empty();
         self.succeed(has_news, now);
         let doubt = self.watch.doubt(DOUBT, now.time);
-        let mut is_new = false;
-        if let Some(list) = bulletin.list {
-            is_new |= self.merge(list, None, doubt, now);
-        }
+        let mut is_new = self.merge(bulletin.list, None, doubt, now);
         if let Some(delta) = bulletin.config {
             self.note(Kind::Read { revision: delta.revision }, now);
             let set = self.fence.with(delta);
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -130,8 +130,9 @@
     pub revision: u64,
     /// The configuration, if it changed.
     pub config: Option<Delta>,
-    /// Changes of the list, if there are any.
-    pub list: Option<Update>,
+    /// Changes of the list. Where there are none it still tells how far the list is complete:
+    /// the next changes follow on that, and would leave a gap behind an older revision.
+    pub list: Update,
 }
 
 /// What came of a call.
