Calls of upstreams are told apart by ids, and every request leaves a trail in the log

Found by the new log (routed lines said nested for all). The id of an upstream's call begins with the id of the request it works on, which the serving node knows.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -136,6 +136,11 @@
         /// The node that told it; none for the platform.
         from: Option<SocketAddr>,
     },
+    /// Lines about requests were left out of the log, which was over its bound.
+    LinesLeftOut {
+        /// How many.
+        count: u64,
+    },
     /// The node began or ceased to tell callers that it takes work.
     Ready {
         /// Whether it takes work.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -192,6 +192,7 @@
         }
         self.link.send(Event::Stop);
         thread::sleep(FLUSH);
+        telemetry::log::flush();
     }
 }
 
@@ -237,6 +238,8 @@
         connect: settings.connect,
         connections: settings.connections,
         pause: policy::pause::Settings::default(),
+        instance: settings.instance.clone(),
+        log: settings.log,
         names: settings.names.clone(),
         budget: settings.budget,
     }
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -19,6 +19,7 @@
     body, contest,
     payload::Payload,
     pool::{Connection, Failure},
+    record::Trail,
     serving::{self, Answer, Offer},
     state::Hub,
     stream::{Look, Probe},
@@ -36,6 +37,7 @@
     pub(crate) deadline: Time,
     pub(crate) rank: Rank,
     pub(crate) origin: Probe,
+    pub(crate) trail: &'a Trail,
 }
 
 /// What holds for a call by its route, or by its service's profile.
@@ -250,10 +252,13 @@
     patience: Time,
 ) -> Result<Answer, Outcome> {
     let begun = hub.clock.now();
+    let id = hub.next_id();
+    note_offer(hub, call, upstream, id, begun);
     let mut watch = Watch::new(hub, call.service, upstream, begun);
     let remaining = call.deadline.since(begun);
-    let result = attempt(hub, call, upstream, patience).await;
+    let result = attempt(hub, call, upstream, id, patience).await;
     let elapsed = hub.clock.now().since(begun);
+    note_end(hub, call, id, &result, elapsed);
     if result.is_ok() && elapsed > remaining / 2 {
         hub.tally.add(Count::Slow(call.service.to_owned(), upstream.address));
     }
@@ -266,6 +271,48 @@
     result
 }
 
+fn note_offer(hub: &Hub, call: &Call<'_>, upstream: &Upstream, attempt: u64, now: Time) {
+    let candidates = hub.view().upstreams(call.service).len();
+    let step = hub.with_service(call.service, |service| {
+        let record = service.record(upstream, now);
+        trail::Step::Offered {
+            attempt,
+            upstream: upstream.instance.clone(),
+            peer: upstream.traffic.to_string(),
+            near: upstream.near,
+            in_flight: record.in_flight(),
+            expected_load: record.expected_load(now),
+            failure_share: record.failure_share(now),
+            candidates,
+        }
+    });
+    call.trail.note(hub, step);
+}
+
+fn note_end(
+    hub: &Hub,
+    call: &Call<'_>,
+    attempt: u64,
+    result: &Result<Answer, Outcome>,
+    elapsed: Duration,
+) {
+    let (outcome, reason, status) = match result {
+        Ok(answer) => (wire::ANSWERED, "", answer.head.status().as_u16()),
+        Err(outcome @ Outcome::NotRun(..)) => (wire::NOT_RUN, outcome.reason(), 0),
+        Err(outcome @ Outcome::Unknown(_)) => (wire::UNKNOWN, outcome.reason(), 0),
+    };
+    call.trail.note(
+        hub,
+        trail::Step::Attempted {
+            attempt,
+            outcome: outcome.to_owned(),
+            reason: reason.to_owned(),
+            status,
+            ms: elapsed.as_millis() as u64,
+        },
+    );
+}
+
 fn sample_of(outcome: Outcome, elapsed: Duration) -> Sample {
     match outcome {
         // A node that says it leaves, or that another life has replaced, is as good as absent
@@ -284,6 +331,7 @@
     hub: &Arc<Hub>,
     call: &Call<'_>,
     upstream: &Upstream,
+    id: u64,
     patience: Time,
 ) -> Result<Answer, Outcome> {
     let now = hub.clock.now();
@@ -296,7 +344,7 @@
         incarnation: upstream.incarnation,
         identity: upstream.identity.clone(),
         origin: call.origin.clone(),
-        id: hub.next_id(),
+        id,
     };
     if serving::is_own(hub, upstream) {
         let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -18,11 +18,13 @@
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
+use trail::Step;
 
 use crate::{
     body,
     entry::{self, Call, Terms},
     payload::Payload,
+    record::{Interest, Trail},
     server::Door,
     serving::{self, Answer, Offer},
     state::Hub,
@@ -34,19 +36,11 @@
 /// Largest remaining time that a caller's header can name, in ms.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
 
-/// Where a request came from.
-#[derive(Clone, Debug)]
-pub(crate) struct Origin {
-    pub(crate) probe: Probe,
-    pub(crate) speaker: urgency::Origin,
-}
-
-/// A call of an upstream must be answered within this part of its time to be taken.
 /// Answers a request, of a caller or of another node.
 pub(crate) async fn handle(
     hub: &Arc<Hub>,
     request: Request<Incoming>,
-    origin: Origin,
+    origin: Probe,
     door: Door,
 ) -> Response<wire::Body> {
     let received = hub.clock.now();
@@ -56,7 +50,7 @@
         Door::Callers | Door::Ready => false,
     };
     let mut response = if is_offer {
-        handle_offer(hub, request, origin.probe, received).await
+        handle_offer(hub, request, origin, received).await
     } else {
         handle_call(hub, request, origin, received).await
     };
@@ -149,25 +143,83 @@
 async fn handle_call(
     hub: &Arc<Hub>,
     request: Request<Incoming>,
-    origin: Origin,
+    origin: Probe,
     received: Time,
 ) -> Response<wire::Body> {
     let config = hub.config();
+    let mut open =
+        Open { hub, received, trail: Trail::new(request_id(hub, &request)), ended: false };
     let mut response = match find_target(hub, &config, &request) {
         Err(cause) => refuse(hub, "", cause, None),
         Ok(target) => {
             let service = target.service;
-            let response = take_call(hub, request, target, origin, received).await;
-            let outcome = response.headers().get(wire::OUTCOME).and_then(|v| v.to_str().ok());
+            let response = take_call(hub, request, target, origin, received, &open.trail).await;
             let elapsed = hub.clock.now().since(received);
-            hub.meter.call(service, known_outcome(outcome), elapsed);
+            hub.meter.call(service, known_outcome(outcome_of(&response)), elapsed);
             response
         }
     };
+    open.end(&response);
     response.headers_mut().insert(wire::VERSION, wire::number(config.version.revision));
     response
 }
 
+/// A caller's request until it is answered, or until the caller goes away and it is dropped.
+struct Open<'a> {
+    hub: &'a Hub,
+    received: Time,
+    trail: Trail,
+    ended: bool,
+}
+
+impl Open<'_> {
+    fn end(&mut self, response: &Response<wire::Body>) {
+        self.ended = true;
+        let text = |name| header_text(response.headers(), name).unwrap_or_default();
+        let outcome = known_outcome(Some(text(wire::OUTCOME)));
+        let status = response.status();
+        self.trail.note(
+            self.hub,
+            Step::Ended {
+                outcome: outcome.to_owned(),
+                reason: text(wire::CAUSE).to_owned(),
+                status: status.as_u16(),
+                retry_after_ms: text(wire::RETRY_AFTER_MS).parse().unwrap_or(0),
+                ms: self.elapsed_ms(),
+                attempts: self.trail.attempts(),
+            },
+        );
+        let is_late = self.trail.is_late(self.hub.clock.now());
+        let went_well = outcome == wire::ANSWERED && !status.is_server_error() && !is_late;
+        let interest = if went_well { Interest::Usual } else { Interest::Notable };
+        self.trail.write(self.hub, interest);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.hub.clock.now().since(self.received).as_millis() as u64
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.trail.note(self.hub, Step::Abandoned { ms: self.elapsed_ms() });
+            self.trail.write(self.hub, Interest::Notable);
+        }
+    }
+}
+
+/// Returns the caller's id of a request, or one of this node where it gave none.
+fn request_id(hub: &Hub, request: &Request<Incoming>) -> String {
+    let given = hub.settings.names.request.clone();
+    let given = given.and_then(|name| header_text(request.headers(), name));
+    given.map_or_else(|| format!("{}-{}", hub.settings.instance, hub.next_id()), str::to_owned)
+}
+
+fn outcome_of(response: &Response<wire::Body>) -> Option<&str> {
+    header_text(response.headers(), wire::OUTCOME)
+}
+
 /// Finds where a call goes: by the routes of the configuration if it has any, else by the name of
 /// a service.
 fn find_target<'a>(
@@ -251,8 +303,9 @@
     hub: &Arc<Hub>,
     request: Request<Incoming>,
     target: Target<'_>,
-    origin: Origin,
+    origin: Probe,
     received: Time,
+    trail: &Trail,
 ) -> Response<wire::Body> {
     let Target { service, profile, path, terms, body_limit } = target;
     let (parts, incoming) = request.into_parts();
@@ -262,8 +315,28 @@
     };
     let deadline = claim::deadline(received, remaining, terms.timeout_ms);
     let clock = clock(hub, &terms, service, remaining, received, deadline);
-    let rank = clock
-        .map_or_else(Rank::default, |clock| urgency::rank(origin.speaker, terms.priority, clock));
+    let behalf = if hub.running.is_parent_of(trail.id()) {
+        urgency::Origin::Upstream
+    } else {
+        urgency::Origin::Caller
+    };
+    if let Some(clock) = clock {
+        trail.set_due(received + clock.objective.saturating_sub(clock.elapsed));
+    }
+    let rank =
+        clock.map_or_else(Rank::default, |clock| urgency::rank(behalf, terms.priority, clock));
+    trail.note(
+        hub,
+        Step::Routed {
+            route: terms.route.clone(),
+            service: service.to_owned(),
+            revision: hub.config().version.revision,
+            nested: behalf == urgency::Origin::Upstream,
+            elapsed_ms: clock.map_or(0, |clock| clock.elapsed.as_millis() as u64),
+            left_ms: deadline.since(received).as_millis() as u64,
+            priority: rank.priority,
+        },
+    );
     let Some(_hand) = Hand::take(hub, service) else {
         return refuse(hub, service, Cause::Saturated, None);
     };
@@ -299,7 +372,8 @@
         received,
         deadline,
         rank,
-        origin: origin.probe,
+        origin,
+        trail,
     };
     match entry::run(hub, &call).await {
         Ok(answer) => whole(answer),
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -14,6 +14,8 @@
 mod payload;
 mod pool;
 mod ready;
+mod record;
+mod running;
 mod server;
 mod serving;
 mod state;
--- /dev/null
+++ b/crates/traffic/src/record.rs
@@ -0,0 +1,147 @@
+//! Records what is decided about each request and logs it, within a bound.
+//!
+//! A request's steps are kept in memory until it ends. Those of a request that failed are logged
+//! whole; of the others one in [`SAMPLE`] is, chosen by the request's id, so that all nodes choose
+//! the same ones. What exceeds the bound is counted, and the count is logged.
+
+use fleet::timeline::Kind;
+use model::time::Time;
+use std::{
+    sync::{
+        Mutex, OnceLock, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use trail::{Line, Step};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::state::Hub;
+
+/// Of so many requests that went well, one is logged: enough to see what is usual, at about 1 % of
+/// the processor time that a request costs.
+const SAMPLE: u64 = 32;
+
+/// Lines a second for requests that failed. A node on a fifth of a core refuses a few hundred
+/// requests a second at most; beyond this bound more lines tell nothing new.
+const NOTABLE_LINES: u32 = 400;
+
+/// Lines a second for requests that went well.
+const USUAL_LINES: u32 = 60;
+
+/// How much a request matters to whoever reads the log.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Interest {
+    /// It has no answer, a failure as answer, or a late one.
+    Notable,
+    /// It went well.
+    Usual,
+}
+
+/// The steps of one request at one node.
+#[derive(Debug)]
+pub(crate) struct Trail {
+    id: String,
+    /// When an answer becomes late.
+    due: OnceLock<Time>,
+    steps: Mutex<Vec<(Time, Step)>>,
+}
+
+impl Trail {
+    pub(crate) fn new(id: String) -> Self {
+        Trail { id, due: OnceLock::new(), steps: Mutex::default() }
+    }
+
+    /// Returns the request's id.
+    pub(crate) fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Notes when an answer becomes late.
+    pub(crate) fn set_due(&self, due: Time) {
+        // Each request is routed once, so the first value is the only one.
+        let _ = self.due.set(due);
+    }
+
+    /// Tells whether an answer now is late.
+    pub(crate) fn is_late(&self, now: Time) -> bool {
+        self.due.get().is_some_and(|due| now > *due)
+    }
+
+    /// Notes a step.
+    pub(crate) fn note(&self, hub: &Hub, step: Step) {
+        self.lock().push((hub.clock.now(), step));
+    }
+
+    /// Returns how many times the request was offered so far.
+    pub(crate) fn attempts(&self) -> usize {
+        self.lock().iter().filter(|(_, step)| matches!(step, Step::Offered { .. })).count()
+    }
+
+    /// Logs the steps, if the request matters enough and the bound allows it.
+    pub(crate) fn write(&self, hub: &Hub, interest: Interest) {
+        let steps = std::mem::take(&mut *self.lock());
+        if !hub.settings.log || !hub.logbook.admits(&self.id, interest, steps.len(), hub) {
+            return;
+        }
+        let now = hub.clock.now();
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        for (at, step) in steps {
+            let t = wall.saturating_sub(now.since(at)).as_millis() as u64;
+            let node = hub.settings.instance.clone();
+            telemetry::log::line(&Line { t, node, id: self.id.clone(), step });
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Time, Step)>> {
+        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The bounds of the log, and what exceeded them.
+#[derive(Debug, Default)]
+pub(crate) struct Logbook {
+    notable: Mutex<Allowance>,
+    usual: Mutex<Allowance>,
+    left_out: AtomicU64,
+}
+
+impl Logbook {
+    fn admits(&self, id: &str, interest: Interest, lines: usize, hub: &Hub) -> bool {
+        let (allowance, limit) = match interest {
+            Interest::Notable => (&self.notable, NOTABLE_LINES),
+            Interest::Usual if !xxh3_64(id.as_bytes()).is_multiple_of(SAMPLE) => return false,
+            Interest::Usual => (&self.usual, USUAL_LINES),
+        };
+        let mut allowance = allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let admitted = allowance.take(lines as u32, limit, hub.clock.now());
+        if !admitted {
+            self.left_out.fetch_add(lines as u64, Ordering::Relaxed);
+        }
+        admitted
+    }
+
+    /// Returns the event that tells what was left out since the last call, if anything was.
+    pub(crate) fn left_out(&self) -> Option<Kind> {
+        let count = self.left_out.swap(0, Ordering::Relaxed);
+        (count > 0).then_some(Kind::LinesLeftOut { count })
+    }
+}
+
+/// Lines written in the present second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Allowance {
+    since: Time,
+    used: u32,
+}
+
+impl Allowance {
+    fn take(&mut self, lines: u32, limit: u32, now: Time) -> bool {
+        if now.since(self.since) >= Duration::from_secs(1) {
+            *self = Allowance { since: now, used: 0 };
+        }
+        let admitted = self.used + lines <= limit;
+        self.used += if admitted { lines } else { 0 };
+        admitted
+    }
+}
--- a/crates/traffic/src/server.rs
+++ b/crates/traffic/src/server.rs
@@ -2,7 +2,6 @@
 
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioTimer;
-use policy::urgency;
 use snafu::{ResultExt, Snafu};
 use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
@@ -11,12 +10,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{
-    intake::{self, Origin},
-    ready,
-    state::Hub,
-    stream::Stream,
-};
+use crate::{intake, ready, state::Hub, stream::Stream};
 
 /// Bound on waiting for a request's head, which also ends idle connections.
 ///
@@ -98,7 +92,6 @@
     socket: tokio::net::TcpStream,
     _permit: OwnedSemaphorePermit,
 ) {
-    let speaker = speaker_of(&hub, &socket);
     let Ok(stream) = Stream::new(socket) else { return };
     let probe = stream.probe();
     let service = service_fn(|request| {
@@ -106,7 +99,7 @@
         async move {
             Ok::<_, Infallible>(match door {
                 Door::Ready => ready::answer(&hub, &request),
-                _ => intake::handle(&hub, request, Origin { probe, speaker }, door).await,
+                _ => intake::handle(&hub, request, probe, door).await,
             })
         }
     });
@@ -119,16 +112,6 @@
     }
 }
 
-/// Tells whether the upstream beside this node speaks, or anybody else.
-///
-/// Callers reach a node from elsewhere, its own upstream from the address that it listens at.
-fn speaker_of(hub: &Hub, socket: &tokio::net::TcpStream) -> urgency::Origin {
-    match socket.peer_addr() {
-        Ok(peer) if peer.ip() == hub.settings.upstream.ip() => urgency::Origin::Upstream,
-        _ => urgency::Origin::Caller,
-    }
-}
-
 /// Ends the own side of a connection and reads on until the other side ends its own.
 ///
 /// A caller may have sent more requests behind the last one that was answered. Closing a socket
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -22,6 +22,7 @@
     body,
     payload::Payload,
     pool::{Connection, Failure},
+    record::{Interest, Trail},
     state::Hub,
     stream::{Look, Probe},
     wire,
@@ -60,14 +61,67 @@
     profile: &Profile,
     offer: Offer,
 ) -> Result<Answer, Outcome> {
-    let result = attempt(hub, profile, &offer).await;
+    let trail = Trail::new(offer_id(hub, &offer));
+    let result = attempt(hub, profile, &offer, &trail).await;
     if let Err(Outcome::NotRun(cause, _)) = result {
         hub.meter.refusal(cause.name());
+        note_claim(hub, &offer, &trail, cause.name());
     }
+    let interest = match &result {
+        Ok(answer) if !answer.head.status().is_server_error() => Interest::Usual,
+        _ => Interest::Notable,
+    };
+    trail.write(hub, interest);
     result
 }
 
-async fn attempt(hub: &Arc<Hub>, profile: &Profile, offer: &Offer) -> Result<Answer, Outcome> {
+/// Returns the caller's id of an offered request, or the attempt's number where it gave none.
+fn offer_id(hub: &Hub, offer: &Offer) -> String {
+    let name = hub.settings.names.request.as_ref();
+    let given = name.and_then(|name| offer.payload.headers.get(name)?.to_str().ok());
+    given.map_or_else(|| offer.id.to_string(), str::to_owned)
+}
+
+fn note_claim(hub: &Hub, offer: &Offer, trail: &Trail, decision: &str) {
+    let load = hub.load();
+    let now = hub.clock.now();
+    trail.note(
+        hub,
+        trail::Step::Claimed {
+            attempt: offer.id,
+            upstream: offer.identity.as_deref().unwrap_or_default().to_owned(),
+            decision: decision.to_owned(),
+            busy: load.busy,
+            waiting: load.waiting,
+            waited_ms: now.since(offer.received).as_millis() as u64,
+            left_ms: offer.deadline.since(now).as_millis() as u64,
+        },
+    );
+}
+
+fn note_run(
+    hub: &Hub,
+    offer: &Offer,
+    trail: &Trail,
+    result: &Result<Answer, Sent>,
+    span: Duration,
+) {
+    let (outcome, status) = match result {
+        Ok(answer) => (wire::ANSWERED, answer.head.status().as_u16()),
+        Err(Sent::Lost(outcome)) => (outcome.reason(), 0),
+        Err(Sent::Not) => return,
+    };
+    let ms = span.as_millis() as u64;
+    let step = trail::Step::Ran { attempt: offer.id, outcome: outcome.to_owned(), status, ms };
+    trail.note(hub, step);
+}
+
+async fn attempt(
+    hub: &Arc<Hub>,
+    profile: &Profile,
+    offer: &Offer,
+    trail: &Trail,
+) -> Result<Answer, Outcome> {
     let _in_hand = InHand::new(hub);
     check_claim(hub, offer)?;
     let mut slot = wait_for_slot(hub, profile, offer).await?;
@@ -77,11 +131,19 @@
         Some(connection) => connection,
         None => dial(hub, offer).await?,
     };
-    match send(hub, profile, offer, connection, &mut slot).await {
+    note_claim(hub, offer, trail, "run");
+    let _running = hub.running.begin(trail.id());
+    let begun = hub.clock.now();
+    let result = send(hub, profile, offer, connection, &mut slot).await;
+    note_run(hub, offer, trail, &result, hub.clock.now().since(begun));
+    match result {
         // The upstream closed the kept connection in this moment; nothing was written on it.
         Err(Sent::Not) if was_kept => {
             let connection = dial(hub, offer).await?;
-            send(hub, profile, offer, connection, &mut slot).await.map_err(outcome_of)
+            let begun = hub.clock.now();
+            let result = send(hub, profile, offer, connection, &mut slot).await;
+            note_run(hub, offer, trail, &result, hub.clock.now().since(begun));
+            result.map_err(outcome_of)
         }
         result => result.map_err(outcome_of),
     }
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -28,7 +28,7 @@
 use telemetry::metric::Meter;
 use tokio::sync::oneshot;
 
-use crate::{clock::Clock, pool::Pool, tally::Tally, wire};
+use crate::{clock::Clock, pool::Pool, record::Logbook, running::Running, tally::Tally, wire};
 
 /// Most routes whose callers' patience is remembered; calls of others count as new.
 const ROUTES_LIMIT: usize = 8_192;
@@ -57,6 +57,10 @@
     pub connections: usize,
     /// How pauses of the process are found.
     pub pause: pause::Settings,
+    /// The platform's name of the instance, in log lines.
+    pub instance: String,
+    /// Whether requests are logged.
+    pub log: bool,
     /// Names of headers.
     pub names: wire::Names,
     /// Bound on repeated calls of the whole fleet; none where profiles bound each node's.
@@ -78,6 +82,8 @@
             connect: Duration::from_millis(250),
             connections: 1_024,
             pause: pause::Settings::default(),
+            instance: String::new(),
+            log: false,
             names: wire::Names::default(),
             budget: None,
         }
@@ -91,6 +97,8 @@
     pub(crate) meter: Arc<Meter>,
     pub(crate) pool: Pool,
     pub(crate) tally: Tally,
+    pub(crate) logbook: Logbook,
+    pub(crate) running: Running,
     config: ArcSwap<Snapshot>,
     view: ArcSwap<View>,
     leaving: AtomicBool,
@@ -157,6 +165,8 @@
             meter,
             pool: Pool::default(),
             tally: Tally::default(),
+            logbook: Logbook::default(),
+            running: Running::default(),
             config: ArcSwap::default(),
             view: ArcSwap::default(),
             leaving: AtomicBool::new(false),
@@ -326,7 +336,9 @@
     pub fn collect(&self) -> Vec<Kind> {
         self.pool.sweep();
         self.meter.in_hand(self.calls.load(Ordering::Relaxed) as u64);
-        self.tally.take()
+        let mut events = self.tally.take();
+        events.extend(self.logbook.left_out());
+        events
     }
 
     /// Returns the configuration in force.
--- /dev/null
+++ b/crates/trail/tests/order.rs
@@ -0,0 +1,107 @@
+//! Lines of one request in causal order, whatever the clocks say.
+
+use trail::{Line, Step, causal, sentence};
+
+fn line(node: &str, t: u64, step: Step) -> Line {
+    Line { t, node: node.to_owned(), id: "9c41".to_owned(), step }
+}
+
+fn offered(attempt: u64) -> Step {
+    Step::Offered {
+        attempt,
+        upstream: "i-1".to_owned(),
+        peer: "10.0.0.2:1".to_owned(),
+        near: true,
+        in_flight: 0,
+        expected_load: 0.0,
+        failure_share: 0.0,
+        candidates: 2,
+    }
+}
+
+fn claimed(attempt: u64, decision: &str) -> Step {
+    Step::Claimed {
+        attempt,
+        upstream: "i-1".to_owned(),
+        decision: decision.to_owned(),
+        busy: 9,
+        waiting: 2,
+        waited_ms: 30,
+        left_ms: 900,
+    }
+}
+
+fn attempted(attempt: u64, outcome: &str, reason: &str) -> Step {
+    Step::Attempted {
+        attempt,
+        outcome: outcome.to_owned(),
+        reason: reason.to_owned(),
+        status: 0,
+        ms: 40,
+    }
+}
+
+fn ended(outcome: &str, reason: &str) -> Step {
+    Step::Ended {
+        outcome: outcome.to_owned(),
+        reason: reason.to_owned(),
+        status: 503,
+        retry_after_ms: 80,
+        ms: 45,
+        attempts: 1,
+    }
+}
+
+fn names(lines: &[Line]) -> Vec<String> {
+    let name = |line: &Line| {
+        let value = serde_json::to_value(&line.step).expect("steps are JSON");
+        format!("{} {}", line.node, value["event"].as_str().unwrap_or("?"))
+    };
+    lines.iter().map(name).collect()
+}
+
+/// An engineer reads that a request ran before it was offered: the serving node's clock is five
+/// seconds behind, and lines were sorted by their clocks alone.
+#[test]
+fn clocks_that_disagree_do_not_turn_cause_and_effect_around() {
+    let lines = vec![
+        line("serving", 5_010, claimed(7, "overloaded")),
+        line("entry", 10_000, offered(7)),
+        line("entry", 10_040, attempted(7, "not-run", "overloaded")),
+        line("entry", 10_045, ended("not-run", "overloaded")),
+    ];
+    let expect = ["entry offered", "serving claimed", "entry attempted", "entry ended"];
+    assert_eq!(names(&causal(lines)), expect);
+}
+
+#[test]
+fn a_clock_ahead_does_not_either() {
+    let lines = vec![
+        line("entry", 10_000, offered(7)),
+        line("entry", 10_040, attempted(7, "not-run", "overloaded")),
+        line("serving", 99_000, claimed(7, "overloaded")),
+    ];
+    assert_eq!(names(&causal(lines)), ["entry offered", "serving claimed", "entry attempted"]);
+}
+
+#[test]
+fn missing_lines_hold_nothing_back() {
+    let lines = vec![
+        line("serving", 1, claimed(7, "run")),
+        line("entry", 2, attempted(8, "unknown", "timeout")),
+    ];
+    assert_eq!(names(&causal(lines)), ["serving claimed", "entry attempted"]);
+}
+
+#[test]
+fn the_last_sentence_names_the_cause() {
+    let check = |lines: Vec<Line>, expect: &str| {
+        let told = sentence(&causal(lines));
+        assert!(told.contains(expect), "{told}");
+    };
+    check(vec![line("e", 1, ended("not-run", "overloaded"))], "no slot in time");
+    check(vec![line("e", 1, ended("unknown", "timeout"))], "no answer came in time");
+    check(vec![line("e", 1, Step::Abandoned { ms: 300 })], "went away after 300 ms");
+    check(vec![line("s", 1, claimed(7, "run"))], "last line is missing");
+    check(vec![], "No line");
+}
