--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -48,6 +48,11 @@
 /// Nodes that are told at once of news from another node.
 const PASSED_ON: usize = 3;
 
+/// How long a node without configuration waits for the platform before it asks another node for
+/// the whole of it. Twice the time that the largest answers take on a slow link would be more; a
+/// platform that fails says so sooner, or is down.
+const PLATFORM_FIRST: Duration = Duration::from_millis(1_000);
+
 /// Time between two looks at who is silent.
 const UPKEEP: Duration = Duration::from_millis(100);
 
@@ -93,6 +98,7 @@
     pulls: Pulls,
     /// Revision up to which the platform's own answers are held.
     read_to: Option<u64>,
+    started: Time,
     leaving: bool,
     ready: bool,
     upkeep_due: Time,
@@ -114,6 +120,7 @@
             peers: Peers::new(settings.address, settings.link_mbps, settings.data_centre.clone()),
             pulls: Pulls::default(),
             read_to: None,
+            started: now.time,
             leaving: false,
             ready: false,
             upkeep_due: now.time,
@@ -221,7 +228,7 @@
         }
         let rank = self.peers.rank(now.time);
         let readers = self.watch.readers(self.peers.data_centres());
-        if self.watch.is_due(rank, readers, now.time) {
+        if self.fence.held().is_none() || self.watch.is_due(rank, readers, now.time) {
             let wait = self.watch.begin(self.peers.is_empty());
             // A watch continues where this node's own reading ended. What others told it since
             // comes once more, which costs bytes and no mistake; their word for one of the two
@@ -384,17 +391,32 @@
     fn pull(&mut self, now: Now) {
         let held = self.fence.version().revision;
         let refused = self.fence.rejected().map(|r| r.version.revision).max().unwrap_or(0);
-        if let Some((peer, request)) =
-            self.pulls.next_config(&self.peers, held.max(refused), now.time)
-        {
-            self.effects.push(Effect::Send(peer, request, pull::TIMEOUT));
+        if !self.awaits_platform(now) {
+            let held = held.max(refused);
+            let next = self.pulls.next_config(&self.peers, held, now.time, &mut self.random);
+            self.send_pull(next);
         }
         let held = self.directory.revision();
-        if let Some((peer, request)) = self.pulls.next_list(&self.peers, held, now.time) {
+        let next = self.pulls.next_list(&self.peers, held, now.time, &mut self.random);
+        self.send_pull(next);
+    }
+
+    fn send_pull(&mut self, next: Option<(SocketAddr, Request)>) {
+        if let Some((peer, request)) = next {
             self.effects.push(Effect::Send(peer, request, pull::TIMEOUT));
         }
     }
 
+    /// Tells whether a node without configuration should still wait for the platform's answer.
+    ///
+    /// After a herd restart all nodes want the whole configuration at once. The platform's link
+    /// carries that; those of the nodes that went on working, which serve everybody meanwhile, may
+    /// not.
+    fn awaits_platform(&self, now: Now) -> bool {
+        let asked = self.fence.held().is_none() && !self.watch.is_failing();
+        asked && now.time.since(self.started) < PLATFORM_FIRST
+    }
+
     fn leave(&mut self, now: Now) {
         if self.leaving {
             return;
@@ -466,7 +488,7 @@
             address: node,
             traffic: SocketAddr::new(node.ip(), self.settings.traffic_port),
             instance: entry.id.clone(),
-            incarnation: 0,
+            incarnation: self.peers.incarnation(node),
             identity: Some(entry.id.as_str().into()),
             data_centre: entry.data_centre.clone(),
             near: entry.data_centre == self.settings.data_centre,
--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -1,7 +1,10 @@
 //! The nodes that a node in listed mode tells its summary to, and what it has heard of them.
 
 use model::time::Time;
-use rand::{rngs::SmallRng, seq::SliceRandom};
+use rand::{
+    rngs::SmallRng,
+    seq::{IndexedRandom, SliceRandom},
+};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -123,11 +126,17 @@
         if address == self.own {
             return false;
         }
-        let before = self.reach(address, now);
+        let before = (self.reach(address, now), self.incarnation(address));
         let peer = self.peers.entry(address).or_insert_with(|| Peer::new(address, now));
         peer.heard = now;
         peer.digest = Some(digest);
-        before != self.reach(address, now)
+        before != (self.reach(address, now), self.incarnation(address))
+    }
+
+    /// Returns the life of the node at `address`; 0 where it was never heard of.
+    pub(super) fn incarnation(&self, address: SocketAddr) -> u64 {
+        let digest = self.peers.get(&address).and_then(|peer| peer.digest.as_ref());
+        digest.map_or(0, |digest| digest.from.incarnation)
     }
 
     /// Forgets the silence so far: this process did not run, so it heard nobody.
@@ -214,20 +223,28 @@
         all
     }
 
-    /// Returns the node that holds the most by `measure`, above `held`, and was heard of last.
+    /// Draws one of the nodes that hold more than `held` by `measure`, the best placed first: those
+    /// of the own data centre, and those with the fastest links.
+    ///
+    /// A random one, since after a herd restart everybody asks at the same moment.
     pub(super) fn ahead(
         &self,
         held: u64,
         measure: impl Fn(&Digest) -> u64,
         skip: impl Fn(SocketAddr) -> bool,
+        random: &mut SmallRng,
     ) -> Option<SocketAddr> {
-        self.peers
-            .iter()
-            .filter(|(address, _)| !skip(**address))
-            .filter_map(|(address, peer)| Some((measure(peer.digest.as_ref()?), peer, address)))
-            .filter(|(revision, ..)| *revision > held)
-            .max_by_key(|(revision, peer, _)| (*revision, peer.heard))
-            .map(|(.., address)| *address)
+        let place = |digest: &Digest| (digest.data_centre == self.data_centre, digest.link_mbps);
+        let ahead = self.peers.iter().filter_map(|(address, peer)| {
+            let digest = peer.digest.as_ref()?;
+            let fits = measure(digest) > held && !skip(*address);
+            fits.then_some((place(digest), *address))
+        });
+        let ahead: Vec<((bool, u32), SocketAddr)> = ahead.collect();
+        let best = ahead.iter().map(|(place, _)| *place).max()?;
+        let best: Vec<SocketAddr> =
+            ahead.iter().filter(|(place, _)| *place == best).map(|(_, peer)| *peer).collect();
+        best.choose(random).copied()
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
--- a/crates/fleet/src/listed/pull.rs
+++ b/crates/fleet/src/listed/pull.rs
@@ -1,12 +1,13 @@
 //! Which node is asked for what another one is ahead with.
 
 use model::time::Time;
+use rand::rngs::SmallRng;
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     control::Asked,
     listed::peers::Peers,
-    message::{Fetch, Pull, Request},
+    message::{Digest, Fetch, Pull, Request},
 };
 
 /// How long a pull may take. A node that does not answer by then is left for another one, so that
@@ -55,14 +56,15 @@
         peers: &Peers,
         held: u64,
         now: Time,
-        measure: impl Fn(&crate::message::Digest) -> u64,
+        random: &mut SmallRng,
+        measure: impl Fn(&Digest) -> u64,
     ) -> Option<SocketAddr> {
         self.avoided.retain(|(_, until)| *until > now);
         if self.asked.is_some() {
             return None;
         }
         let avoided = |peer| self.avoided.iter().any(|(address, _)| *address == peer);
-        self.asked = peers.ahead(held, measure, avoided);
+        self.asked = peers.ahead(held, measure, avoided, random);
         self.asked
     }
 }
@@ -73,8 +75,9 @@
         peers: &Peers,
         held: u64,
         now: Time,
+        random: &mut SmallRng,
     ) -> Option<(SocketAddr, Request)> {
-        let peer = self.config.begin(peers, held, now, |digest| digest.config)?;
+        let peer = self.config.begin(peers, held, now, random, |digest| digest.config)?;
         let whole = std::mem::replace(&mut self.whole_config, false) || held == 0;
         let have = if whole { None } else { Some(held) };
         Some((peer, Request::Pull(Pull { have })))
@@ -85,8 +88,9 @@
         peers: &Peers,
         held: u64,
         now: Time,
+        random: &mut SmallRng,
     ) -> Option<(SocketAddr, Request)> {
-        let peer = self.list.begin(peers, held, now, |digest| digest.list)?;
+        let peer = self.list.begin(peers, held, now, random, |digest| digest.list)?;
         let whole = std::mem::replace(&mut self.whole_list, false) || held == 0;
         let have = if whole { None } else { Some(held) };
         Some((peer, Request::Fetch(Fetch { have })))
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -13,7 +13,7 @@
     pub traffic: SocketAddr,
     /// The platform's name of the instance.
     pub instance: String,
-    /// Life of its node; 0 where the platform's list names upstreams and not nodes.
+    /// Life of its node; 0 where that is not known.
     pub incarnation: u64,
     /// Identity that the upstream itself must confirm, if the platform lists it.
     pub identity: Option<Arc<str>>,
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -123,7 +123,7 @@
             upstream: upstream(node),
             incarnation: self.nodes[node].life,
             link_mbps: 1_000,
-            join_wait: Duration::from_millis(150),
+            join_wait: Duration::from_millis(20),
             reading: Reading::default(),
             seed: node as u64 * 1_000 + self.nodes[node].life,
             product: String::new(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -30,11 +30,9 @@
 /// Time between two ticks of the state machine.
 const TICK: Duration = Duration::from_millis(50);
 
-/// How long a node with the platform's list listens for others before it calls the platform.
-///
-/// The others tell each node several times a second; one that hears of them first takes both
-/// configuration and list from them and costs the platform nothing.
-const JOIN_WAIT: Duration = Duration::from_millis(150);
+/// How long a node with the platform's list waits before it calls the platform first: nothing
+/// but the time in which its sockets are opened.
+const JOIN_WAIT: Duration = Duration::from_millis(20);
 
 /// Time between two collections of traffic's counts.
 const COLLECT: Duration = Duration::from_secs(1);
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -34,6 +34,12 @@
 /// before it goes elsewhere: it goes there when it would have to wait near by, not before.
 const FAR_BYTE: f64 = 1.0 / 60_000.0;
 
+/// Addition for an upstream that fails every call, in shares of its slots; in proportion for one
+/// that fails a part of them.
+///
+/// A call that fails is lost or made twice, so others are filled up before one that fails half.
+const FAILING: f64 = 1.0;
+
 /// Random addition of at most this share of the slots, so that nodes with the same view do not
 /// all send their next call to the same upstream.
 const JITTER: f64 = 0.08;
@@ -114,12 +120,13 @@
     let latency = record.latency(now).unwrap_or(usual);
     let slowness = latency.as_secs_f64() / usual.as_secs_f64();
     let cold = if candidate.cold { COLD } else { 1.0 };
-    let failing = 1.0 - record.failure_share(now);
+    let failing = record.failure_share(now);
+    let answering = (1.0 - failing).max(0.1);
     let bytes = candidate.crossing as f64;
     let way = match candidate.way {
         Way::Own => 0.0,
         Way::Near => bytes * NEAR_BYTE,
         Way::Far => FAR + bytes * FAR_BYTE,
     };
-    held / slots as f64 * slowness * cold / (failing * failing).max(0.01) + way
+    held / slots as f64 * slowness * cold / answering + failing * FAILING + way
 }
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -12,11 +12,27 @@
 
 use crate::admission::Rank;
 
-/// Part of its objective that a call may wait for a slot.
+/// Part of its objective that a caller's first attempt may wait for a slot.
 ///
 /// With ten slots, one is freed every tenth of a service time; a queue of that many moments keeps
 /// every slot in use. Callers count a refusal within this part as free.
-const WAIT_SHARE: u32 = 8;
+const FIRST_WAIT_SHARE: u32 = 8;
+
+/// Part of its objective that a later attempt may wait, if it can still be in time. It may be the
+/// caller's last one, and to be refused again is worth less than to wait a little longer.
+const AGAIN_WAIT_SHARE: u32 = 4;
+
+/// Part of its objective that an attempt may wait which can only be late. It gets what the others
+/// leave; with half of the objective in the place of an eighth, late calls filled every moment in
+/// which nobody else waited, and a third of the others came too late (model of `tests/urgency.rs`).
+const LATE_WAIT_SHARE: u32 = 8;
+
+/// Time since the first attempt from which on an attempt counts as a later one. Callers tell whole
+/// milliseconds, so one is lost in rounding.
+const AGAIN_LEAST: Duration = Duration::from_millis(5);
+
+/// Ranks between two priorities: later attempts, first ones, late ones.
+const STEPS: u8 = 3;
 
 /// Part of its time that an upstream's own call may wait for a slot.
 ///
@@ -84,10 +100,16 @@
         let wait = clock.deadline.since(clock.received) / NESTED_WAIT_SHARE;
         return Rank { priority: 0, start_by: Some(clock.received + wait) };
     }
-    let late = u8::from(clock.slack().is_zero());
+    let (step, share) = match clock {
+        late if late.slack().is_zero() => (2, LATE_WAIT_SHARE),
+        again if again.elapsed >= AGAIN_LEAST => (0, AGAIN_WAIT_SHARE),
+        _ => (1, FIRST_WAIT_SHARE),
+    };
+    let usual = clock.objective / share;
+    let wait = if step == 2 { usual } else { usual.min(clock.slack() / 2) };
     Rank {
-        priority: priority.saturating_mul(2).saturating_add(1 + late),
-        start_by: Some(clock.received + clock.objective / WAIT_SHARE),
+        priority: priority.saturating_mul(STEPS).saturating_add(1 + step),
+        start_by: Some(clock.received + wait),
     }
 }
 
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -136,11 +136,21 @@
     upstreams: HashMap<Life, Record>,
 }
 
-/// One life of one upstream, by the address and life of its node and its own identity.
+/// One life of one upstream: by the address of its node and its own identity, or by the life of the
+/// node where it has none.
 type Life = (SocketAddr, u64, Option<Arc<str>>);
 
 fn life(upstream: &Upstream) -> Life {
-    (upstream.address, upstream.incarnation, upstream.identity.clone())
+    let node = if upstream.identity.is_some() { 0 } else { upstream.incarnation };
+    (upstream.address, node, upstream.identity.clone())
+}
+
+/// Tells whether an upstream's node is within reach again, or in a new life.
+fn has_returned(upstream: &Upstream, before: &[Upstream]) -> bool {
+    let known = before.iter().find(|u| life(u) == life(upstream));
+    let changed =
+        known.is_some_and(|u| u.incarnation != upstream.incarnation || !u.state.takes_work());
+    upstream.state.takes_work() && changed
 }
 
 impl Service {
@@ -195,7 +205,7 @@
 
     /// Routes to the upstreams of `view` from now on, and forgets what was seen of others.
     pub fn set_view(&self, view: Arc<View>) {
-        self.view.store(view.clone());
+        let before = self.view.swap(view.clone());
         let now = self.clock.now();
         let mut services = lock(&self.services);
         for (name, service) in services.iter_mut() {
@@ -207,7 +217,10 @@
         // first call, so observation begins here for services that calls have gone to.
         for (name, service) in services.iter_mut() {
             for upstream in view.upstreams(name) {
-                service.record(upstream, now);
+                let record = service.record(upstream, now);
+                if has_returned(upstream, before.upstreams(name)) {
+                    record.pardon(now);
+                }
             }
         }
         drop(services);
