--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -316,6 +316,9 @@
     fn hear_bulletin(&mut self, bulletin: Bulletin, now: Now) {
         let has_news = bulletin.config.is_some() || !bulletin.list.is_empty();
         self.succeed(has_news, now);
+        for fault in bulletin.faults {
+            self.note(Kind::SourceFault { fault }, now);
+        }
         let doubt = self.watch.doubt(DOUBT, now.time);
         let mut is_new = self.merge(bulletin.list, None, doubt, now);
         if let Some(delta) = bulletin.config {
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -133,6 +133,8 @@
     /// Changes of the list. Where there are none it still tells how far the list is complete:
     /// the next changes follow on that, and would leave a gap behind an older revision.
     pub list: Update,
+    /// Values that make no sense; each is passed over as if it had not been written.
+    pub faults: Vec<Fault>,
 }
 
 /// What came of a call.
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -72,6 +72,11 @@
         /// Its revision.
         revision: u64,
     },
+    /// The platform holds a value that makes no sense; it is passed over.
+    SourceFault {
+        /// Which, and what is wrong with it.
+        fault: Fault,
+    },
     /// The platform does not answer this node.
     SourceLost {
         /// Why.
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -408,7 +408,7 @@
                 Value::Config(number) => config = Some(documents(*revision, *number)),
             }
         }
-        Bulletin { revision: self.revision, config, list }
+        Bulletin { revision: self.revision, config, list, faults: Vec::new() }
     }
 }
 
--- a/crates/traffic/src/running.rs
+++ b/crates/traffic/src/running.rs
@@ -56,3 +56,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/traffic/tests/routed.rs
@@ -0,0 +1,226 @@
+//! Calls that are routed by host and path to upstreams that the platform lists.
+
+mod scene;
+
+use scene::{Act, Scene, request};
+use std::{io::Write, thread, time::Duration};
+
+/// Returns the status of an answer; empty where there is none.
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("")
+}
+
+fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
+    answer.lines().find_map(|line| {
+        let (found, value) = line.split_once(": ")?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
+#[track_caller]
+fn check(scene: &Scene, text: &str, expect: &str) -> String {
+    let answer = scene.exchange(0, text);
+    assert_eq!(status(&answer), expect, "{answer}");
+    answer
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    let scene = Scene::new(1, 4);
+    check(&scene, &request("GET", "/read/a?b=1", "", ""), "200");
+    check(&scene, &request("GET", "/read/none/a", "", ""), "503");
+    check(&scene, &request("GET", "/reading/a", "", ""), "404");
+    check(&scene, &request("GET", "/paydesk/a", "", ""), "404");
+    let elsewhere = request("GET", "/read/a", "", "").replace("shop.example", "other.example");
+    check(&scene, &elsewhere, "404");
+    let with_port = request("GET", "/read/a", "", "").replace("shop.example", "Shop.Example:80");
+    check(&scene, &with_port, "200");
+    assert!(scene.seen()[0].head.starts_with("GET /read/a?b=1 HTTP/1.1"));
+}
+
+/// A node that has just started tells every caller that their route does not exist, and they give
+/// up: it holds no configuration yet, so it cannot know.
+#[test]
+fn without_a_configuration_nothing_is_said_about_routes() {
+    let scene = Scene::bare(1, 4);
+    let answer = check(&scene, &request("GET", "/read/a", "", ""), "503");
+    assert_eq!(header(&answer, "baobab-cause"), Some("unready"));
+}
+
+#[test]
+fn the_entry_node_sets_what_only_it_may_set() {
+    let scene = Scene::new(2, 4);
+    let forged = "x-caller: somebody\r\nx-expect: i-9\r\nx-other: kept\r\nbaobab-offer: 0\r\n";
+    for _ in 0..4 {
+        check(&scene, &request("POST", "/post/a", forged, "{}"), "200");
+    }
+    for seen in scene.seen() {
+        assert_eq!(seen.header("x-caller"), Some("paydesk"));
+        assert_eq!(seen.header("x-other"), Some("kept"));
+        assert_eq!(seen.header("x-id"), Some("r1"));
+        assert_eq!(seen.body, b"{}");
+        let expected = seen.header("x-expect").expect("an identity is told");
+        assert!(["i-0", "i-1"].contains(&expected), "{expected}");
+        let deadline: u64 = seen.header("x-deadline").expect("it is told").parse().expect("ms");
+        assert!((1_000..=1_500).contains(&deadline), "the route's timeout: {deadline}");
+    }
+}
+
+/// A payment is refused by an upstream that is full and by one whose address was taken over. Both
+/// prove that it has not run, so it goes on to the third.
+#[test]
+fn what_provably_has_not_run_goes_to_another_upstream() {
+    for refusal in [Act::Refuse, Act::Other] {
+        let scene = Scene::new(2, 4);
+        scene.upstreams[0].set(refusal);
+        for _ in 0..5 {
+            check(&scene, &request("POST", "/post/a", "", "{}"), "200");
+        }
+        scene.upstreams[1].set(refusal);
+        let answer = check(&scene, &request("POST", "/post/a", "", "{}"), "503");
+        let after: f64 = header(&answer, "retry-after").expect("it is told").parse().expect("s");
+        assert!(after > 0.0 && after < 1.0, "{after}");
+    }
+}
+
+/// A payment is repeated by its caller, because a node passed on a 503 that promised nothing.
+#[test]
+fn answers_that_prove_nothing_are_not_passed_on_as_proof() {
+    for act in [Act::Unmarked, Act::Unstamped, Act::Crossed] {
+        let scene = Scene::new(2, 4);
+        scene.upstreams.iter().for_each(|upstream| upstream.set(act));
+        check(&scene, &request("POST", "/post/a", "", "{}"), "502");
+        assert_eq!(scene.seen().len(), 1, "{act:?}");
+    }
+}
+
+#[test]
+fn an_upstream_s_own_failure_is_passed_on_whole() {
+    let scene = Scene::new(1, 4);
+    scene.upstreams[0].set(Act::Fail);
+    let answer = check(&scene, &request("POST", "/post/a", "", "{}"), "500");
+    assert_eq!(header(&answer, "x-stamp"), Some("s1"));
+    assert!(answer.ends_with("\r\n\r\nbody"));
+}
+
+#[test]
+fn an_answer_may_end_with_its_connection() {
+    let scene = Scene::new(2, 4);
+    scene.upstreams.iter().for_each(|upstream| upstream.set(Act::Unframed));
+    let answer = check(&scene, &request("GET", "/read/a", "", ""), "200");
+    assert_eq!(header(&answer, "content-length"), Some("4"));
+}
+
+/// A shop waits until its deadline for a stock lookup that an upstream ran and whose answer was
+/// lost; another upstream could have answered in time.
+#[test]
+fn a_silent_upstream_gets_a_rival() {
+    let scene = Scene::new(2, 4);
+    scene.upstreams[0].set(Act::Silent);
+    for _ in 0..3 {
+        check(&scene, &request("GET", "/read/a", "", ""), "200");
+    }
+}
+
+/// An answer that was on its way is thrown away: the attempt was cut after its share of the time
+/// although there was nobody else to ask.
+#[test]
+fn a_slow_answer_is_waited_for_where_nobody_else_can_be_asked() {
+    let scene = Scene::new(1, 4);
+    scene.upstreams[0].set(Act::Slowly(Duration::from_millis(1_200)));
+    check(&scene, &request("GET", "/read/a", "", ""), "200");
+    assert_eq!(scene.seen().len(), 1);
+}
+
+#[test]
+fn a_payment_has_no_rival() {
+    let scene = Scene::new(2, 4);
+    scene.upstreams.iter().for_each(|u| u.set(Act::Slowly(Duration::from_millis(900))));
+    check(&scene, &request("POST", "/post/a", "", "{}"), "200");
+    assert_eq!(scene.seen().len(), 1);
+}
+
+/// The answer to a pharmacy's last lookup never arrives, although it was written: more lookups
+/// waited unread behind it, and closing the socket reset the connection.
+#[test]
+fn the_last_answer_of_a_closing_node_arrives() {
+    let scene = Scene::new(1, 4);
+    scene.hubs[0].set_open(true);
+    scene.upstreams[0].set(Act::Slowly(Duration::from_millis(50)));
+    for round in 0..20 {
+        scene.hubs[0].set_open(true);
+        let one = request("GET", "/read/a", "", "").replace("connection: close\r\n", "");
+        let mut stream = scene.connect(0);
+        stream.write_all(one.repeat(30).as_bytes()).expect("the node reads");
+        scene.wait(|| scene.seen().len() > round);
+        scene.hubs[0].set_open(false);
+        let mut text = String::new();
+        let read = std::io::Read::read_to_string(&mut stream, &mut text);
+        let answers = text.matches("HTTP/1.1 200").count();
+        assert!(read.is_ok(), "{read:?} after {answers} answers");
+        assert!(text.ends_with("body") && answers >= 1, "{text}");
+        assert_eq!(text.matches("connection: close").count(), 1);
+        let ran = scene.seen().len();
+        scene.wait(|| scene.hubs[0].in_hand() == 0);
+        assert_eq!(scene.seen().len(), ran);
+    }
+}
+
+/// An upload that is refused in the end has crossed a slow link for nothing, and held up everything
+/// behind it.
+#[test]
+fn a_large_body_crosses_only_if_it_will_be_taken() {
+    let scene = Scene::new(2, 1);
+    let body = "x".repeat(100_000);
+    for _ in 0..6 {
+        check(&scene, &request("POST", "/post/big", "", &body), "200");
+    }
+    let whole = |seen: &scene::Seen| seen.body.len() == 100_000;
+    assert!(scene.seen().iter().all(whole));
+    let too_large = "x".repeat(200_001);
+    check(&scene, &request("POST", "/post/big", "", &too_large), "413");
+}
+
+/// The rest of a rejected upload is taken for the next request: the upstream answers before it has
+/// read everything and keeps the connection.
+#[test]
+fn a_connection_with_an_early_answer_is_not_used_again() {
+    let scene = Scene::new(1, 4);
+    scene.upstreams[0].set(Act::Early);
+    let body = "x".repeat(150_000);
+    for _ in 0..5 {
+        check(&scene, &request("POST", "/post/big", "", &body), "400");
+    }
+    scene.upstreams[0].set(Act::Answer);
+    check(&scene, &request("POST", "/post/a", "", "{}"), "200");
+    for seen in scene.seen() {
+        assert!(seen.head.starts_with("POST /post/"), "{}", seen.head);
+    }
+}
+
+/// A refused caller's connection ends: it comes back on a new one, and thousands of old ones would
+/// fill the table.
+#[test]
+fn a_refusal_ends_its_connection() {
+    let scene = Scene::new(1, 1);
+    scene.upstreams[0].set(Act::Slowly(Duration::from_millis(700)));
+    let holding = request("GET", "/read/long/a", "", "");
+    let refused = request("GET", "/read/a", "", "").replace("connection: close\r\n", "");
+    thread::scope(|scope| {
+        scope.spawn(|| scene.exchange(0, &holding));
+        scene.wait(|| !scene.seen().is_empty());
+        // The text ends only because the node ends the connection.
+        let answer = check(&scene, &refused, "503");
+        assert_eq!(header(&answer, "connection"), Some("close"));
+    });
+}
+
+#[test]
+fn a_node_that_ends_soon_takes_nothing_more() {
+    let scene = Scene::new(1, 4);
+    scene.hubs[0].leave();
+    scene.hubs[0].close();
+    let answer = check(&scene, &request("GET", "/read/a", "", ""), "503");
+    assert_eq!(header(&answer, "baobab-cause"), Some("leaving"));
+    assert!(scene.seen().is_empty());
+}
--- /dev/null
+++ b/crates/traffic/tests/scene/mod.rs
@@ -0,0 +1,364 @@
+//! Nodes that route by host and path, beside upstreams that follow a script, and callers that write
+//! bytes as they please.
+
+// Each test file uses its own part of this module.
+#![allow(dead_code)]
+
+use fleet::{
+    member::State,
+    view::{Upstream as Listed, View},
+};
+use model::{
+    config::accept,
+    document::{Delta, Document, Set},
+};
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+use telemetry::metric::Meter;
+use tokio::runtime::{Builder, Runtime};
+use traffic::{Clock, Door, Hub, Listener, Settings, wire::Names};
+
+/// Time after which a test gives up; no verdict depends on it otherwise.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// What an upstream does with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Act {
+    /// Answers 200 with everything that belongs to an answer.
+    Answer,
+    /// Waits and answers then.
+    Slowly(Duration),
+    /// Reads the request and says nothing.
+    Silent,
+    /// Says that it has not run the request.
+    Refuse,
+    /// Says that another upstream is meant.
+    Other,
+    /// Answers 503 without saying that it has not run.
+    Unmarked,
+    /// Answers 200 without its mark.
+    Unstamped,
+    /// Answers 200 with the id of another request.
+    Crossed,
+    /// Answers 500.
+    Fail,
+    /// Answers 200 without a length and ends the connection.
+    Unframed,
+    /// Answers 400 before it has read the body, and reads on.
+    Early,
+}
+
+/// A request as an upstream saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct Seen {
+    pub(crate) head: String,
+    pub(crate) body: Vec<u8>,
+}
+
+impl Seen {
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (found, value) = line.split_once(':')?;
+            found.eq_ignore_ascii_case(name).then(|| value.trim())
+        })
+    }
+}
+
+/// A scripted upstream.
+#[derive(Clone)]
+pub(crate) struct Upstream {
+    pub(crate) address: SocketAddr,
+    act: Arc<Mutex<Act>>,
+    seen: Arc<Mutex<Vec<Seen>>>,
+}
+
+impl Upstream {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let upstream = Upstream {
+            address: listener.local_addr().expect("the listener has an address"),
+            act: Arc::new(Mutex::new(Act::Answer)),
+            seen: Arc::default(),
+        };
+        let server = upstream.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let server = server.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        upstream
+    }
+
+    pub(crate) fn set(&self, act: Act) {
+        *self.act.lock().expect("no test panics here") = act;
+    }
+
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("no test panics here").clone()
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let mut buffer = Vec::new();
+        while let Some(head) = read_head(&mut stream, &mut buffer) {
+            let act = *self.act.lock().expect("no test panics here");
+            let seen = Seen { head, body: Vec::new() };
+            if act == Act::Early {
+                let _ = stream.write_all(&answer(&seen, act));
+            }
+            let length = seen.header("content-length").and_then(|t| t.parse().ok()).unwrap_or(0);
+            let Some(body) = read_body(&mut stream, &mut buffer, length) else { return };
+            let seen = Seen { body, ..seen };
+            self.seen.lock().expect("no test panics here").push(seen.clone());
+            match act {
+                Act::Silent => thread::sleep(PATIENCE),
+                Act::Slowly(time) => thread::sleep(time),
+                _ => {}
+            }
+            if act != Act::Early && stream.write_all(&answer(&seen, act)).is_err() {
+                return;
+            }
+            if act == Act::Unframed {
+                return;
+            }
+        }
+    }
+}
+
+fn answer(seen: &Seen, act: Act) -> Vec<u8> {
+    let id = seen.header("x-id").unwrap_or_default();
+    let stamp = "x-stamp: s1\r\n";
+    let head = match act {
+        Act::Refuse => format!("503 Busy\r\nx-id: {id}\r\nx-refused: 1\r\n"),
+        Act::Other => "421 Misdirected\r\nx-instance: other\r\n".to_owned(),
+        Act::Unmarked => format!("503 Busy\r\nx-id: {id}\r\n{stamp}"),
+        Act::Unstamped => format!("200 OK\r\nx-id: {id}\r\n"),
+        Act::Crossed => format!("200 OK\r\nx-id: another\r\n{stamp}"),
+        Act::Fail => format!("500 Failed\r\nx-id: {id}\r\n{stamp}"),
+        Act::Early => format!("400 Bad\r\nx-id: {id}\r\n{stamp}"),
+        Act::Unframed => format!("200 OK\r\nx-id: {id}\r\n{stamp}connection: close\r\n"),
+        Act::Answer | Act::Slowly(_) | Act::Silent => format!("200 OK\r\nx-id: {id}\r\n{stamp}"),
+    };
+    let length = if act == Act::Unframed { "" } else { "content-length: 4\r\n" };
+    format!("HTTP/1.1 {head}{length}\r\nbody").into_bytes()
+}
+
+/// Some nodes of service "paydesk", each beside an upstream; all of them entry nodes as well.
+pub(crate) struct Scene {
+    pub(crate) runtime: Runtime,
+    pub(crate) hubs: Vec<Arc<Hub>>,
+    pub(crate) callers: Vec<SocketAddr>,
+    pub(crate) upstreams: Vec<Upstream>,
+}
+
+/// Routes of every scene.
+const ROUTES: [(&str, &str); 4] = [
+    (
+        "routes/read",
+        r#"{"host": "shop.example", "prefix": "/read/", "kind": "idempotent", "attempts": 2,
+            "timeout_ms": 4000, "objective_ms": 100, "targets": [{"service": "paydesk"}]}"#,
+    ),
+    (
+        "routes/post",
+        r#"{"host": "shop.example", "prefix": "/post/", "kind": "once", "attempts": 2,
+            "timeout_ms": 1500, "objective_ms": 400, "targets": [{"service": "paydesk"}]}"#,
+    ),
+    (
+        "routes/deeper",
+        r#"{"host": "shop.example", "prefix": "/read/none/", "kind": "once",
+            "targets": [{"service": "nobody"}]}"#,
+    ),
+    (
+        "routes/long",
+        r#"{"host": "shop.example", "prefix": "/read/long/", "kind": "idempotent",
+            "timeout_ms": 9000, "objective_ms": 9000, "targets": [{"service": "paydesk"}]}"#,
+    ),
+];
+
+fn names() -> Names {
+    let name = |text: &'static str| traffic::wire::HeaderName::from_static(text);
+    Names {
+        deadline: name("x-deadline"),
+        request: Some(name("x-id")),
+        caller: Some(name("x-caller")),
+        identity: Some(name("x-expect")),
+        refused: Some(name("x-refused")),
+        stamp: Some(name("x-stamp")),
+        precision: traffic::wire::Precision::Millis,
+    }
+}
+
+impl Scene {
+    /// Starts `count` nodes with `slots` slots each, and puts the routes into force.
+    pub(crate) fn new(count: usize, slots: usize) -> Self {
+        let scene = Scene::bare(count, slots);
+        for hub in &scene.hubs {
+            hub.set_config(configuration());
+        }
+        scene
+    }
+
+    /// Starts nodes that hold no configuration.
+    pub(crate) fn bare(count: usize, slots: usize) -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(4)
+            .enable_all()
+            .build()
+            .expect("threads can be started");
+        let upstreams: Vec<Upstream> = (0..count).map(|_| Upstream::start()).collect();
+        let mut scene = Scene { runtime, hubs: Vec::new(), callers: Vec::new(), upstreams };
+        let mut listed = Vec::new();
+        for number in 0..count {
+            let (caller, node) = scene.start(number, slots);
+            scene.callers.push(caller);
+            listed.push(upstream(number, node, slots));
+        }
+        let mut view = View::default();
+        listed.into_iter().for_each(|upstream| view.add("paydesk", upstream));
+        let view = Arc::new(view);
+        scene.hubs.iter().for_each(|hub| hub.set_view(view.clone()));
+        let hubs = scene.hubs.clone();
+        scene.runtime.spawn(async move {
+            loop {
+                for hub in &hubs {
+                    hub.beat();
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        });
+        scene
+    }
+
+    fn start(&mut self, number: usize, slots: usize) -> (SocketAddr, SocketAddr) {
+        let settings = Settings {
+            own: own(number),
+            service: "paydesk".to_owned(),
+            upstream: self.upstreams[number].address,
+            slots,
+            link_mbps: 5,
+            names: names(),
+            budget: Some(policy::budget::Settings::default()),
+            // A busy machine must not look like a pause.
+            pause: policy::pause::Settings { gap: PATIENCE, ..policy::pause::Settings::default() },
+            ..Settings::default()
+        };
+        let meter = Arc::new(Meter::new().expect("metrics can be set up"));
+        let hub = Hub::new(settings, Clock::default(), meter);
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let bind = |door| {
+            let listener = self.runtime.block_on(Listener::bind_door(any, door));
+            let listener = listener.expect("a port is free");
+            let address = listener.address().expect("the listener has an address");
+            self.runtime.spawn(listener.serve(hub.clone()));
+            address
+        };
+        let addresses = (bind(Door::Callers), bind(Door::Nodes));
+        self.hubs.push(hub);
+        addresses
+    }
+
+    /// Sends `request` to a node on a new connection and returns what comes until it ends.
+    pub(crate) fn exchange(&self, node: usize, request: &str) -> String {
+        let mut stream = self.connect(node);
+        stream.write_all(request.as_bytes()).expect("the node reads");
+        let mut text = String::new();
+        // A reset ends the text as well; what was read before it counts.
+        let _ = stream.read_to_string(&mut text);
+        text
+    }
+
+    pub(crate) fn connect(&self, node: usize) -> TcpStream {
+        let stream = TcpStream::connect(self.callers[node]).expect("the node listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("the socket takes a timeout");
+        stream
+    }
+
+    /// Returns all requests that upstreams saw, in no order.
+    pub(crate) fn seen(&self) -> Vec<Seen> {
+        self.upstreams.iter().flat_map(Upstream::seen).collect()
+    }
+
+    pub(crate) fn wait(&self, done: impl Fn() -> bool) {
+        let begun = Instant::now();
+        while !done() {
+            assert!(begun.elapsed() < PATIENCE, "waited in vain");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
+/// Returns a request that asks for the connection to end with its answer.
+pub(crate) fn request(method: &str, path: &str, extra: &str, body: &str) -> String {
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: shop.example\r\nx-id: r1\r\nx-deadline: 3000\r\n\
+         connection: close\r\n{extra}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn own(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 2], 7_000 + number as u16))
+}
+
+fn upstream(number: usize, traffic: SocketAddr, slots: usize) -> Listed {
+    Listed {
+        address: own(number),
+        traffic,
+        instance: format!("i-{number}"),
+        incarnation: 1,
+        identity: Some(format!("i-{number}").as_str().into()),
+        data_centre: "ktm-a".to_owned(),
+        near: true,
+        state: State::Live,
+        slots,
+        cold_ms: 0,
+    }
+}
+
+fn configuration() -> Arc<model::config::Snapshot> {
+    let document = |(key, text): (&str, &str)| Document {
+        key: key.to_owned(),
+        modified: 1,
+        text: text.into(),
+    };
+    let mut documents = vec![
+        document(("profiles/p", "{}")),
+        document(("services/paydesk", r#"{"profile": "p"}"#)),
+        document(("services/nobody", r#"{"profile": "p"}"#)),
+        document(("limits", r#"{"body_bytes": 200000}"#)),
+    ];
+    documents.extend(ROUTES.map(document));
+    let delta = Delta { revision: 1, full: true, documents, removed: vec![] };
+    Arc::new(accept(&Set::default().with(delta)).expect("the routes are good"))
+}
+
+fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
+            let rest = buffer.split_off(end + 4);
+            let head = std::mem::replace(buffer, rest);
+            return String::from_utf8(head).ok();
+        }
+        fill(stream, buffer)?;
+    }
+}
+
+fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, length: usize) -> Option<Vec<u8>> {
+    while buffer.len() < length {
+        fill(stream, buffer)?;
+    }
+    let rest = buffer.split_off(length);
+    Some(std::mem::replace(buffer, rest))
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 16 * 1024];
+    let count = stream.read(&mut chunk).ok().filter(|&count| count > 0)?;
+    buffer.extend_from_slice(&chunk[..count]);
+    Some(())
+}
