Pulls by content, reload, trace, news from the product's own platform

Deltas are told by content now, in 64 buckets. Ruled out: the reader (it had every version), silence (the list kept arriving). Test: what_differs_is_told_by_content_whoever_read_it_when. Also: settings are read again on SIGHUP and when the file changes, whole or not at all; baobabctl trace and timeline read logs; the product's own platform protocol serves list mode.

--- a/crates/baobabctl/src/check.rs
+++ b/crates/baobabctl/src/check.rs
@@ -26,7 +26,7 @@
             Err(fault) => faults.push(fault),
         }
     }
-    let set = Set::default().with(Delta { revision: 1, full: true, documents, removed: vec![] });
+    let set = Set::default().with(Delta { revision: 1, full: true, documents, ..Delta::default() });
     if let Err(found) = config::accept(&set) {
         faults.extend(found.into_iter().map(|fault| with_file(fault, &keys)));
     }
--- /dev/null
+++ b/crates/baobabctl/src/logs.rs
@@ -0,0 +1,32 @@
+//! Reading what nodes logged, from files.
+
+use fleet::timeline::Event;
+use std::fs;
+use trail::Line;
+
+/// Lines of one or more logs, by kind.
+#[derive(Debug, Default)]
+pub(crate) struct Logs {
+    /// What nodes decided about requests, in the order of the files.
+    pub(crate) lines: Vec<Line>,
+    /// What nodes came to believe, in the order of the files.
+    pub(crate) events: Vec<Event>,
+}
+
+/// Reads `files`; whatever stands before a line's JSON, such as a collector's time, is passed over.
+pub(crate) fn read(files: &[String]) -> Result<Logs, String> {
+    let mut logs = Logs::default();
+    for file in files {
+        let bytes = fs::read(file).map_err(|e| format!("{file}: {e}"))?;
+        for text in String::from_utf8_lossy(&bytes).lines() {
+            let Some(start) = text.find('{') else { continue };
+            let text = &text[start..];
+            if let Some(line) = trail::parse(text) {
+                logs.lines.push(line);
+            } else if let Ok(event) = serde_json::from_str(text) {
+                logs.events.push(event);
+            }
+        }
+    }
+    Ok(logs)
+}
--- a/crates/baobabctl/src/main.rs
+++ b/crates/baobabctl/src/main.rs
@@ -1,7 +1,9 @@
 //! The operators' command line: checks documents and asks nodes.
 
 mod check;
+mod logs;
 mod show;
+mod trace;
 
 use pico_args::Arguments;
 use std::{net::SocketAddr, process::ExitCode};
@@ -16,6 +18,9 @@
                                             profile and upstreams as that node would choose now
   baobabctl timeline --node IP:PORT [--follow] [--json]
                                             events of all reachable nodes in causal order
+  baobabctl timeline FILE... [--json]       the same, out of what nodes logged
+  baobabctl trace ID FILE... [--json]       all that nodes logged about one request, in causal order,
+                                            and one sentence for its cause
 
   --node IP:PORT  a node's address for operators
   --help          prints this text
@@ -63,15 +68,7 @@
 fn run(mut arguments: Arguments) -> Result<End, String> {
     let command = arguments.subcommand().map_err(|e| e.to_string())?;
     match command.as_deref() {
-        Some("check") => {
-            let files: Vec<String> =
-                arguments.finish().into_iter().map(|a| a.to_string_lossy().into_owned()).collect();
-            match files.iter().find(|f| f.starts_with('-')) {
-                Some(option) => Err(format!("unknown option {option}")),
-                None if files.is_empty() => Err("name at least one file".to_owned()),
-                None => Ok(check::run(&files)),
-            }
-        }
+        Some("check") => Ok(check::run(&files(arguments)?)),
         Some("status") => {
             let (node, form) = node_and_form(&mut arguments)?;
             finish(arguments)?;
@@ -83,7 +80,16 @@
             finish(arguments)?;
             Ok(show::explain(node, &service, form))
         }
+        Some("trace") => {
+            let form = form(&mut arguments);
+            let id: String = arguments.free_from_str().map_err(|e| e.to_string())?;
+            trace::run(&id, &files(arguments)?, form)
+        }
         Some("timeline") => {
+            if !wants_node(&arguments) {
+                let form = form(&mut arguments);
+                return show::files(&files(arguments)?, form);
+            }
             let (node, form) = node_and_form(&mut arguments)?;
             let follow = arguments.contains("--follow");
             finish(arguments)?;
@@ -94,8 +100,27 @@
     }
 }
 
+/// Returns the files that are named; an option among them is a mistake.
+fn files(arguments: Arguments) -> Result<Vec<String>, String> {
+    let files: Vec<String> =
+        arguments.finish().into_iter().map(|a| a.to_string_lossy().into_owned()).collect();
+    match files.iter().find(|f| f.starts_with('-')) {
+        Some(option) => Err(format!("unknown option {option}")),
+        None if files.is_empty() => Err("name at least one file".to_owned()),
+        None => Ok(files),
+    }
+}
+
+fn wants_node(arguments: &Arguments) -> bool {
+    arguments.clone().finish().iter().any(|argument| argument == "--node")
+}
+
+fn form(arguments: &mut Arguments) -> show::Form {
+    if arguments.contains("--json") { show::Form::Json } else { show::Form::Text }
+}
+
 fn node_and_form(arguments: &mut Arguments) -> Result<(SocketAddr, show::Form), String> {
-    let form = if arguments.contains("--json") { show::Form::Json } else { show::Form::Text };
+    let form = form(arguments);
     let node = arguments.value_from_str("--node").map_err(|e| e.to_string())?;
     Ok((node, form))
 }
--- a/crates/baobabctl/src/show.rs
+++ b/crates/baobabctl/src/show.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, thread, time::Duration};
 
-use crate::End;
+use crate::{End, logs};
 
 /// Time for an answer; the node itself waits up to 2 s for each group of other nodes.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -58,7 +58,7 @@
 /// Prints the events of all reachable nodes.
 pub(crate) fn timeline(node: SocketAddr, form: Form) -> End {
     let Some(events) = events_after(node, Stamp::default()) else { return End::No };
-    events.iter().for_each(|event| print_event(event, form));
+    events.iter().for_each(|e| event(e, form));
     End::Done
 }
 
@@ -67,9 +67,9 @@
     let mut last = Stamp::default();
     loop {
         let Some(events) = events_after(node, last) else { return End::No };
-        for event in &events {
-            print_event(event, form);
-            last = last.max(event.stamp);
+        for e in &events {
+            event(e, form);
+            last = last.max(e.stamp);
         }
         thread::sleep(FOLLOW);
     }
@@ -177,7 +177,16 @@
     }
 }
 
-fn print_event(event: &Event, form: Form) {
+/// Prints the events that nodes logged into `files`, in causal order.
+pub(crate) fn files(files: &[String], form: Form) -> Result<End, String> {
+    let mut events = logs::read(files)?.events;
+    events.sort_by(|a, b| (a.stamp, &a.node).cmp(&(b.stamp, &b.node)));
+    events.iter().for_each(|e| event(e, form));
+    Ok(if events.is_empty() { End::No } else { End::Done })
+}
+
+/// Prints one event.
+pub(crate) fn event(event: &Event, form: Form) {
     let Ok(mut value) = serde_json::to_value(event) else { return };
     if form == Form::Json {
         println!("{value}");
@@ -206,7 +215,7 @@
 }
 
 /// Returns the time of day in UTC.
-fn clock_text(ms: u64) -> String {
+pub(crate) fn clock_text(ms: u64) -> String {
     let seconds = ms / 1_000;
     let (hour, minute, second) = (seconds / 3_600 % 24, seconds / 60 % 60, seconds % 60);
     format!("{hour:02}:{minute:02}:{second:02}.{:03}Z", ms % 1_000)
--- /dev/null
+++ b/crates/baobabctl/tests/trace.rs
@@ -0,0 +1,69 @@
+//! `baobabctl trace` and `timeline` out of what nodes logged.
+
+use std::{fs, process::Command};
+
+/// What two nodes logged; the clock of the serving one is five seconds behind.
+const ENTRY: &str = r#"
+2026-12-02T20:00:00Z {"stamp":655360000000,"node":"entry","event":"in-force","version":{"revision":7,"digest":"00000000000000000000000000000000"},"from":null}
+{"stamp":655360000001,"node":"entry","event":"upstream","id":"i-1","service":"stock","address":"10.0.0.2:80","change":"listed","revision":6,"from":null}
+{"t":10000001,"node":"entry","id":"9c41","event":"routed","route":"r-1","service":"stock","revision":7,"nested":false,"elapsed_ms":0,"left_ms":1200,"priority":6}
+{"t":10000002,"node":"entry","id":"9c41","event":"offered","attempt":4,"upstream":"i-1","peer":"10.0.0.2:8000","near":true,"in_flight":0,"expected_load":9.0,"failure_share":0.0,"candidates":1}
+{"t":10000030,"node":"entry","id":"9c41","event":"attempted","attempt":4,"outcome":"not-run","reason":"overloaded","status":0,"ms":28}
+{"t":10000031,"node":"entry","id":"9c41","event":"ended","outcome":"not-run","reason":"overloaded","status":503,"retry_after_ms":60,"ms":30,"attempts":1}
+a line of somebody else
+"#;
+
+const SERVING: &str = r#"
+{"t":9995010,"node":"serving","id":"9c41","event":"claimed","attempt":4,"upstream":"i-1","decision":"overloaded","busy":9,"waiting":3,"waited_ms":25,"left_ms":1100}
+{"t":9995011,"node":"serving","id":"other","event":"claimed","attempt":5,"upstream":"i-1","decision":"run","busy":9,"waiting":3,"waited_ms":0,"left_ms":1100}
+"#;
+
+/// Runs the tool on both logs and returns what it prints and its exit status.
+fn ctl(arguments: &[&str]) -> (String, Option<i32>) {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_baobabctl"));
+    command.args(arguments);
+    for (name, text) in [("serving.log", SERVING), ("entry.log", ENTRY)] {
+        let path = folder.path().join(name);
+        fs::write(&path, text).expect("the file can be written");
+        command.arg(path);
+    }
+    let output = command.output().expect("the program can be run");
+    (String::from_utf8_lossy(&output.stdout).into_owned(), output.status.code())
+}
+
+#[track_caller]
+fn check(arguments: &[&str], status: i32, expect: &[&str]) {
+    let (printed, code) = ctl(arguments);
+    let mut rest = printed.as_str();
+    for part in expect {
+        let at = rest.find(part).unwrap_or_else(|| panic!("{part} is missing in order: {printed}"));
+        rest = &rest[at + part.len()..];
+    }
+    assert_eq!(code, Some(status), "{printed}");
+}
+
+#[test]
+fn a_request_is_told_in_causal_order_with_what_decided_it() {
+    check(
+        &["trace", "9c41"],
+        0,
+        &[
+            "routed",
+            "offered",
+            "claimed",
+            "attempted",
+            "ended",
+            "in-force",
+            "listed",
+            "every upstream that was asked had no slot in time",
+        ],
+    );
+}
+
+#[test]
+fn unknown_requests_and_wrong_usage_are_told() {
+    check(&["trace", "none"], 1, &["No line about this request"]);
+    check(&["trace", "9c41", "--what"], 2, &[]);
+    check(&["timeline"], 0, &["in-force", "upstream"]);
+}
--- a/crates/baobabrelayd/src/main.rs
+++ b/crates/baobabrelayd/src/main.rs
@@ -1,11 +1,11 @@
 //! The daemon: reads its settings, starts a node and stops it in an orderly way.
 
-use node::{Node, settings};
-use pico_args::Arguments;
-use signal_hook::{
-    consts::{SIGINT, SIGTERM},
-    iterator::Signals,
+use node::{
+    Node,
+    reload::{self, Inbox},
+    settings,
 };
+use pico_args::Arguments;
 use std::{fs, process::ExitCode};
 
 const HELP: &str = "\
@@ -18,7 +18,8 @@
   --help           prints this text
   --version        prints the version
 
-SIGTERM or SIGINT is a planned stop: no new work, calls in hand are finished.
+SIGTERM or SIGINT is a planned stop: no new work, calls in hand are finished. SIGHUP reads the
+settings again; so does a change of the file, within some seconds.
 exit status: 0 done, 1 the node could not start, 2 usage or settings wrong
 ";
 
@@ -54,26 +55,28 @@
         println!("{file}: no faults");
         return ExitCode::SUCCESS;
     }
-    run(&settings)
+    run(&file, &settings)
 }
 
 fn read(file: &str) -> Result<settings::Settings, Vec<String>> {
     let text = fs::read_to_string(file).map_err(|e| vec![format!("{file}: {e}")])?;
-    settings::read(file, &text).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+    parse(file, &text)
 }
 
-fn run(settings: &settings::Settings) -> ExitCode {
-    let signals = Signals::new([SIGTERM, SIGINT]);
-    let started = Node::start(settings);
-    match (signals, started) {
-        (Ok(mut signals), Ok(node)) => {
-            signals.forever().next();
-            node.stop();
-            ExitCode::SUCCESS
-        }
-        (Err(error), _) => fail(&error.to_string()),
-        (_, Err(error)) => fail(&error.to_string()),
+fn parse(file: &str, text: &str) -> Result<settings::Settings, Vec<String>> {
+    settings::read(file, text).map_err(|faults| faults.iter().map(ToString::to_string).collect())
+}
+
+fn run(file: &str, settings: &settings::Settings) -> ExitCode {
+    let inbox = match Inbox::open() {
+        Ok(inbox) => inbox,
+        Err(error) => return fail(&error.to_string()),
+    };
+    match Node::start(settings) {
+        Ok(node) => reload::run(inbox, node, file, &|text| parse(file, text)),
+        Err(error) => return fail(&error.to_string()),
     }
+    ExitCode::SUCCESS
 }
 
 fn usage(reason: &str) -> ExitCode {
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -149,7 +149,11 @@
 
     fn send_pull(&mut self, peer: SocketAddr, have: Option<u64>) {
         self.pulling = Some(peer);
-        self.effects.push(Effect::Send(peer, Request::Pull(Pull { have }), PULL_TIMEOUT));
+        self.effects.push(Effect::Send(
+            peer,
+            Request::Pull(Pull { have, ..Pull::default() }),
+            PULL_TIMEOUT,
+        ));
     }
 
     fn report_conflict(&mut self, offered: Version, now: Now) {
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -72,6 +72,16 @@
         self.set.since(have)
     }
 
+    /// Returns digests of the documents in force, see [`Set::buckets`].
+    pub fn buckets(&self) -> &[u64] {
+        self.set.buckets()
+    }
+
+    /// Returns what a holder of documents with these digests lacks.
+    pub fn differing(&self, buckets: &[u64]) -> Delta {
+        self.set.differing(buckets)
+    }
+
     /// Returns the set that `delta` leads to from the one in force.
     pub fn with(&self, delta: Delta) -> Set {
         self.set.with(delta)
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -257,7 +257,10 @@
         let response = match request {
             Request::Pull(pull) => Response::Pull(Bundle {
                 version: self.fence.version(),
-                delta: self.fence.since(pull.have),
+                delta: match (pull.have, pull.buckets.as_slice()) {
+                    (Some(_), buckets) if !buckets.is_empty() => self.fence.differing(buckets),
+                    (have, _) => self.fence.since(have),
+                },
             }),
             Request::Fetch(fetch) => Response::Fetch(self.directory.since(fetch.have, now.time)),
             // Beats and exchanges of records belong to the mode without a list.
@@ -396,7 +399,9 @@
         let refused = self.fence.rejected().map(|r| r.version.revision).max().unwrap_or(0);
         if !self.awaits_platform(now) {
             let held = held.max(refused);
-            let next = self.pulls.next_config(&self.peers, held, now.time, &mut self.random);
+            let buckets = self.fence.buckets();
+            let next =
+                self.pulls.next_config(&self.peers, held, buckets, now.time, &mut self.random);
             self.send_pull(next);
         }
         let held = self.directory.revision();
--- a/crates/fleet/src/listed/pull.rs
+++ b/crates/fleet/src/listed/pull.rs
@@ -74,13 +74,15 @@
         &mut self,
         peers: &Peers,
         held: u64,
+        buckets: &[u64],
         now: Time,
         random: &mut SmallRng,
     ) -> Option<(SocketAddr, Request)> {
         let peer = self.config.begin(peers, held, now, random, |digest| digest.config)?;
         let whole = std::mem::replace(&mut self.whole_config, false) || held == 0;
-        let have = if whole { None } else { Some(held) };
-        Some((peer, Request::Pull(Pull { have })))
+        let buckets = if whole { Vec::new() } else { buckets.to_vec() };
+        let have = (!whole).then_some(held);
+        Some((peer, Request::Pull(Pull { have, buckets })))
     }
 
     pub(super) fn next_list(
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -51,10 +51,13 @@
 }
 
 /// Asks for the version in force.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Pull {
     /// Revision that the asker holds; none asks for every document.
     pub have: Option<u64>,
+    /// Digests of the asker's documents per bucket; empty asks for what changed since `have`.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub buckets: Vec<u64>,
 }
 
 /// The version in force at the replier.
--- a/crates/fleet/src/source.rs
+++ b/crates/fleet/src/source.rs
@@ -124,7 +124,7 @@
 }
 
 /// What has changed on a platform that keeps configuration and list under one revision.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Bulletin {
     /// Revision up to which the asker now holds everything.
     pub revision: u64,
@@ -134,6 +134,7 @@
     /// the next changes follow on that, and would leave a gap behind an older revision.
     pub list: Update,
     /// Values that make no sense; each is passed over as if it had not been written.
+    #[serde(default)]
     pub faults: Vec<Fault>,
 }
 
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -141,6 +141,16 @@
         /// The node that told it; none for the platform.
         from: Option<SocketAddr>,
     },
+    /// The settings were read again.
+    Reloaded {
+        /// Whether something changed that only a restart brings into force.
+        needs_restart: bool,
+    },
+    /// The settings were read again and cannot be used; the former ones stay in force.
+    ReloadRefused {
+        /// Every fault with its place.
+        faults: Vec<String>,
+    },
     /// Lines about requests were left out of the log, which was over its bound.
     LinesLeftOut {
         /// How many.
--- a/crates/fleet/tests/fence.rs
+++ b/crates/fleet/tests/fence.rs
@@ -9,7 +9,12 @@
 fn set((revision, text): Offer) -> Set {
     let document =
         Document { key: "profiles/reading".to_owned(), modified: revision, text: text.into() };
-    Set::default().with(Delta { revision, full: true, documents: vec![document], removed: vec![] })
+    Set::default().with(Delta {
+        revision,
+        full: true,
+        documents: vec![document],
+        ..Delta::default()
+    })
 }
 
 fn name(verdict: &Verdict) -> &'static str {
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -422,5 +422,5 @@
         document("profiles/p", format!("{{\"deadline_ms\": {}}}", 1_000 + number)),
         document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
     ];
-    Delta { revision, full: true, documents, removed: Vec::new() }
+    Delta { revision, full: true, documents, ..Delta::default() }
 }
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -7,6 +7,7 @@
     fmt,
     sync::{Arc, OnceLock},
 };
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::config::Version;
 
@@ -20,6 +21,12 @@
 /// Most documents in one revision.
 pub const COUNT_LIMIT: usize = 4_096;
 
+/// Number of groups into which documents are divided by their keys to find differences.
+///
+/// With 2,000 documents of 250 bytes, a group that differs costs 8 KB and the summary of all groups
+/// 1.3 KB.
+pub const BUCKETS: usize = 64;
+
 /// Most removals that a set remembers for deltas.
 const REMOVED_LIMIT: usize = 256;
 
@@ -106,6 +113,10 @@
     pub documents: Vec<Document>,
     /// Documents removed since the receiver's revision.
     pub removed: Vec<Removal>,
+    /// Buckets, see [`Set::buckets`], of which `documents` holds everything: what else the receiver
+    /// has in them is gone.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub buckets: Vec<usize>,
 }
 
 /// All documents of one revision.
@@ -116,6 +127,7 @@
     removed: Vec<Removal>,
     /// Worked out once: a hash over hundreds of kilobytes takes a slow core milliseconds.
     version: OnceLock<Version>,
+    buckets: OnceLock<Vec<u64>>,
 }
 
 impl Set {
@@ -149,6 +161,9 @@
         for removal in &delta.removed {
             next.documents.remove(&removal.key);
         }
+        if !delta.buckets.is_empty() {
+            next.documents.retain(|key, _| !delta.buckets.contains(&bucket_of(key)));
+        }
         for document in delta.documents {
             // A source that tells every document each time would make all of them look new, and
             // every delta for others would hold everything.
@@ -158,6 +173,7 @@
         }
         next.revision = delta.revision;
         next.version = OnceLock::new();
+        next.buckets = OnceLock::new();
         next.removed = self.removals_of(&next, delta.removed);
         next
     }
@@ -171,6 +187,44 @@
             full: have.is_none(),
             documents: self.documents.values().filter(newer).cloned().collect(),
             removed: self.removed.iter().filter(|r| r.revision > base).cloned().collect(),
+            buckets: Vec::new(),
+        }
+    }
+
+    /// Returns a digest of each bucket of documents.
+    ///
+    /// When a document was last modified is what its holder has seen: one that has read everything
+    /// anew takes all for modified. Buckets compare contents, whoever holds them.
+    pub fn buckets(&self) -> &[u64] {
+        self.buckets.get_or_init(|| {
+            let mut buckets = vec![0; BUCKETS];
+            for document in self.documents.values() {
+                buckets[bucket_of(&document.key)] ^= hash(document);
+            }
+            buckets
+        })
+    }
+
+    /// Returns the buckets whose digests differ from `theirs`, whole.
+    ///
+    /// ```
+    /// use model::document::{Delta, Document, Set};
+    /// let document = Document { key: "services/a".into(), modified: 1, text: "{}".into() };
+    /// let delta = Delta { revision: 1, full: true, documents: vec![document], ..Delta::default() };
+    /// let set = Set::default().with(delta);
+    /// let difference = set.differing(Set::default().buckets());
+    /// assert_eq!(Set::default().with(difference).version(), set.version());
+    /// ```
+    pub fn differing(&self, theirs: &[u64]) -> Delta {
+        let own = self.buckets();
+        let differs = |bucket: &usize| theirs.get(*bucket) != Some(&own[*bucket]);
+        let buckets: Vec<usize> = (0..BUCKETS).filter(differs).collect();
+        let within = |d: &&Document| buckets.contains(&bucket_of(&d.key));
+        Delta {
+            revision: self.revision,
+            documents: self.documents.values().filter(within).cloned().collect(),
+            buckets,
+            ..Delta::default()
         }
     }
 
@@ -190,3 +244,16 @@
         removed
     }
 }
+
+fn bucket_of(key: &str) -> usize {
+    (xxh3_64(key.as_bytes()) % BUCKETS as u64) as usize
+}
+
+fn hash(document: &Document) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(document.key.as_bytes());
+    // No key holds a zero byte, so the border between key and text counts.
+    hasher.update(&[0]);
+    hasher.update(document.text.as_bytes());
+    hasher.digest()
+}
--- a/crates/model/tests/accept.rs
+++ b/crates/model/tests/accept.rs
@@ -11,7 +11,7 @@
         .iter()
         .map(|(key, text)| Document { key: (*key).to_owned(), modified: 1, text: (*text).into() })
         .collect();
-    Set::default().with(Delta { revision: 1, full: true, documents, removed: vec![] })
+    Set::default().with(Delta { revision: 1, full: true, documents, ..Delta::default() })
 }
 
 /// Compares the faults, each as "document pointer", in order.
@@ -139,3 +139,69 @@
         .tests(500)
         .quickcheck(property as fn(Vec<u8>, Vec<u8>, Vec<u8>) -> bool);
 }
+
+/// Nodes on slow links stay eight seconds behind: the node that they ask has restarted and read
+/// everything anew, so it takes every document for modified and answers with hundreds of kilobytes,
+/// which do not arrive in time, again and again.
+#[test]
+fn what_differs_is_told_by_content_whoever_read_it_when() {
+    let documents = |revision: u64, changed: usize| -> Vec<Document> {
+        let text = |i: usize| format!("{{\"deadline_ms\": {}}}", if i == changed { 7 } else { 8 });
+        (0..500)
+            .map(|i| Document {
+                key: format!("profiles/p{i}"),
+                modified: revision,
+                text: text(i).into(),
+            })
+            .collect()
+    };
+    let whole = |revision, changed| Delta {
+        revision,
+        full: true,
+        documents: documents(revision, changed),
+        ..Delta::default()
+    };
+    let old = Set::default().with(whole(5, 3));
+    let fresh = Set::default().with(whole(9, 4));
+    assert_eq!(fresh.since(Some(5)).documents.len(), 500);
+    let delta = fresh.differing(old.buckets());
+    assert!(delta.documents.len() < 40, "{}", delta.documents.len());
+    assert_eq!(old.with(delta).version(), fresh.version());
+    let mut shrunk = whole(11, 4);
+    shrunk.documents.truncate(480);
+    let shrunk = fresh.with(shrunk);
+    let delta = shrunk.differing(fresh.buckets());
+    assert_eq!(fresh.with(delta).version(), shrunk.version());
+}
+
+#[test]
+fn routes_lead_to_services_that_exist_and_no_two_to_the_same_calls() {
+    let services = [("profiles/a", "{}"), ("services/s", r#"{"profile": "a"}"#)];
+    let route = |prefix: &str, more: &str| {
+        format!(
+            r#"{{"host": "h", "prefix": "{prefix}", "kind": "once",
+                "targets": [{{"service": "s"}}{more}]}}"#
+        )
+    };
+    let check_route = |text: &str, expect: &[&str]| {
+        check(&[services[0], services[1], ("routes/r", text)], expect);
+    };
+    check_route(&route("/a/", ""), &[]);
+    check_route(&route("/a", ""), &["routes/r /prefix"]);
+    check_route(&route("/a/", r#", {"service": "none"}"#), &["routes/r /targets/1/service"]);
+    check_route(
+        &route("/a/", r#", {"service": "s", "weight": -1}"#),
+        &["routes/r /targets/1/weight"],
+    );
+    check_route(&route("/a/", "").replace("once", "twice"), &["routes/r /kind"]);
+    check_route(&route("/a/", "").replace("\"h\"", "\"H\""), &["routes/r /host"]);
+    let same = route("/a/", "");
+    check(
+        &[services[0], services[1], ("routes/q", &same), ("routes/r", &same)],
+        &["routes/r /prefix"],
+    );
+    check(
+        &[("limits", r#"{"idle_ms": 1, "body_bytes": "much"}"#)],
+        &["limits /body_bytes", "limits /idle_ms"],
+    );
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -16,12 +16,14 @@
 mod control;
 mod operators;
 mod process;
+pub mod reload;
 pub mod settings;
 
 use fleet::{
     clock::Now,
     control::Event,
     member::{Record, State},
+    timeline::Kind,
 };
 use snafu::{ResultExt, Snafu};
 use source::Source;
@@ -34,11 +36,11 @@
 };
 use telemetry::metric;
 use tokio::runtime::{Builder, Runtime};
-use traffic::{Clock, Door, Hub, Listener};
+use traffic::{Clock, Door, Hub, Listener, Tuning};
 
 use crate::{
     control::Link,
-    settings::{Discovery, Settings, Stop},
+    settings::{Discovery, Settings},
 };
 
 /// Version of the product.
@@ -103,7 +105,7 @@
 pub struct Node {
     hub: Arc<Hub>,
     link: Link,
-    stop: Stop,
+    settings: Settings,
     _peers: Runtime,
     _traffic: Runtime,
 }
@@ -159,7 +161,26 @@
         for listener in listeners {
             traffic.spawn(listener.serve(hub.clone()));
         }
-        Ok(Node { hub, link, stop: settings.stop, _peers: peers, _traffic: traffic })
+        Ok(Node { hub, link, settings: settings.clone(), _peers: peers, _traffic: traffic })
+    }
+
+    /// Works under new settings as far as they can change while the process runs; the time line
+    /// tells whether the rest needs a restart.
+    pub fn reload(&mut self, new: &Settings) {
+        let mut reloaded = self.settings.clone();
+        reloaded.room = new.room;
+        reloaded.connect = new.connect;
+        reloaded.budget = new.budget;
+        reloaded.stop = new.stop;
+        let needs_restart = reloaded != *new;
+        self.hub.set_tuning(tuning(&reloaded));
+        self.settings = reloaded;
+        self.link.send(Event::Note(Kind::Reloaded { needs_restart }));
+    }
+
+    /// Notes that new settings cannot be used; the former ones stay in force.
+    pub fn refuse_reload(&self, faults: &[String]) {
+        self.link.send(Event::Note(Kind::ReloadRefused { faults: faults.to_vec() }));
     }
 
     /// Takes no more work, finishes what is in hand, tells other nodes and returns.
@@ -170,13 +191,13 @@
         self.hub.set_open(false);
         // Callers find out by asking, so they still come for a while; until they have left, this
         // node and its upstream are of use to everybody.
-        thread::sleep(self.stop.linger);
+        thread::sleep(self.settings.stop.linger);
         let begun = Instant::now();
         self.hub.leave();
         self.link.send(Event::Leave);
-        let left = self.stop.limit.saturating_sub(self.stop.linger);
+        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
         let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
-        let close = limit.saturating_sub(self.stop.finish);
+        let close = limit.saturating_sub(self.settings.stop.finish);
         let mut busy = Instant::now();
         while begun.elapsed() < limit {
             if begun.elapsed() >= close {
@@ -222,6 +243,10 @@
     }
 }
 
+fn tuning(settings: &Settings) -> Tuning {
+    Tuning { room: settings.room, connect: settings.connect, budget: settings.budget }
+}
+
 fn hub_settings(settings: &Settings, incarnation: u64) -> traffic::Settings {
     traffic::Settings {
         own: settings.listen.peers,
@@ -234,15 +259,13 @@
         upstream: settings.upstream.address,
         slots: settings.upstream.slots,
         offset: rand::random(),
-        room: settings.room,
-        connect: settings.connect,
+        tuning: tuning(settings),
         connections: settings.connections,
         pause: policy::pause::Settings::default(),
         instance: settings.instance.clone(),
         log: settings.log,
         link_mbps: settings.link_mbps,
         names: settings.names.clone(),
-        budget: settings.budget,
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -8,7 +8,7 @@
 use traffic::wire::{HeaderName, Names, Precision};
 
 /// Settings of a node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The platform's name of the instance.
     pub instance: String,
@@ -58,7 +58,7 @@
 }
 
 /// How a planned stop goes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Stop {
     /// For how long a node that tells callers that it takes no new work still takes it. Callers
     /// that ask once a second leave after two refusals.
@@ -81,7 +81,7 @@
 }
 
 /// Addresses a node listens at.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Listen {
     /// For calls; of callers only where `nodes` is given.
     pub traffic: SocketAddr,
@@ -96,7 +96,7 @@
 }
 
 /// The upstream beside a node.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Upstream {
     /// Its address.
     pub address: SocketAddr,
--- a/crates/policy/src/share.rs
+++ b/crates/policy/src/share.rs
@@ -6,7 +6,7 @@
 //! and there is always room left for a service that has little.
 
 /// Room for calls in hand, in calls, and for bodies in hand, in bytes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Room {
     /// Most calls that a node holds at once.
     pub calls: usize,
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -71,7 +71,7 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mut gate = Gate::new(SLOTS);
     let mut events = BinaryHeap::new();
-    let mut push = |events: &mut BinaryHeap<_>, when: u64, event| {
+    let push = |events: &mut BinaryHeap<_>, when: u64, event| {
         events.push((std::cmp::Reverse(when), event));
     };
     let per_ms = load * SLOTS as f64 / SERVICE as f64;
--- a/crates/standins/src/mesh.rs
+++ b/crates/standins/src/mesh.rs
@@ -181,7 +181,7 @@
             .arg("--settings")
             .arg(&spot.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
         spot.process = Some(child);
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,9 +1,12 @@
 //! A platform: documents under one rising revision, a lagging list of instances, a limit of reads.
 
-use fleet::source::{Instance, Listing};
+use fleet::{
+    directory::{Entry, Removal, Update},
+    source::{Bulletin, Instance, Listing},
+};
 use model::document::{DOCUMENT_LIMIT, Delta, Document, Set};
 use std::{
-    collections::{HashSet, VecDeque},
+    collections::{BTreeMap, HashSet, VecDeque},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -50,6 +53,12 @@
     set: Set,
     stale: Set,
     history: Vec<Set>,
+    /// Upstreams with the revision of their last write; none once they are removed.
+    upstreams: BTreeMap<String, (u64, Option<Entry>)>,
+    /// Revision of configuration and upstreams together.
+    revision: u64,
+    /// Revision at which the configuration was last written.
+    config_revision: u64,
     listing: Listing,
     shown: Listing,
     list_lag: Duration,
@@ -72,11 +81,19 @@
 /// A parsed call.
 #[derive(Clone, Copy, Debug)]
 struct Query {
-    list: bool,
+    topic: Topic,
     base: Option<u64>,
     after: u64,
 }
 
+/// What a call asks for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Topic {
+    Config,
+    Instances,
+    News,
+}
+
 impl Platform {
     /// Starts a platform without documents or instances on a free loopback port.
     pub fn start() -> io::Result<Self> {
@@ -87,6 +104,9 @@
             set: Set::default(),
             stale: Set::default(),
             history: Vec::new(),
+            upstreams: BTreeMap::new(),
+            revision: 1,
+            config_revision: 0,
             listing: Listing::default(),
             shown: Listing::default(),
             list_lag: Duration::ZERO,
@@ -147,6 +167,19 @@
         state.set = state.set.with(delta);
         let set = state.set.clone();
         state.history.push(set);
+        state.revision += 1;
+        state.config_revision = state.revision;
+        revision
+    }
+
+    /// Writes an upstream's entry, or removes it; returns the revision of configuration and
+    /// upstreams together.
+    pub fn register(&self, id: &str, entry: Option<Entry>) -> u64 {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let entry = entry.map(|entry| Entry { revision, ..entry });
+        state.upstreams.insert(id.to_owned(), (revision, entry));
         revision
     }
 
@@ -313,21 +346,48 @@
     }
 
     fn has_news(&self, query: Query) -> bool {
-        let revision =
-            if query.list { self.shown.revision } else { self.served().version().revision };
-        revision > query.after
+        self.revision_of(query.topic) > query.after
+    }
+
+    fn revision_of(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Config => self.served().version().revision,
+            Topic::Instances => self.shown.revision,
+            Topic::News => self.revision,
+        }
+    }
+
+    /// Returns what was written after `after`; all where that is 0.
+    fn bulletin(&self, after: u64) -> Bulletin {
+        let base = Some(after).filter(|&after| after > 0);
+        let list = Update { revision: self.revision, base, ..Update::default() };
+        let mut news = Bulletin { revision: self.revision, list, ..Bulletin::default() };
+        if self.config_revision > after {
+            news.config = Some(self.set.since(None));
+        }
+        for (id, (revision, entry)) in &self.upstreams {
+            match entry {
+                _ if *revision <= after => {}
+                Some(entry) => news.list.entries.push(entry.clone()),
+                None if base.is_none() => {}
+                None => news.list.removed.push(Removal {
+                    id: id.clone(),
+                    revision: *revision,
+                    doubt_ms: 0,
+                }),
+            }
+        }
+        news
     }
 
     fn answer(&self, query: Query) -> Answer {
         if !self.has_news(query) {
-            let revision =
-                if query.list { self.shown.revision } else { self.served().version().revision };
-            return Answer::Nothing(revision);
+            return Answer::Nothing(self.revision_of(query.topic));
         }
-        let text = if query.list {
-            serde_json::to_string(&self.shown)
-        } else {
-            serde_json::to_string(&self.served().since(query.base))
+        let text = match query.topic {
+            Topic::Config => serde_json::to_string(&self.served().since(query.base)),
+            Topic::Instances => serde_json::to_string(&self.shown),
+            Topic::News => serde_json::to_string(&self.bulletin(query.after)),
         };
         Answer::Body(text.expect("the answer is made of plain data"))
     }
@@ -351,11 +411,12 @@
         let find = |pair: &str| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok();
         parameters.split('&').find_map(find)
     };
-    let list = match path {
-        "/v1/config" => false,
-        "/v1/instances" => true,
+    let topic = match path {
+        "/v1/config" => Topic::Config,
+        "/v1/instances" => Topic::Instances,
+        "/v1/news" => Topic::News,
         _ => return None,
     };
-    let query = Query { list, base: number("base"), after: number("after").unwrap_or(0) };
+    let query = Query { topic, base: number("base"), after: number("after").unwrap_or(0) };
     Some((query, Duration::from_millis(number("wait_ms").unwrap_or(0))))
 }
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -82,7 +82,7 @@
         let chosen = choose(hub, call, &tried).or_else(|| choose_again(hub, call, last));
         let Some(upstream) = chosen else { return Err(last) };
         tried.push(upstream.clone());
-        let result = match hub.settings.budget {
+        let result = match hub.tuning().budget {
             Some(_) => contest::run(hub, call, &upstream, &mut tried, &mut arrivals).await,
             None => observed(hub, call, &upstream, patience(hub, call, tried.len())).await,
         };
@@ -104,7 +104,8 @@
 /// Counts a call towards the budget for repeats.
 fn note_call(hub: &Hub, call: &Call<'_>) {
     let now = hub.clock.now();
-    hub.with_service(call.service, |service| match &hub.settings.budget {
+    let budget = hub.tuning().budget;
+    hub.with_service(call.service, |service| match &budget {
         Some(settings) => service.window.call(settings, now),
         None => service.budget.earn(call.profile.retry_budget_percent),
     });
@@ -120,7 +121,7 @@
 ) -> retry::Step {
     let limit = call.terms.attempts;
     let kind = call.kind();
-    let Some(settings) = &hub.settings.budget else {
+    let Some(settings) = hub.tuning().budget else {
         let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
         return hub.with_service(call.service, |s| retry::decide(attempt, &mut s.budget));
     };
@@ -131,7 +132,7 @@
     let nodes = hub.fleet_size();
     let now = hub.clock.now();
     retry::decide_arrivals(attempt, || {
-        hub.with_service(call.service, |s| s.window.repeat(settings, nodes, now))
+        hub.with_service(call.service, |s| s.window.repeat(&settings, nodes, now))
     })
 }
 
@@ -413,7 +414,7 @@
             result => return result.map_err(settled),
         }
     }
-    let time = hub.settings.connect.min(patience.since(hub.clock.now()));
+    let time = hub.tuning().connect.min(patience.since(hub.clock.now()));
     let opened = hub.pool.open(upstream.traffic, time).await;
     let connection = opened.ok_or_else(|| of_loss(Step::Connect, Loss::Closed))?;
     send(hub, call, upstream, offer, parcel, connection, patience).await.map_err(settled)
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -513,7 +513,7 @@
     /// Reserves `more` bytes; returns whether there was room.
     fn extend(&mut self, more: usize) -> bool {
         let held = self.hub.bytes.load(Ordering::SeqCst);
-        if !self.hub.settings.room.fits(held, more) {
+        if !self.hub.tuning().room.fits(held, more) {
             return false;
         }
         self.hub.bytes.fetch_add(more, Ordering::SeqCst);
@@ -538,7 +538,7 @@
     fn take(hub: &'a Hub, service: &'a str) -> Option<Self> {
         let total = hub.calls.load(Ordering::SeqCst);
         let admitted = hub.with_service(service, |s| {
-            let admits = hub.settings.room.admits(s.in_hand, total);
+            let admits = hub.tuning().room.admits(s.in_hand, total);
             s.in_hand += usize::from(admits);
             admits
         });
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -28,6 +28,6 @@
 pub use crate::{
     clock::Clock,
     server::{Door, Error, Listener},
-    state::{Hub, Settings},
+    state::{Hub, Settings, Tuning},
     tally::Count,
 };
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -302,7 +302,7 @@
 
 async fn dial(hub: &Arc<Hub>, offer: &Offer) -> Result<Connection, Outcome> {
     let remaining = offer.deadline.since(hub.clock.now());
-    let time = hub.settings.connect.min(remaining);
+    let time = hub.tuning().connect.min(remaining);
     let opened = hub.pool.open(hub.settings.upstream, time).await;
     opened.ok_or_else(|| of_loss(Step::Dial, Loss::Closed))
 }
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -50,10 +50,8 @@
     pub slots: usize,
     /// Where the sequence of each split begins; random, so that nodes begin at different parts.
     pub offset: u64,
-    /// Room for calls in hand.
-    pub room: Room,
-    /// Longest time for opening a connection.
-    pub connect: Duration,
+    /// What may change while the process runs.
+    pub tuning: Tuning,
     /// Most connections from callers and other nodes.
     pub connections: usize,
     /// How pauses of the process are found.
@@ -66,10 +64,25 @@
     pub link_mbps: u32,
     /// Names of headers.
     pub names: wire::Names,
+}
+
+/// Settings of a node's traffic that may change while the process runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tuning {
+    /// Room for calls in hand.
+    pub room: Room,
+    /// Longest time for opening a connection.
+    pub connect: Duration,
     /// Bound on repeated calls of the whole fleet; none where profiles bound each node's.
     pub budget: Option<budget::Settings>,
 }
 
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning { room: Room::default(), connect: Duration::from_millis(250), budget: None }
+    }
+}
+
 impl Default for Settings {
     /// Values for tests and tools; a node names its own addresses.
     fn default() -> Self {
@@ -81,15 +94,13 @@
             upstream: nowhere,
             slots: 10,
             offset: 0,
-            room: Room::default(),
-            connect: Duration::from_millis(250),
+            tuning: Tuning::default(),
             connections: 1_024,
             pause: pause::Settings::default(),
             instance: String::new(),
             log: false,
             link_mbps: 0,
             names: wire::Names::default(),
-            budget: None,
         }
     }
 }
@@ -103,6 +114,7 @@
     pub(crate) tally: Tally,
     pub(crate) logbook: Logbook,
     pub(crate) running: Running,
+    tuning: ArcSwap<Tuning>,
     config: ArcSwap<Snapshot>,
     view: ArcSwap<View>,
     leaving: AtomicBool,
@@ -168,6 +180,7 @@
 impl Hub {
     /// Creates the shared state; nothing is in force and no upstream is known yet.
     pub fn new(settings: Settings, clock: Clock, meter: Arc<Meter>) -> Arc<Self> {
+        let tuning = settings.tuning;
         let slots = Turnstile::new(clock, settings.slots);
         let transfers = Transfers::new(clock, settings.link_mbps);
         let watch = pause::Watch::new(settings.pause, clock.now());
@@ -179,6 +192,7 @@
             tally: Tally::default(),
             logbook: Logbook::default(),
             running: Running::default(),
+            tuning: ArcSwap::from_pointee(tuning),
             config: ArcSwap::default(),
             view: ArcSwap::default(),
             leaving: AtomicBool::new(false),
@@ -198,6 +212,16 @@
         })
     }
 
+    /// Works under `tuning` from now on.
+    pub fn set_tuning(&self, tuning: Tuning) {
+        self.tuning.store(Arc::new(tuning));
+    }
+
+    /// Returns the settings that may change.
+    pub(crate) fn tuning(&self) -> Tuning {
+        **self.tuning.load()
+    }
+
     /// Routes by `snapshot` from now on.
     pub fn set_config(&self, snapshot: Arc<Snapshot>) {
         self.config.store(snapshot);
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -80,7 +80,7 @@
 }
 
 /// Headers whose names a deployment chooses, towards callers and upstreams.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Names {
     /// Remaining time of a call, in ms.
     pub deadline: HeaderName,
--- a/crates/traffic/tests/rig/mod.rs
+++ b/crates/traffic/tests/rig/mod.rs
@@ -26,7 +26,7 @@
 };
 use telemetry::metric::Meter;
 use tokio::runtime::{Builder, Runtime};
-use traffic::{Clock, Hub, Listener, Settings};
+use traffic::{Clock, Hub, Listener, Settings, Tuning};
 
 /// Time after which a test that waits for something gives up; no verdict depends on it otherwise.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
@@ -98,7 +98,7 @@
             document("profiles/p", profile),
             document("services/paydesk", r#"{"profile": "p"}"#),
         ];
-        let delta = Delta { revision: 1, full: true, documents, removed: vec![] };
+        let delta = Delta { revision: 1, full: true, documents, ..Delta::default() };
         let snapshot = Arc::new(accept(&Set::default().with(delta)).expect("the profile is good"));
         for hub in self.hubs() {
             hub.set_config(snapshot.clone());
@@ -181,8 +181,7 @@
         service: "paydesk".to_owned(),
         upstream,
         slots,
-        room: policy::share::Room::default(),
-        connect: Duration::from_secs(2),
+        tuning: Tuning { connect: Duration::from_secs(2), ..Tuning::default() },
         connections: 256,
         // A busy machine must not look like a pause; the test of pauses stops the beats for good.
         pause: policy::pause::Settings {
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -21,7 +21,7 @@
 };
 use telemetry::metric::Meter;
 use tokio::runtime::{Builder, Runtime};
-use traffic::{Clock, Door, Hub, Listener, Settings, wire::Names};
+use traffic::{Clock, Door, Hub, Listener, Settings, Tuning, wire::Names};
 
 /// Time after which a test gives up; no verdict depends on it otherwise.
 pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
@@ -242,7 +242,10 @@
             slots,
             link_mbps: 5,
             names: names(),
-            budget: Some(policy::budget::Settings::default()),
+            tuning: Tuning {
+                budget: Some(policy::budget::Settings::default()),
+                ..Tuning::default()
+            },
             // A busy machine must not look like a pause.
             pause: policy::pause::Settings { gap: PATIENCE, ..policy::pause::Settings::default() },
             ..Settings::default()
@@ -333,7 +336,7 @@
         document(("limits", r#"{"body_bytes": 200000}"#)),
     ];
     documents.extend(ROUTES.map(document));
-    let delta = Delta { revision: 1, full: true, documents, removed: vec![] };
+    let delta = Delta { revision: 1, full: true, documents, ..Delta::default() };
     Arc::new(accept(&Set::default().with(delta)).expect("the routes are good"))
 }
 
