--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,11 @@
-//! Chores of the project: `cargo xtask demo | ci | bench | fuzz | reference`.
+//! Chores of the project: `cargo xtask demo | ci | bench | fuzz | soak | reference`.
 
 mod bench;
 mod ci;
 mod demo;
 mod fuzz;
 mod reference;
+mod soak;
 mod tools;
 
 use pico_args::Arguments;
@@ -16,6 +17,7 @@
   demo        starts a mesh of real processes and shows what it does
   ci          format, linter, documentation and tests
   fuzz        random scripts against the oracle [--seed N] [--steps M]
+  soak        real processes under random faults [--seed N] [--seeds M] [--seconds S] [--nodes K]
   bench       measures [--nodes 10,40,120] [--json FILE] [--only PART]
   reference   writes docs/PROFILES.md, docs/SETTINGS.md and docs/METRICS.md from the code
   --help      prints this text
@@ -61,6 +63,7 @@
             reference::write()
         }
         "fuzz" => fuzz::run(arguments),
+        "soak" => soak::run(arguments),
         other => Err(tools::Failure::Usage(format!("unknown chore {other}"))),
     }
 }
--- /dev/null
+++ b/xtask/src/soak.rs
@@ -0,0 +1,104 @@
+//! A randomized soak: real node processes in list mode, faults from outside them, and the promises
+//! checked from what callers and upstreams see.
+//!
+//! Faults come in series and overlap: processes are killed, paused, stopped and restarted,
+//! connections between nodes and to the platform are delayed, reset, cut one way or silenced by
+//! loopback proxies, the platform fails, upstreams lose and spoil answers, leave and are replaced.
+
+mod check;
+mod fault;
+mod load;
+mod proxy;
+mod site;
+
+use pico_args::Arguments;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    soak::{check::Book, fault::Faults, site::Site},
+    tools::{self, Failure},
+};
+
+/// Seeds that failed once, with the cause of each; every run of CI plays them.
+const REGRESSIONS: [u64; 0] = [];
+
+/// Data centres of the mesh; instances are spread evenly.
+const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
+
+/// Time for everything to be as it should once the last fault has ended.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// What a soak consists of.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    seed: u64,
+    time: Duration,
+    nodes: usize,
+}
+
+/// Plays one seed, or a number of them.
+pub(crate) fn run(mut arguments: Arguments) -> Result<(), Failure> {
+    let usage = |e: pico_args::Error| Failure::Usage(e.to_string());
+    let seed: u64 = arguments.opt_value_from_str("--seed").map_err(usage)?.unwrap_or(1);
+    let seconds: u64 = arguments.opt_value_from_str("--seconds").map_err(usage)?.unwrap_or(15);
+    let nodes: usize = arguments.opt_value_from_str("--nodes").map_err(usage)?.unwrap_or(9);
+    let seeds: u64 = arguments.opt_value_from_str("--seeds").map_err(usage)?.unwrap_or(1);
+    tools::finish(arguments)?;
+    let programs = tools::build()?;
+    let time = Duration::from_secs(seconds);
+    let mut failed = Vec::new();
+    for seed in REGRESSIONS.into_iter().chain(seed..seed + seeds) {
+        let findings = play(Plan { seed, time, nodes }, &programs.join("baobabrelayd"))?;
+        if !findings.is_empty() {
+            findings.iter().for_each(|finding| println!("seed {seed}: {finding}"));
+            failed.push(seed);
+        }
+    }
+    if failed.is_empty() {
+        return Ok(());
+    }
+    Err(Failure::Chore(format!("promises were broken under seeds {failed:?}")))
+}
+
+/// Plays one seed and returns every broken promise.
+fn play(plan: Plan, daemon: &std::path::Path) -> Result<Vec<String>, Failure> {
+    let mut random = SmallRng::seed_from_u64(plan.seed);
+    let mut site = Site::start(daemon, plan.nodes, &DATA_CENTRES)?;
+    let ready = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_ready(n)));
+    tools::require(ready, "the nodes did not become ready")?;
+    let book = Arc::new(Book::default());
+    let going = Arc::new(AtomicBool::new(true));
+    let callers = load::start(&site, &book, &going);
+    let mut faults = Faults::default();
+    let end = Instant::now() + plan.time;
+    while Instant::now() < end {
+        faults.begin_one(&mut site, &mut random)?;
+        thread::sleep(Duration::from_millis(random.random_range(50..700)));
+        faults.end_due(&mut site)?;
+        check::versions(&site, &book);
+    }
+    faults.end_all(&mut site)?;
+    let recovered = site.wait(RECOVERY, |site| {
+        (0..plan.nodes).all(|n| site.is_ready(n) && site.revision(n) == Some(site.published()))
+    });
+    going.store(false, Ordering::SeqCst);
+    load::finish(callers);
+    let mut findings = check::promises(&site, &book);
+    if recovered.is_none() {
+        findings
+            .push(format!("not all nodes were ready with the newest version: {}", site.states()));
+    }
+    println!("seed {}: {}, {}", plan.seed, book.summary(), faults.summary());
+    if !findings.is_empty() {
+        println!("logs are kept in {}", site.keep_logs()?.display());
+    }
+    Ok(findings)
+}
