--- a/crates/fleet/src/listed/watch.rs
+++ b/crates/fleet/src/listed/watch.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, rngs::SmallRng};
 use std::time::Duration;
 
-/// Settings of a [`Watch`].
+/// When a node calls the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// Nodes that watch in the whole fleet, at least one in each data centre. Three, so that two
