--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -98,6 +98,7 @@
     freeze(&mesh, &programs, &mut show)?;
     cut(&mesh, &mut show);
     ask(&mesh, &programs, &mut show)?;
+    route(&mesh, &mut show);
     let seconds = begun.elapsed().as_secs_f64();
     println!("{} of {} steps held, {seconds:.1} s", show.steps - show.failed.len(), show.steps);
     if show.failed.is_empty() {
@@ -299,6 +300,36 @@
     Ok(())
 }
 
+/// Sends calls by host and path, three in four to one service and one in four to another.
+fn route(mesh: &Mesh, show: &mut Show) {
+    let split = r#"{"host": "127.0.0.1", "prefix": "/shop/", "kind": "idempotent",
+        "targets": [{"service": "shelfview", "weight": 75}, {"service": "paydesk", "weight": 25}]}"#;
+    let revision = mesh.platform.publish(&[("routes/shop", Some(split))]);
+    let spread = mesh.wait_in_force(revision, BOUND);
+    let before = runs_of(mesh, "paydesk");
+    let routed = load(mesh, 1, 200, |_| Call::get("/shop/stock/7"));
+    let share = (runs_of(mesh, "paydesk") - before) as f64 / 200.0;
+    show.step(
+        (routed.count("answered") == 200 && (0.15..0.35).contains(&share)).into(),
+        &format!(
+            "a route by host and path in force after {}: 200 reads, {:.0}% of them to paydesk (25 asked)",
+            ms(spread),
+            share * 100.0
+        ),
+    );
+    let unrouted = load(mesh, 1, 20, |_| Call::get("/shelfview/stock/7"));
+    show.step(
+        (unrouted.count("not-run") == 20).into(),
+        "with routes in force, a path that none of them names leads nowhere",
+    );
+}
+
+/// Returns how many requests the upstreams of `service` have run.
+fn runs_of(mesh: &Mesh, service: &str) -> u64 {
+    let of_service = mesh.spots.iter().filter(|spot| spot.place.service == service);
+    of_service.map(|spot| spot.upstream.ledger().runs).sum()
+}
+
 /// Makes `count` calls through one node.
 fn load(mesh: &Mesh, node: usize, count: usize, make: impl Fn(usize) -> Call) -> Told {
     let entry = mesh.spots[node].traffic;
