The soak asks that steady nodes answer every call, and waits for a node's start

Cause: the soak counted broken connections and did not ask where they broke. Asked now: at a node that was never killed, paused or stopped none may break. A reload signalled within 2 ms of a process's start ends it without a word, and nobody in the soak starts it again. Ruled out: taken ports (would be told on standard error), a hang (callers were refused at once), a stop that never ended (starts again). The soak now waits until a node serves its page. Conclusion: the soak's fault, no change of the product.

--- a/xtask/src/soak/check.rs
+++ b/xtask/src/soak/check.rs
@@ -5,7 +5,7 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-use crate::soak::site::Site;
+use crate::soak::site::{Site, Spot};
 
 /// Whether a call may run more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -28,23 +28,33 @@
     Mixed,
 }
 
+/// A call that has ended.
+#[derive(Clone, Debug)]
+pub(crate) struct Ended {
+    /// Number of the instance that it was made to.
+    pub(crate) node: usize,
+    pub(crate) work: String,
+    pub(crate) kind: Kind,
+    pub(crate) end: End,
+}
+
 /// What callers have seen.
 #[derive(Debug, Default)]
 pub(crate) struct Book {
-    ends: Mutex<Vec<(String, Kind, End)>>,
+    ends: Mutex<Vec<Ended>>,
     versions: Mutex<HashMap<(usize, u64), u64>>,
     regressions: Mutex<Vec<String>>,
 }
 
 impl Book {
-    pub(crate) fn note(&self, work: String, kind: Kind, end: End) {
-        lock(&self.ends).push((work, kind, end));
+    pub(crate) fn note(&self, call: Ended) {
+        lock(&self.ends).push(call);
     }
 
     pub(crate) fn summary(&self) -> String {
         let mut counts: BTreeMap<End, usize> = BTreeMap::new();
-        for (.., end) in lock(&self.ends).iter() {
-            *counts.entry(*end).or_default() += 1;
+        for call in lock(&self.ends).iter() {
+            *counts.entry(call.end).or_default() += 1;
         }
         let counts: Vec<String> =
             counts.iter().map(|(end, count)| format!("{end:?} {count}")).collect();
@@ -78,9 +88,11 @@
         }
     }
     let mut findings = lock(&book.regressions).clone();
-    for (work, kind, end) in lock(&book.ends).iter() {
+    for call in lock(&book.ends).iter() {
+        let Ended { node, work, kind, end } = call;
         let ran = begun.get(work).copied().unwrap_or(0);
-        findings.extend(broken(*kind, *end, ran).map(|promise| {
+        let promise = broken(*kind, *end, ran).or_else(|| cut(*end, &site.spots[*node]));
+        findings.extend(promise.map(|promise| {
             format!("{work}: {promise}; {kind:?} ended as {end:?} and ran {ran} times")
         }));
     }
@@ -97,6 +109,11 @@
     }
 }
 
+fn cut(end: End, spot: &Spot) -> Option<&'static str> {
+    let cut = end == End::Broken && spot.is_steady;
+    cut.then_some("a node that was never stopped answers every call")
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/xtask/src/soak/fault.rs
+++ b/xtask/src/soak/fault.rs
@@ -51,6 +51,8 @@
         let kind = random.random_range(0..11);
         let spot = &mut site.spots[number];
         spot.touched = spot.touched.max(Instant::now() + time);
+        // Kinds 0 to 2 end or halt the node itself.
+        spot.is_steady &= kind > 2;
         let (name, end) = match kind {
             0 => {
                 site.kill_node(number)?;
--- a/xtask/src/soak/load.rs
+++ b/xtask/src/soak/load.rs
@@ -13,7 +13,7 @@
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::soak::{
-    check::{Book, End, Kind},
+    check::{Book, End, Ended, Kind},
     site::Site,
 };
 
@@ -37,7 +37,7 @@
     for (number, spot) in site.spots.iter().enumerate() {
         for caller in 0..CALLERS {
             let name = format!("{number}-{caller}");
-            tasks.push(handle.spawn(call(spot.callers, name, book.clone(), going.clone())));
+            tasks.push(handle.spawn(call(spot.callers, number, name, book.clone(), going.clone())));
         }
     }
     (handle, tasks)
@@ -51,8 +51,14 @@
     }
 }
 
-async fn call(node: SocketAddr, name: String, book: Arc<Book>, going: Arc<AtomicBool>) {
-    let mut caller = Caller::new(node);
+async fn call(
+    address: SocketAddr,
+    node: usize,
+    name: String,
+    book: Arc<Book>,
+    going: Arc<AtomicBool>,
+) {
+    let mut caller = Caller::new(address);
     let mut number = 0;
     while going.load(Ordering::SeqCst) {
         number += 1;
@@ -77,7 +83,7 @@
                 _ => End::Unknown,
             },
         };
-        book.note(work, kind, end);
+        book.note(Ended { node, work, kind, end });
         sleep(PAUSE).await;
     }
 }
--- a/xtask/src/soak/site.rs
+++ b/xtask/src/soak/site.rs
@@ -10,7 +10,7 @@
 use std::{
     fs::{self, File},
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
@@ -29,6 +29,9 @@
 /// Requests that an upstream works on at once.
 const SLOTS: usize = 8;
 
+/// Longest wait for a node to take signals; it takes some 2 ms on an idle machine.
+const START: Duration = Duration::from_secs(2);
+
 /// One instance.
 pub(crate) struct Spot {
     /// Identity of its upstream's present life.
@@ -47,6 +50,8 @@
     pub(crate) process: Option<Child>,
     /// Until when the latest fault that touches it lasts.
     pub(crate) touched: Instant,
+    /// Whether its node was never killed, paused or stopped.
+    pub(crate) is_steady: bool,
     lives: u32,
 }
 
@@ -153,6 +158,7 @@
             settings,
             process: None,
             touched: Instant::now(),
+            is_steady: true,
             lives: 0,
         })
     }
@@ -213,9 +219,22 @@
             .stderr(log)
             .spawn()?;
         spot.process = Some(child);
+        self.await_start(number);
         Ok(())
     }
 
+    /// Waits until a node serves its operators' page, or has had the time for it.
+    ///
+    /// A signal in the first two milliseconds of a process, before its own code runs, ends it without
+    /// a word; a reload would then leave the node dead until the end of the soak.
+    fn await_start(&self, number: usize) {
+        let operators = self.spots[number].operators;
+        let begun = Instant::now();
+        while TcpStream::connect(operators).is_err() && begun.elapsed() < START {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     pub(crate) fn kill_node(&mut self, number: usize) -> io::Result<()> {
         if let Some(mut child) = self.spots[number].process.take() {
             child.kill()?;
