Processes of nodes are started, killed and signalled in one place

Cause: the soak had its own copy of how the mesh of stand-ins starts, kills and signals a node's process. Change: mesh::spawn, mesh::kill and mesh::send_signal serve both; behaviour is the same. Only test tools are touched, no product code. Ruled out: making the soak's site a mesh; its addresses and proxies differ.

--- a/crates/standins/src/mesh.rs
+++ b/crates/standins/src/mesh.rs
@@ -7,7 +7,7 @@
     fs::{self, File},
     io,
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -166,42 +166,26 @@
     }
 
     /// Returns the folder of the nodes' settings and logs.
-    pub fn folder(&self) -> &std::path::Path {
+    pub fn folder(&self) -> &Path {
         self.folder.path()
     }
 
     /// Starts the process of one node, which logs into the mesh's folder.
     pub fn start_node(&mut self, number: usize) -> io::Result<()> {
         let spot = &mut self.spots[number];
-        let log = File::options()
-            .create(true)
-            .append(true)
-            .open(self.folder.path().join(format!("{}.log", spot.instance)))?;
-        let child = Command::new(&self.daemon)
-            .arg("--settings")
-            .arg(&spot.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        spot.process = Some(child);
+        let log = self.folder.path().join(format!("{}.log", spot.instance));
+        spot.process = Some(spawn(&self.daemon, &spot.settings, &log)?);
         Ok(())
     }
 
     /// Kills the process of one node without warning.
     pub fn kill_node(&mut self, number: usize) -> io::Result<()> {
-        if let Some(mut child) = self.spots[number].process.take() {
-            child.kill()?;
-            child.wait()?;
-        }
-        Ok(())
+        kill(&mut self.spots[number].process)
     }
 
     /// Sends a signal to the process of one node.
     pub fn signal_node(&self, number: usize, signal: Signal) -> io::Result<()> {
-        let Some(child) = &self.spots[number].process else { return Ok(()) };
-        let pid = Pid::from_child(child);
-        kill_process(pid, signal).map_err(io::Error::from)
+        send_signal(self.spots[number].process.as_ref(), signal)
     }
 
     /// Asks one node to stop in an orderly way and returns its exit status.
@@ -310,6 +294,33 @@
     }
 }
 
+/// Starts the program `daemon` as a node that adds all its output to the file `log`.
+pub fn spawn(daemon: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(log)?;
+    Command::new(daemon)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
+/// Kills a process without warning, if there is one, and waits until it is gone.
+pub fn kill(process: &mut Option<Child>) -> io::Result<()> {
+    if let Some(mut child) = process.take() {
+        child.kill()?;
+        child.wait()?;
+    }
+    Ok(())
+}
+
+/// Sends a signal to a process, if there is one.
+pub fn send_signal(process: Option<&Child>, signal: Signal) -> io::Result<()> {
+    let Some(child) = process else { return Ok(()) };
+    kill_process(Pid::from_child(child), signal).map_err(io::Error::from)
+}
+
 /// Returns the body of a page at `address`; nothing unless its status is 200.
 pub fn page(address: SocketAddr, path: &str) -> Option<String> {
     use io::{Read, Write};
--- a/xtask/src/soak/site.rs
+++ b/xtask/src/soak/site.rs
@@ -1,18 +1,17 @@
 //! Instances of a soak: an upstream, a node process and the proxies around it.
 
 use fleet::directory::{Entry, Standing};
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::Signal;
 use standins::{
-    mesh::page,
+    mesh,
     platform::Platform,
     upstream::{self, Upstream},
 };
 use std::{
-    fs::{self, File},
-    io,
+    fs, io,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::Child,
     thread,
     time::{Duration, Instant},
 };
@@ -209,16 +208,9 @@
     }
 
     pub(crate) fn start_node(&mut self, number: usize) -> io::Result<()> {
-        let log = File::options().create(true).append(true).open(self.log(number))?;
+        let log = self.log(number);
         let spot = &mut self.spots[number];
-        let child = Command::new(&self.daemon)
-            .arg("--settings")
-            .arg(&spot.settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        spot.process = Some(child);
+        spot.process = Some(mesh::spawn(&self.daemon, &spot.settings, &log)?);
         self.await_start(number);
         Ok(())
     }
@@ -236,16 +228,11 @@
     }
 
     pub(crate) fn kill_node(&mut self, number: usize) -> io::Result<()> {
-        if let Some(mut child) = self.spots[number].process.take() {
-            child.kill()?;
-            child.wait()?;
-        }
-        Ok(())
+        mesh::kill(&mut self.spots[number].process)
     }
 
     pub(crate) fn signal(&self, number: usize, signal: Signal) -> io::Result<()> {
-        let Some(child) = &self.spots[number].process else { return Ok(()) };
-        kill_process(Pid::from_child(child), signal).map_err(io::Error::from)
+        mesh::send_signal(self.spots[number].process.as_ref(), signal)
     }
 
     /// Tells whether a node answers and holds a version and every upstream.
@@ -262,7 +249,7 @@
 
     pub(crate) fn status(&self, number: usize) -> Option<fleet::status::Node> {
         self.spots[number].process.as_ref()?;
-        serde_json::from_str(&page(self.spots[number].operators, "/status")?).ok()
+        serde_json::from_str(&mesh::page(self.spots[number].operators, "/status")?).ok()
     }
 
     /// Describes every node, for a report.
