--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -5,6 +5,10 @@
 //! *complete* up to a revision if it holds everything written until then; a holder of revision N
 //! lacks exactly what [`Directory::since`] returns for N.
 //!
+//! An upstream may start again under the name that it had. What counts as one *life* is a name and a
+//! start time: a later start replaces the former life, and a write of a former life that is heard
+//! late changes nothing.
+//!
 //! Invariant *one way in*: [`Directory::apply`] and [`Directory::expire`] are the only ways to
 //! change it.
 
@@ -30,7 +34,7 @@
 /// One life of an upstream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
-    /// Its identity; every start of an upstream has another one.
+    /// Its identity; a start of an upstream may have another one or the one of before.
     #[serde(rename = "n")]
     pub id: String,
     /// Its service.
@@ -51,13 +55,28 @@
     /// How much longer it is slow after its start, in ms, as of `revision`.
     #[serde(default, rename = "c")]
     pub cold_ms: u64,
+    /// When this life began, in ms of Unix time; none where the platform does not tell it.
+    #[serde(default, rename = "b", skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
     /// Revision at which the platform wrote it.
     #[serde(rename = "r")]
     pub revision: u64,
 }
 
-/// An entry that the platform no longer holds.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+/// Why an upstream is no longer listed.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reason {
+    /// The platform dropped its entry, which may be an effect of an outage.
+    #[default]
+    Dropped,
+    /// Somebody wrote a value that names no upstream. That is no effect of an outage, so it is
+    /// believed at once.
+    Unusable,
+}
+
+/// An entry that the platform no longer holds, or that names no upstream any more.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Removal {
     /// Identity of the upstream.
     #[serde(rename = "n")]
@@ -68,6 +87,24 @@
     /// How much longer the removal is in doubt, in ms; see [`Directory::apply`].
     #[serde(default, rename = "h")]
     pub doubt_ms: u64,
+    /// Why it is not listed.
+    #[serde(default, rename = "y")]
+    pub reason: Reason,
+    /// When the removed life began, in ms of Unix time, where that is known.
+    #[serde(default, rename = "b", skip_serializing_if = "Option::is_none")]
+    pub started_ms: Option<u64>,
+}
+
+impl Removal {
+    /// Returns the removal of an upstream in whose place `entry`, which cannot be used, was written.
+    fn unusable(entry: &Entry) -> Self {
+        Removal {
+            id: entry.id.clone(),
+            revision: entry.revision,
+            reason: Reason::Unusable,
+            ..Removal::default()
+        }
+    }
 }
 
 /// What turns one copy into a newer one.
@@ -96,6 +133,8 @@
 pub enum Change {
     /// It is new.
     Listed,
+    /// It started again under the name that it had.
+    Restarted,
     /// It is to leave.
     Leaving,
     /// It is no longer listed, which may be an effect of an outage.
@@ -111,6 +150,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Change::Listed => "listed",
+            Change::Restarted => "restarted",
             Change::Leaving => "leaving",
             Change::Doubted => "doubted",
             Change::Gone => "gone",
@@ -135,6 +175,9 @@
 struct Tombstone {
     revision: u64,
     since: Time,
+    reason: Reason,
+    /// When the latest life that is known of the name began.
+    started_ms: Option<u64>,
 }
 
 /// One copy of the list.
@@ -193,7 +236,7 @@
             }
         }
         for entry in update.entries {
-            changes.extend(self.put(entry));
+            changes.extend(self.put(entry, now));
         }
         for removal in removed {
             changes.extend(self.remove(&removal, doubt, now));
@@ -205,13 +248,14 @@
 
     /// Carries out the removals whose doubt is over.
     pub fn expire(&mut self, now: Time) -> Vec<(Entry, Change)> {
-        let due: Vec<(String, u64)> = self
-            .doubts
-            .iter()
-            .filter(|(_, doubt)| doubt.until <= now)
-            .map(|(id, doubt)| (id.clone(), doubt.revision))
-            .collect();
-        due.into_iter().filter_map(|(id, revision)| self.bury(&id, revision, now)).collect()
+        let removal = |(id, doubt): (&String, &Doubt)| Removal {
+            id: id.clone(),
+            revision: doubt.revision,
+            ..Removal::default()
+        };
+        let due = self.doubts.iter().filter(|(_, doubt)| doubt.until <= now);
+        let due: Vec<Removal> = due.map(removal).collect();
+        due.iter().filter_map(|removal| self.bury(removal, now)).collect()
     }
 
     /// Returns what a holder of revision `held` lacks; none asks for the whole list.
@@ -222,11 +266,14 @@
             id: id.clone(),
             revision: doubt.revision,
             doubt_ms: doubt.until.since(now).as_millis() as u64,
+            ..Removal::default()
         });
         let buried = self.tombstones.iter().map(|(id, tombstone)| Removal {
             id: id.clone(),
             revision: tombstone.revision,
             doubt_ms: 0,
+            reason: tombstone.reason,
+            started_ms: tombstone.started_ms,
         });
         Update {
             revision: self.revision,
@@ -242,11 +289,11 @@
             .values()
             .filter(|e| e.revision <= revision && !present.iter().any(|p| p.id == e.id))
             .filter(|e| !self.doubts.contains_key(&e.id))
-            .map(|e| Removal { id: e.id.clone(), revision, doubt_ms: 0 })
+            .map(|e| Removal { id: e.id.clone(), revision, ..Removal::default() })
             .collect()
     }
 
-    fn put(&mut self, entry: Entry) -> Option<(Entry, Change)> {
+    fn put(&mut self, entry: Entry, now: Time) -> Option<(Entry, Change)> {
         let buried = self.tombstones.get(&entry.id).map(|t| t.revision);
         let doubted = self.doubts.get(&entry.id).map(|d| d.revision);
         let known = self.entries.get(&entry.id);
@@ -254,9 +301,21 @@
         if latest >= Some(entry.revision) {
             return None;
         }
-        let change = match known.map(|e| e.standing) {
+        let started = self.started(&entry.id);
+        match entry.started_ms {
+            // Whoever tells when its lives begin always does so: this is of another writer, and
+            // calls would go to an upstream that nobody can tell from its former life.
+            None if started.is_some() => return self.bury(&Removal::unusable(&entry), now),
+            // A process that ended wrote this before, and it was heard late. Taking it would bring
+            // back what is known of an upstream that is no more, such as that it is to leave.
+            told if told < started => return None,
+            _ => {}
+        }
+        let known = self.entries.get(&entry.id);
+        let change = match known {
             _ if entry.standing == Standing::Leaving => Change::Leaving,
             None => Change::Listed,
+            Some(known) if known.started_ms < entry.started_ms => Change::Restarted,
             Some(_) => Change::Revised,
         };
         self.doubts.remove(&entry.id);
@@ -266,7 +325,10 @@
     }
 
     fn remove(&mut self, removal: &Removal, doubt: Duration, now: Time) -> Option<(Entry, Change)> {
-        let doubt = doubt.max(Duration::from_millis(removal.doubt_ms));
+        let doubt = match removal.reason {
+            Reason::Dropped => doubt.max(Duration::from_millis(removal.doubt_ms)),
+            Reason::Unusable => Duration::ZERO,
+        };
         match self.entries.get(&removal.id) {
             Some(entry) if entry.revision >= removal.revision => None,
             Some(entry) if !doubt.is_zero() => {
@@ -276,18 +338,28 @@
                 doubt.until = doubt.until.min(until);
                 Some((entry.clone(), Change::Doubted))
             }
-            _ => self.bury(&removal.id, removal.revision, now),
+            _ => self.bury(removal, now),
         }
     }
 
-    fn bury(&mut self, id: &str, revision: u64, now: Time) -> Option<(Entry, Change)> {
+    fn bury(&mut self, removal: &Removal, now: Time) -> Option<(Entry, Change)> {
+        let Removal { id, revision, reason, .. } = removal;
+        let started_ms = self.started(id).max(removal.started_ms);
         self.doubts.remove(id);
-        let tombstone = self.tombstones.entry(id.to_owned());
-        let tombstone = tombstone.or_insert(Tombstone { revision, since: now });
-        tombstone.revision = tombstone.revision.max(revision);
+        let fresh = Tombstone { revision: *revision, since: now, reason: *reason, started_ms };
+        let tombstone = self.tombstones.entry(id.clone()).or_insert(fresh);
+        tombstone.revision = tombstone.revision.max(*revision);
+        tombstone.started_ms = started_ms;
         self.entries.remove(id).map(|entry| (entry, Change::Gone))
     }
 
+    /// Returns when the latest life that is known of `id` began.
+    fn started(&self, id: &str) -> Option<u64> {
+        let listed = self.entries.get(id).and_then(|entry| entry.started_ms);
+        let buried = self.tombstones.get(id).and_then(|tombstone| tombstone.started_ms);
+        listed.max(buried)
+    }
+
     /// Forgets old removals; holders of lower revisions get the whole list from now on.
     fn forget(&mut self, now: Time) {
         let old = |t: &Tombstone| now.since(t.since) > TOMBSTONE_TIME;
--- a/crates/fleet/src/listed/known.rs
+++ b/crates/fleet/src/listed/known.rs
@@ -69,6 +69,7 @@
             instance: entry.id.clone(),
             incarnation: self.peers.incarnation(node),
             identity: Some(entry.id.as_str().into()),
+            started_ms: entry.started_ms,
             data_centre: entry.data_centre.clone(),
             near: entry.data_centre == self.settings.data_centre,
             state: self.state_of(entry, now),
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -134,7 +134,7 @@
         service: String,
         /// Its address.
         address: SocketAddr,
-        /// What changed: `listed`, `leaving`, `doubted`, `gone` or `revised`.
+        /// What changed: `listed`, `restarted`, `leaving`, `doubted` or `gone`.
         change: String,
         /// Revision up to which the list is held now.
         revision: u64,
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -17,6 +17,9 @@
     pub incarnation: u64,
     /// Identity that the upstream itself must confirm, if the platform lists it.
     pub identity: Option<Arc<str>>,
+    /// When its life began, in ms of Unix time; none where the platform does not tell it. An
+    /// upstream may start again under the identity that it had.
+    pub started_ms: Option<u64>,
     /// Its data centre.
     pub data_centre: String,
     /// Whether that is the reader's own data centre.
@@ -49,6 +52,7 @@
                 near: record.data_centre == data_centre,
                 state: record.state,
                 identity: None,
+                started_ms: None,
                 slots: 0,
                 cold_ms: 0,
             };
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -1,6 +1,6 @@
 //! Copies of the platform's list merge the same way, whatever arrives in which order.
 
-use fleet::directory::{Change, Directory, Entry, Gap, Removal, Standing, Update};
+use fleet::directory::{Change, Directory, Entry, Gap, Reason, Removal, Standing, Update};
 use model::time::Time;
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::time::Duration;
@@ -22,12 +22,13 @@
         slots: 9,
         standing: Standing::Ready,
         cold_ms: 0,
+        started_ms: None,
         revision,
     }
 }
 
 fn removal(id: &str, revision: u64) -> Removal {
-    Removal { id: id.to_owned(), revision, doubt_ms: 0 }
+    Removal { id: id.to_owned(), revision, ..Removal::default() }
 }
 
 fn update(base: Option<u64>, revision: u64) -> Update {
@@ -90,6 +91,93 @@
     assert_eq!((copy.expire(at(60_000)).len(), copy.entries().count()), (0, 1));
 }
 
+fn unusable(id: &str, revision: u64) -> Removal {
+    Removal { reason: Reason::Unusable, ..removal(id, revision) }
+}
+
+/// Calls go to an upstream for two seconds in whose place somebody else wrote nonsense: the value
+/// was taken for one that lapsed in the outage which had just ended.
+#[test]
+fn a_value_that_names_no_upstream_is_no_effect_of_an_outage() {
+    let mut copy = check(vec![Update { entries: vec![entry("a", 3)], ..update(None, 3) }], &["a"]);
+    let spoiled = Update { removed: vec![unusable("a", 5)], ..update(Some(3), 5) };
+    let changes = copy.apply(spoiled, DOUBT, at(10_000)).expect("it follows on");
+    assert_eq!((changes[0].1, copy.entries().count()), (Change::Gone, 0));
+    assert_eq!(copy.since(Some(3), at(10_001)).removed, [unusable("a", 5)]);
+    let good = Update { entries: vec![entry("a", 6)], ..update(Some(5), 6) };
+    let changes = copy.apply(good, DOUBT, at(11_000)).expect("it follows on");
+    assert_eq!(changes[0].1, Change::Listed);
+}
+
+fn life(revision: u64, started_ms: Option<u64>, standing: Standing) -> Entry {
+    Entry { started_ms, standing, ..entry("a", revision) }
+}
+
+/// Applies writes of the name "a" in order, and compares what each changed.
+#[track_caller]
+fn check_lives(writes: Vec<Entry>, expect: &[Option<Change>]) -> Directory {
+    let mut copy = Directory::default();
+    copy.apply(update(None, 1), NO_DOUBT, at(0)).expect("it holds the whole list");
+    let mut changes = Vec::new();
+    for write in writes {
+        let revision = write.revision;
+        let update = Update { entries: vec![write], ..update(Some(1), revision) };
+        let changed = copy.apply(update, NO_DOUBT, at(0)).expect("it follows on");
+        changes.push(changed.first().map(|(_, change)| *change));
+    }
+    assert_eq!(changes, expect);
+    copy
+}
+
+/// An upstream that crashed while it was to leave gets no call again: it came back under its name,
+/// and the word of its former life, or a write of that life heard late, was held against it.
+#[test]
+fn a_later_start_under_the_same_name_is_another_life() {
+    use Change::{Leaving, Listed, Restarted, Revised};
+    let ready = |revision, started| life(revision, Some(started), Standing::Ready);
+    let leaving = |revision, started| life(revision, Some(started), Standing::Leaving);
+    check_lives(vec![ready(2, 100), ready(3, 100)], &[Some(Listed), Some(Revised)]);
+    let writes = vec![leaving(2, 100), ready(3, 200), leaving(4, 100), leaving(5, 200)];
+    let copy = check_lives(writes, &[Some(Leaving), Some(Restarted), None, Some(Leaving)]);
+    let held: Vec<_> = copy.entries().map(|e| (e.revision, e.started_ms)).collect();
+    assert_eq!(held, [(5, Some(200))]);
+}
+
+/// An upstream is removed, and a write of the life before the last one is heard after that: calls
+/// would go to a process that has long ended.
+#[test]
+fn a_removed_name_does_not_come_back_in_a_former_life() {
+    let writes = vec![life(2, Some(200), Standing::Ready)];
+    let mut copy = check_lives(writes, &[Some(Change::Listed)]);
+    let removed = Update { removed: vec![removal("a", 3)], ..update(Some(2), 3) };
+    copy.apply(removed, NO_DOUBT, at(1)).expect("it follows on");
+    let mut told = Directory::default();
+    told.apply(update(None, 1), NO_DOUBT, at(1)).expect("it holds the whole list");
+    told.apply(copy.since(Some(1), at(2)), NO_DOUBT, at(2)).expect("it follows on");
+    for copy in [&mut copy, &mut told] {
+        let former = life(4, Some(100), Standing::Ready);
+        let late = Update { entries: vec![former], ..update(Some(3), 4) };
+        assert_eq!(copy.apply(late, NO_DOUBT, at(3)), Ok(vec![]));
+        let same = life(5, Some(200), Standing::Ready);
+        let back = Update { entries: vec![same], ..update(Some(4), 5) };
+        assert_eq!(copy.apply(back, NO_DOUBT, at(4)).expect("it follows on").len(), 1);
+    }
+}
+
+/// A value without a start time where one was told before is of another writer: whose upstream it
+/// means, nobody can say.
+#[test]
+fn a_start_time_that_is_no_longer_told_names_no_upstream() {
+    let writes = vec![
+        life(2, None, Standing::Ready),
+        life(3, Some(100), Standing::Ready),
+        life(4, None, Standing::Ready),
+        life(5, Some(100), Standing::Ready),
+    ];
+    let expect = [Change::Listed, Change::Restarted, Change::Gone, Change::Listed];
+    check_lives(writes, &expect.map(Some));
+}
+
 #[test]
 fn one_that_stays_away_is_gone_when_the_doubt_is_over() {
     let mut copy = check(vec![Update { entries: vec![entry("a", 3)], ..update(None, 3) }], &["a"]);
--- a/crates/fleet/tests/listed.rs
+++ b/crates/fleet/tests/listed.rs
@@ -63,6 +63,41 @@
     }
 }
 
+/// A value that names no upstream takes the place of an upstream's entry. Nodes that the platform
+/// refuses went on sending calls there, as did a node that read the whole list after that.
+#[test]
+fn a_spoiled_entry_takes_its_upstream_out_at_every_node() {
+    let mut net = calm();
+    let targets = |net: &Net, id: &str| (0..7).any(|n| net.targets(n).contains(&id.to_owned()));
+    net.treat(1, Treatment::Refuse);
+    net.spoil("i-3");
+    net.until(BOUND, |net| !targets(net, "i-3"));
+    net.kill(5);
+    net.start(5);
+    net.until(3_000, |net| net.node(5).open);
+    assert!(!net.targets(5).contains(&"i-3".to_owned()));
+    net.register(3, "i-3", Standing::Ready);
+    net.until(BOUND, |net| (0..7).all(|n| net.targets(n).contains(&"i-3".to_owned())));
+}
+
+/// An upstream crashes while it is to leave and starts again under its name. Every node sends it
+/// calls again, as to another life, also those that learn of it from others.
+#[test]
+fn an_upstream_that_starts_again_under_its_name_gets_calls() {
+    let mut net = calm();
+    let is_target = |net: &Net, n: usize| net.targets(n).contains(&"i-3".to_owned());
+    net.treat(1, Treatment::Refuse);
+    net.register_life(3, "i-3", Standing::Leaving, 5_000);
+    net.until(BOUND, |net| (0..7).all(|n| !is_target(net, n)));
+    net.register_life(3, "i-3", Standing::Ready, 9_000);
+    net.until(BOUND, |net| (0..7).all(|n| is_target(net, n)));
+    let lives = (0..7).map(|n| {
+        let upstreams = net.node(n).view.upstreams("shelfview");
+        upstreams.iter().find(|u| u.instance == "i-3").and_then(|u| u.started_ms)
+    });
+    assert!(lives.into_iter().all(|started| started == Some(9_000)));
+}
+
 /// A node is restarted during an outage of the platform and answers 503 until the platform is back,
 /// although six nodes beside it know everything.
 #[test]
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -6,7 +6,7 @@
 use fleet::{
     clock::Now,
     control::{Asked, Effect, Event, Lost},
-    directory::{Entry, Removal, Standing, Update},
+    directory::{Entry, Reason, Removal, Standing, Update},
     listed::{Control, Reading, Settings},
     message::{Request, Response},
     source::{Answer, Bulletin, Failure, Query, Topic},
@@ -49,6 +49,7 @@
 enum Value {
     Entry(Entry),
     Gone,
+    Nonsense,
     Config(u64),
 }
 
@@ -173,7 +174,12 @@
     }
 
     pub(crate) fn register(&mut self, node: usize, id: &str, standing: Standing) -> u64 {
-        let entry = Entry {
+        let entry = self.entry(node, id, standing);
+        self.write(&format!("servers/{id}"), Value::Entry(entry))
+    }
+
+    fn entry(&self, node: usize, id: &str, standing: Standing) -> Entry {
+        Entry {
             id: id.to_owned(),
             service: "shelfview".to_owned(),
             address: upstream(node),
@@ -181,11 +187,28 @@
             slots: 9,
             standing,
             cold_ms: 0,
+            started_ms: None,
             revision: self.revision + 1,
-        };
+        }
+    }
+
+    /// Writes an entry of a life that began at `started_ms`.
+    pub(crate) fn register_life(
+        &mut self,
+        node: usize,
+        id: &str,
+        standing: Standing,
+        started_ms: u64,
+    ) -> u64 {
+        let entry = Entry { started_ms: Some(started_ms), ..self.entry(node, id, standing) };
         self.write(&format!("servers/{id}"), Value::Entry(entry))
     }
 
+    /// Writes a value that names no upstream.
+    pub(crate) fn spoil(&mut self, id: &str) -> u64 {
+        self.write(&format!("servers/{id}"), Value::Nonsense)
+    }
+
     pub(crate) fn unregister(&mut self, id: &str) -> u64 {
         self.write(&format!("servers/{id}"), Value::Gone)
     }
@@ -405,9 +428,19 @@
                 Value::Gone => {
                     let id = key.trim_start_matches("servers/").to_owned();
                     if after.is_some() {
-                        list.removed.push(Removal { id, revision: *revision, doubt_ms: 0 });
+                        list.removed.push(Removal {
+                            id,
+                            revision: *revision,
+                            ..Removal::default()
+                        });
                     }
                 }
+                Value::Nonsense => list.removed.push(Removal {
+                    id: key.trim_start_matches("servers/").to_owned(),
+                    revision: *revision,
+                    reason: Reason::Unusable,
+                    ..Removal::default()
+                }),
                 Value::Config(number) => config = Some(documents(*revision, *number)),
             }
         }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -373,7 +373,7 @@
                 None => news.list.removed.push(Removal {
                     id: id.clone(),
                     revision: *revision,
-                    doubt_ms: 0,
+                    ..Removal::default()
                 }),
             }
         }
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -18,7 +18,7 @@
     payload::Payload,
     record::Trail,
     serving::{self, Answer},
-    state::Hub,
+    state::{self, Hub},
     stream::{Look, Probe},
     tally::Count,
     wire,
@@ -190,7 +190,7 @@
     let candidates: Vec<choice::Candidate<'_>> = able
         .iter()
         .zip(records)
-        .map(|(u, record)| choice::Candidate { record, near: u.near, tried: tried.contains(u) })
+        .map(|(u, record)| choice::Candidate { record, near: u.near, tried: is_tried(tried, u) })
         .collect();
     choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())
 }
@@ -211,7 +211,7 @@
             record,
             slots: u.slots,
             way: way(hub, u),
-            tried: tried.contains(u),
+            tried: is_tried(tried, u),
             crossing: call.payload.body.len(),
             cold: record.age(now) < Duration::from_millis(u.cold_ms),
         })
@@ -219,6 +219,12 @@
     placement::choose(&candidates, call.kind(), now, &mut rand::rng())
 }
 
+/// Tells whether the call was offered to this life of `upstream`. What else its entry says may have
+/// changed since.
+fn is_tried(tried: &[Upstream], upstream: &Upstream) -> bool {
+    tried.iter().any(|earlier| state::is_same_life(earlier, upstream))
+}
+
 fn way(hub: &Hub, upstream: &Upstream) -> placement::Way {
     match upstream {
         own if serving::is_own(hub, own) => placement::Way::Own,
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -103,6 +103,8 @@
     let idempotent = number(wire::IDEMPOTENT)? == 1;
     let rank = offered_rank(&parts.headers, received)?;
     let identity = wire::header_text(&parts.headers, wire::IDENTITY).map(Arc::from);
+    let started_ms = wire::read_number(&parts.headers, wire::STARTED)
+        .map_err(|wire::Malformed| Cause::BadRequest.outcome())?;
     let config = hub.config();
     // A node that holds no configuration yet cannot keep the profile's promises.
     let service = config.service(&hub.settings.service);
@@ -128,8 +130,18 @@
     wire::strip(&mut headers);
     let payload = Payload { method: parts.method, path: parts.uri, headers, body };
     let kind = if idempotent { Kind::Idempotent } else { Kind::Once };
-    let offer =
-        Offer { payload, received, deadline, kind, rank, identity, incarnation, origin, id };
+    let offer = Offer {
+        payload,
+        received,
+        deadline,
+        kind,
+        rank,
+        identity,
+        started_ms,
+        incarnation,
+        origin,
+        id,
+    };
     if reserves {
         let ticket = serving::reserve(hub, profile, &offer).await?;
         return Ok(turn_given(ticket));
--- a/crates/traffic/src/offer.rs
+++ b/crates/traffic/src/offer.rs
@@ -39,6 +39,7 @@
         rank: call.rank,
         incarnation: upstream.incarnation,
         identity: upstream.identity.clone(),
+        started_ms: upstream.started_ms,
         origin: call.origin.clone(),
         id,
     };
@@ -213,5 +214,8 @@
     {
         headers.insert(wire::IDENTITY, identity);
     }
+    if let Some(started_ms) = offer.started_ms {
+        headers.insert(wire::STARTED, wire::number(started_ms));
+    }
     request
 }
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -43,6 +43,8 @@
     pub(crate) incarnation: u64,
     /// Identity that the upstream must confirm, if it was listed with one.
     pub(crate) identity: Option<Arc<str>>,
+    /// When the life of the upstream that it is meant for began, in ms of Unix time, if known.
+    pub(crate) started_ms: Option<u64>,
     /// The connection that it came on.
     pub(crate) origin: Probe,
     /// Identifies the attempt.
@@ -295,7 +297,8 @@
         paused: hub.in_doubt(offer.received, now),
         wanted: offer.origin.look() != Look::Closed,
         leaving: hub.is_leaving() || hub.has_left(offer.identity.as_deref()),
-        own: hub.settings.incarnation.is_none_or(|own| own == offer.incarnation),
+        own: hub.settings.incarnation.is_none_or(|own| own == offer.incarnation)
+            && !hub.has_restarted(offer.identity.as_deref(), offer.started_ms),
     };
     claim::refusal(facts).map_or(Ok(()), |cause| Err(cause.outcome()))
 }
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -150,13 +150,33 @@
     upstreams: HashMap<Life, Record>,
 }
 
-/// One life of one upstream: by the address of its node and its own identity, or by the life of the
-/// node where it has none.
-type Life = (SocketAddr, u64, Option<Arc<str>>);
+/// One life of one upstream.
+///
+/// Nothing that was seen of a former life holds for this one: it may be slow again after its start,
+/// and calls that hang or failures that were counted ended with the process.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Life {
+    /// Address of its node.
+    address: SocketAddr,
+    /// Life of the node, where the upstream has no identity of its own; 0 otherwise.
+    incarnation: u64,
+    identity: Option<Arc<str>>,
+    /// Start of a life, in ms of Unix time: an upstream may start again under its identity.
+    started_ms: Option<u64>,
+}
 
 fn life(upstream: &Upstream) -> Life {
-    let node = if upstream.identity.is_some() { 0 } else { upstream.incarnation };
-    (upstream.address, node, upstream.identity.clone())
+    Life {
+        address: upstream.address,
+        incarnation: if upstream.identity.is_some() { 0 } else { upstream.incarnation },
+        identity: upstream.identity.clone(),
+        started_ms: upstream.started_ms,
+    }
+}
+
+/// Tells whether two entries are of the same life of the same upstream, whatever else they say.
+pub(crate) fn is_same_life(a: &Upstream, b: &Upstream) -> bool {
+    life(a) == life(b)
 }
 
 /// Tells whether an upstream's node is within reach again, or in a new life.
@@ -252,6 +272,26 @@
         }
         drop(services);
         self.resize(&view);
+        if self.own_life(&before) != self.own_life(&view) {
+            // Connections to a process that has ended carry nothing: a payment sent on one would
+            // be lost, and nobody could say whether it was made.
+            self.pool.forget(self.settings.upstream);
+        }
+    }
+
+    /// Returns the life of the own upstream, if it is listed.
+    fn own_life(&self, view: &View) -> Option<Life> {
+        let own = view.upstreams(&self.settings.service).iter();
+        own.filter(|u| u.address == self.settings.own).map(life).next()
+    }
+
+    /// Tells whether the upstream `identity` beside this node is known to have started again after
+    /// `started_ms`.
+    pub(crate) fn has_restarted(&self, identity: Option<&str>, started_ms: Option<u64>) -> bool {
+        let view = self.view();
+        let mut own = view.iter().filter(|(_, u)| u.address == self.settings.own);
+        started_ms.is_some()
+            && own.any(|(_, u)| u.identity.as_deref() == identity && u.started_ms > started_ms)
     }
 
     /// Takes the number of slots of the own upstream from the list, where that tells it.
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -42,6 +42,9 @@
 /// Identity that the offered upstream must confirm.
 pub const IDENTITY: HeaderName = HeaderName::from_static("baobab-identity");
 
+/// When the life of the offered upstream began, in ms of Unix time.
+pub const STARTED: HeaderName = HeaderName::from_static("baobab-started-ms");
+
 /// Rank of an offered call; 0 is the most urgent.
 pub const PRIORITY: HeaderName = HeaderName::from_static("baobab-priority");
 
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -274,6 +274,21 @@
         addresses
     }
 
+    /// Shows the node `viewer` the upstream beside node `number` as a life that began at
+    /// `started_ms`.
+    pub(crate) fn show_life(&self, viewer: usize, number: usize, started_ms: u64) {
+        let known = self.hubs[viewer].view();
+        let mut view = View::default();
+        for (service, upstream) in known.iter() {
+            let mut upstream = upstream.clone();
+            if upstream.address == own(number) {
+                upstream.started_ms = Some(started_ms);
+            }
+            view.add(service, upstream);
+        }
+        self.hubs[viewer].set_view(Arc::new(view));
+    }
+
     /// Sends `request` to a node on a new connection and returns what comes until it ends.
     pub(crate) fn exchange(&self, node: usize, request: &str) -> String {
         let mut stream = self.connect(node);
@@ -324,6 +339,7 @@
         instance: format!("i-{number}"),
         incarnation: 1,
         identity: Some(format!("i-{number}").as_str().into()),
+        started_ms: None,
         data_centre: "ktm-a".to_owned(),
         near: true,
         state: State::Live,
--- a/xtask/src/soak/site.rs
+++ b/xtask/src/soak/site.rs
@@ -193,6 +193,7 @@
             slots: SLOTS,
             standing,
             cold_ms: 0,
+            started_ms: None,
             revision: 0,
         };
         self.platform.register(&spot.id, Some(entry));
