Bytes of answers weigh in the choice of the data centre

Change: sizes of answers are learned by route; the bytes of request and answer add up to two slots' worth per slot for another data centre, half of that with each refusal of the call for want of room.

--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -73,6 +73,38 @@
     }
 }
 
+/// How large the answers of one route usually are.
+///
+/// Bytes between data centres are scarcer than time; which calls should stay near by shows only in
+/// their answers.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    mean: f64,
+}
+
+impl Size {
+    /// Begins with one answer of `bytes`.
+    pub fn new(bytes: usize) -> Self {
+        Size { mean: bytes as f64 }
+    }
+
+    /// Notes an answer of `bytes`.
+    ///
+    /// ```
+    /// let mut size = policy::latency::Size::new(4_000);
+    /// size.note(8_000);
+    /// assert_eq!(size.usual(), 4_250);
+    /// ```
+    pub fn note(&mut self, bytes: usize) {
+        self.mean += (bytes as f64 - self.mean) * MEAN_SHARE;
+    }
+
+    /// Returns the bytes that such answers usually have.
+    pub fn usual(&self) -> usize {
+        self.mean as usize
+    }
+}
+
 fn smooth(old: Duration, sample: Duration, share: f64) -> Duration {
     old.mul_f64(1.0 - share) + sample.mul_f64(share)
 }
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -24,11 +24,22 @@
 /// takes none, so a third more of the slots is filled there first.
 const NEAR_BYTE: f64 = 1.0 / 180_000.0;
 
-/// Further addition for each byte that crosses.
+/// Further addition for each byte that crosses to another data centre, or comes back from there.
 ///
-/// A body of 60 KB, as large as the common uploads, doubles the slots that are filled near by
-/// before it goes elsewhere: it goes there when it would have to wait near by, not before.
-const FAR_BYTE: f64 = 1.0 / 60_000.0;
+/// A lookup with an answer of 5 KB fills the slots near by before it goes elsewhere: it goes there
+/// when it would have to wait near by, not before.
+const FAR_BYTE: f64 = 1.0 / 3_000.0;
+
+/// Most that is added for bytes that cross. A large body goes elsewhere rather than to the end of
+/// a queue that is twice as long as the slots.
+const FAR_BYTES_MOST: f64 = 2.0;
+
+/// Divides the addition for bytes with each refusal of the call for want of room.
+///
+/// A refusal shows that less room is near by than was thought. With seventeen upstreams in a data
+/// centre, a call would otherwise be refused by four of them while others stand idle elsewhere:
+/// callers of the busiest of three got 0.77 of their worth, the others 0.88.
+const PER_REFUSAL: f64 = 2.0;
 
 /// Bodies of at least so many bytes take turns on slow links. Smaller ones cross a link of 5 Mbit/s
 /// in 25 ms, about what asking costs between data centres on a busy machine.
@@ -82,8 +93,12 @@
     pub tried: bool,
     /// Bytes that have to be sent to it.
     pub crossing: usize,
+    /// Bytes that usually come back; 0 where that is not known.
+    pub returning: usize,
     /// Whether it is slow after its start.
     pub cold: bool,
+    /// Times that the call was refused for want of room so far.
+    pub refusals: u32,
 }
 
 /// Returns the index of the chosen candidate, or none where no untried one is left.
@@ -110,6 +125,12 @@
     chosen.or_else(|| untried().min_by_key(|&i| candidates[i].record.ejected_until()))
 }
 
+/// Returns what is added for the bytes that cross to and from another data centre.
+fn far_bytes(candidate: &Candidate<'_>) -> f64 {
+    let bytes = (candidate.crossing + candidate.returning) as f64;
+    (bytes * FAR_BYTE).min(FAR_BYTES_MOST) / PER_REFUSAL.powi(candidate.refusals as i32)
+}
+
 /// Returns the expected work at an upstream, in shares of its slots.
 fn expected_work(candidate: &Candidate<'_>, now: Time) -> f64 {
     let slots = if candidate.slots == 0 { SLOTS_GUESS } else { candidate.slots };
@@ -124,7 +145,7 @@
     let way = match candidate.way {
         Way::Own => 0.0,
         Way::Near => before + bytes * NEAR_BYTE,
-        Way::Far => FAR + before + bytes * FAR_BYTE,
+        Way::Far => FAR + before + far_bytes(candidate),
     };
     held / slots as f64 * slowness * cold / answering + failing * FAILING + way
 }
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -27,7 +27,16 @@
 }
 
 fn candidate(record: &Record, way: Way) -> Candidate<'_> {
-    Candidate { record, slots: 10, way, tried: false, crossing: 0, cold: false }
+    Candidate {
+        record,
+        slots: 10,
+        way,
+        tried: false,
+        crossing: 0,
+        returning: 0,
+        cold: false,
+        refusals: 0,
+    }
 }
 
 /// Returns how many of 100 calls each candidate gets, where none of them ends.
@@ -70,6 +79,40 @@
     check(&[candidate(&near, Way::Near), candidate(&far, Way::Far)], 0);
 }
 
+/// Lookups cross between data centres by the thousand although there is room near by: their requests
+/// are small, and nobody weighed the 5 KB that come back. Redemptions with answers of 400 bytes go
+/// where there is more room.
+#[test]
+fn calls_with_large_answers_stay_near_for_longer() {
+    let (near, far) = (record(80, 8), record(80, 1));
+    for (returning, expect) in [(0, 1), (400, 1), (5_000, 0)] {
+        let near = Candidate { returning, ..candidate(&near, Way::Near) };
+        let far = Candidate { returning, ..candidate(&far, Way::Far) };
+        check(&[near, far], expect);
+    }
+}
+
+/// Callers in the busiest data centre are refused while slots stand idle elsewhere: a call was
+/// offered to four upstreams near by, one after the other, and all of them were full.
+#[test]
+fn a_refusal_makes_other_data_centres_nearer() {
+    let (near, far) = (record(80, 9), record(80, 3));
+    for (refusals, expect) in [(0, 0), (1, 0), (3, 1)] {
+        let of = |record, way| Candidate { returning: 5_000, refusals, ..candidate(record, way) };
+        check(&[of(&near, Way::Near), of(&far, Way::Far)], expect);
+    }
+}
+
+/// A body goes on to another data centre once a queue as long as the slots has formed near by,
+/// however large the body is.
+#[test]
+fn no_body_is_too_large_to_leave_a_long_queue() {
+    let (near, far) = (record(80, 25), record(80, 0));
+    let near = Candidate { crossing: 400_000, ..candidate(&near, Way::Own) };
+    let far = Candidate { crossing: 400_000, ..candidate(&far, Way::Far) };
+    check(&[near, far], 1);
+}
+
 #[test]
 fn large_bodies_stay_near_for_longer() {
     let (near, far) = (record(80, 9), record(80, 3));
--- a/crates/policy/tests/transfer.rs
+++ b/crates/policy/tests/transfer.rs
@@ -151,7 +151,9 @@
         way: Way::Near,
         tried: false,
         crossing,
+        returning: 0,
         cold: false,
+        refusals: 0,
     };
     let mut random = SmallRng::seed_from_u64(1);
     let mut share = |crossing| {
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -204,6 +204,7 @@
     tried: &[Upstream],
     now: Time,
 ) -> Option<usize> {
+    let returning = hub.answer_bytes(call.service, &call.terms.route);
     let candidates: Vec<placement::Candidate<'_>> = able
         .iter()
         .zip(records)
@@ -213,6 +214,8 @@
             way: way(hub, u),
             tried: is_tried(tried, u),
             crossing: call.payload.body.len(),
+            returning,
+            refusals: tried.len() as u32,
             cold: record.age(now) < Duration::from_millis(u.cold_ms),
         })
         .collect();
@@ -291,6 +294,9 @@
         Err(outcome) => sample_of(*outcome, elapsed),
     };
     watch.end(sample);
+    if let (Ok(answer), Sample::Answered(_)) = (&result, sample) {
+        hub.note_answer_bytes(call.service, &call.terms.route, answer.body.len());
+    }
     compare(hub, call, upstream, sample);
     result
 }
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -9,7 +9,7 @@
 use policy::{
     budget, comeback,
     health::{self, Record},
-    latency::Estimate,
+    latency::{Estimate, Size},
     pause,
     retry::Budget,
     share::Room,
@@ -128,6 +128,8 @@
     services: Mutex<HashMap<String, Service>>,
     splits: Mutex<HashMap<String, Split>>,
     latencies: Mutex<HashMap<String, Estimate>>,
+    /// Sizes of answers, by route as above.
+    sizes: Mutex<HashMap<String, Size>>,
     /// Callers that were refused and may come back.
     refused: Mutex<comeback::Register>,
     /// Whether callers may send new work here.
@@ -226,6 +228,7 @@
             services: Mutex::default(),
             splits: Mutex::default(),
             latencies: Mutex::default(),
+            sizes: Mutex::default(),
             refused: Mutex::default(),
             open: AtomicBool::new(false),
             opened: AtomicBool::new(false),
@@ -355,6 +358,22 @@
         }
     }
 
+    /// Returns the bytes that answers of `route` to `service` usually have; 0 before the first one.
+    pub(crate) fn answer_bytes(&self, service: &str, route: &str) -> usize {
+        lock(&self.sizes).get(estimate_key(service, route)).map_or(0, Size::usual)
+    }
+
+    /// Notes that a call of `route` to `service` was answered with `bytes`.
+    pub(crate) fn note_answer_bytes(&self, service: &str, route: &str, bytes: usize) {
+        let key = estimate_key(service, route);
+        let mut sizes = lock(&self.sizes);
+        if let Some(size) = sizes.get_mut(key) {
+            size.note(bytes);
+        } else if sizes.len() < ESTIMATES_MOST {
+            sizes.insert(key.to_owned(), Size::new(bytes));
+        }
+    }
+
     /// Gives `work` the register of refused callers.
     pub(crate) fn with_refused<T>(&self, work: impl FnOnce(&mut comeback::Register) -> T) -> T {
         work(&mut lock(&self.refused))
