--- a/crates/standins/src/served.rs
+++ b/crates/standins/src/served.rs
@@ -16,7 +16,9 @@
 
 pub use self::{
     report::{Report, Tally},
-    settings::{Burst, Calls, Choice, Fault, Order, Route, Service, Settings, Trouble, Way},
+    settings::{
+        Burst, Calls, Choice, Fault, Mechanism, Order, Route, Service, Settings, Trouble, Way,
+    },
 };
 
 /// Plays one day.
--- a/crates/standins/src/served/settings.rs
+++ b/crates/standins/src/served/settings.rs
@@ -190,6 +190,57 @@
     pub choice: Choice,
     /// Who waits for a slot, and how long.
     pub order: Order,
+    /// A mechanism that is switched off, to see what it is worth.
+    pub without: Option<Mechanism>,
+}
+
+/// A part of how the product decides.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mechanism {
+    /// Upstreams that fail are seen as failing, and ejected after failures in a row.
+    Failures,
+    /// Calls of upstreams go before callers' for half of the slots.
+    Half,
+    /// Serving nodes tell how many calls they hold.
+    Load,
+    /// Further upstreams are asked after a refusal.
+    Offers,
+    /// More urgent calls go first.
+    Priority,
+    /// A second attempt is made beside a silent one.
+    Second,
+    /// Calls wait for a slot for a short time only.
+    ShortWaits,
+    /// Upstreams that take longer than others get less.
+    Slowness,
+    /// Callers that come back go before new ones.
+    Returning,
+}
+
+impl Mechanism {
+    /// Every mechanism, with the name that the command line takes.
+    pub const ALL: [(&str, Mechanism); 9] = [
+        ("failures", Mechanism::Failures),
+        ("half", Mechanism::Half),
+        ("load", Mechanism::Load),
+        ("offers", Mechanism::Offers),
+        ("priority", Mechanism::Priority),
+        ("second", Mechanism::Second),
+        ("short-waits", Mechanism::ShortWaits),
+        ("slowness", Mechanism::Slowness),
+        ("returning", Mechanism::Returning),
+    ];
+
+    /// Finds a mechanism by its name.
+    ///
+    /// ```
+    /// use standins::served::Mechanism;
+    /// assert_eq!(Mechanism::parse("half"), Some(Mechanism::Half));
+    /// assert_eq!(Mechanism::parse("magic"), None);
+    /// ```
+    pub fn parse(name: &str) -> Option<Mechanism> {
+        Self::ALL.into_iter().find(|(known, _)| *known == name).map(|(_, mechanism)| mechanism)
+    }
 }
 
 /// Which upstream gets a call.
--- a/crates/standins/src/served/world.rs
+++ b/crates/standins/src/served/world.rs
@@ -4,7 +4,7 @@
 
 use model::time::Time;
 use policy::{
-    admission::{Entry, Rank, Ticket},
+    admission::{Entry, Line, Rank, Ticket},
     budget::Window,
     comeback::Attempt,
     health::{Load, Record, Sample},
@@ -21,7 +21,7 @@
     choice::{self, Seen},
     parts::{Call, CallKey, EntryNode, Offer, OfferKey, State, Upstream, Word, upstreams},
     report::Report,
-    settings::{Order, Route, Settings, Trouble},
+    settings::{Mechanism, Order, Route, Settings, Trouble},
 };
 
 /// Most upstreams that a call is offered to, as at the product's entry nodes.
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Tells whether a part of the product's way of deciding is switched off.
+    pub(super) fn lacks(&self, mechanism: Mechanism) -> bool {
+        self.settings.way.without == Some(mechanism)
+    }
+
     pub(super) fn put(&mut self, after: Duration, due: Due) {
         self.number += 1;
         self.agenda.push(Reverse((self.now + after, self.number, due)));
@@ -141,6 +146,7 @@
     fn ask(&mut self, key: CallKey) {
         let (now, route) = (self.now, self.route(key));
         let origin = self.origin(key);
+        let is_known = !self.lacks(Mechanism::Returning);
         let call = &mut self.calls[key.0];
         call.received = now;
         let deadline = call.deadline;
@@ -151,13 +157,15 @@
         let clock = Clock {
             received: now,
             deadline,
-            attempt: if call.attempt > 1 { Attempt::Later } else { Attempt::First },
+            attempt: if call.attempt > 1 && is_known { Attempt::Later } else { Attempt::First },
             elapsed: now.since(call.begun),
             objective: route.objective,
             usual,
         };
         call.rank = match self.settings.way.order {
-            Order::Ranked => urgency::rank(origin, route.priority, clock),
+            Order::Ranked => {
+                adjust(self.settings.way.without, urgency::rank(origin, route.priority, clock))
+            }
             Order::Arrival => Rank::default(),
         };
         self.put(deadline.since(now), Due::Deadline(key));
@@ -242,7 +250,8 @@
 
     fn second_delay(&self, key: CallKey, upstream: usize) -> Option<Duration> {
         let (call, route) = (&self.calls[key.0], self.route(key));
-        if route.kind == Kind::Once || call.offers.len() > 1 {
+        let never = route.kind == Kind::Once || self.lacks(Mechanism::Second);
+        if never || call.offers.len() > 1 {
             return None;
         }
         let record = &self.entries[call.entry].records[upstream];
@@ -396,7 +405,9 @@
         let took = self.now.since(sent);
         self.observe(call, upstream, word, took);
         let entry = self.calls[call.0].entry;
-        self.entries[entry].records[upstream].hear_load(load, self.now);
+        if !self.lacks(Mechanism::Load) {
+            self.entries[entry].records[upstream].hear_load(load, self.now);
+        }
         self.calls[call.0].open -= 1;
         self.calls[call.0].unknown |= word == Word::Failed;
         match word {
@@ -408,10 +419,13 @@
 
     fn observe(&mut self, call: CallKey, upstream: usize, word: Word, took: Duration) {
         let Call { route, entry, .. } = self.calls[call.0];
+        let sees_failures = !self.lacks(Mechanism::Failures);
+        let compares = !self.lacks(Mechanism::Slowness);
         let EntryNode { records, latencies, .. } = &mut self.entries[entry];
         let sample = match word {
             Word::Answered => Sample::Answered(took),
-            Word::Failed => Sample::Erred(took),
+            Word::Failed if sees_failures => Sample::Erred(took),
+            Word::Failed => Sample::Answered(took),
             Word::Refused => Sample::Refused,
         };
         records[upstream].end(self.now, sample);
@@ -419,7 +433,9 @@
             return;
         }
         let latency = latencies[route].get_or_insert(Estimate::new(took));
-        records[upstream].compare(latency.ratio(took), self.now);
+        if compares {
+            records[upstream].compare(latency.ratio(took), self.now);
+        }
         latency.note(took);
     }
 
@@ -439,7 +455,8 @@
     fn may_repeat(&mut self, key: CallKey, outcome: Outcome) -> bool {
         let route = self.route(key);
         let call = &self.calls[key.0];
-        if call.offers.len() >= OFFERS_MOST {
+        let most = if self.lacks(Mechanism::Offers) { 1 } else { OFFERS_MOST };
+        if call.offers.len() >= most {
             return false;
         }
         let attempt =
@@ -505,3 +522,13 @@
         self.worked(parent);
     }
 }
+
+/// Returns `rank` as it is without a mechanism.
+fn adjust(without: Option<Mechanism>, rank: Rank) -> Rank {
+    match without {
+        Some(Mechanism::Half) => Rank { line: Line::Callers, ..rank },
+        Some(Mechanism::Priority) => Rank { priority: 0, ..rank },
+        Some(Mechanism::ShortWaits) => Rank { start_by: None, ..rank },
+        _ => rank,
+    }
+}
--- a/crates/standins/tests/served.rs
+++ b/crates/standins/tests/served.rs
@@ -1,6 +1,8 @@
 //! The model of the served systems: nobody is lost in it, and it tells good ways from bad ones.
 
-use standins::served::{Burst, Choice, Fault, Order, Report, Route, Settings, Trouble, Way, play};
+use standins::served::{
+    Burst, Choice, Fault, Mechanism, Order, Report, Route, Settings, Trouble, Way, play,
+};
 use std::time::Duration;
 
 const SEEDS: u64 = 3;
@@ -49,12 +51,23 @@
     for choice in [Choice::Room, Choice::InTurn, Choice::LeastInFlight] {
         for order in [Order::Ranked, Order::Arrival] {
             for day in &days {
-                check_whole(&play(&Settings { way: Way { choice, order }, ..day.clone() }, 1));
+                check_whole(&play(
+                    &Settings { way: Way { choice, order, ..Way::default() }, ..day.clone() },
+                    1,
+                ));
             }
         }
     }
 }
 
+#[test]
+fn every_caller_gets_one_end_without_each_mechanism() {
+    for (_, mechanism) in Mechanism::ALL {
+        let way = Way { without: Some(mechanism), ..Way::default() };
+        check_whole(&play(&Settings { way, ..with_trouble(Trouble::Failing(0.6)) }, 1));
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_day() {
     let day = with_trouble(Trouble::Silent(0.3));
--- a/xtask/src/experiment.rs
+++ b/xtask/src/experiment.rs
@@ -1,5 +1,7 @@
 //! Compares ways of deciding on the model of the served systems: `cargo xtask experiment`.
 //!
+//! `--without NAME` compares the product with itself less one mechanism; `--list` names them.
+//!
 //! A decision is tried here before it is measured on real processes: seconds in the place of
 //! minutes, and as many seeds as a difference needs. What the model leaves out is told in
 //! [`standins::served`]; a difference that shows only there must be looked for elsewhere.
@@ -9,7 +11,7 @@
 mod sum;
 
 use pico_args::Arguments;
-use standins::served::{Choice, Order, Settings, Way, play};
+use standins::served::{Choice, Mechanism, Order, Settings, Way, play};
 use std::{fs::File, io::Write, path::PathBuf};
 
 use crate::tools::{self, Failure};
@@ -22,17 +24,26 @@
 /// Seeds of each comparison: with ten, differences of a hundredth stand out of chance.
 const SEEDS: u64 = 10;
 
+/// How the product decides.
+const PRODUCT: Way = Way { choice: Choice::Room, order: Order::Ranked, without: None };
+
 /// The ways that are compared. The first is the product's.
 const WAYS: [(&str, Way); 4] = [
-    ("product", Way { choice: Choice::Room, order: Order::Ranked }),
-    ("by-arrival", Way { choice: Choice::Room, order: Order::Arrival }),
-    ("least-in-flight", Way { choice: Choice::LeastInFlight, order: Order::Ranked }),
-    ("in-turn", Way { choice: Choice::InTurn, order: Order::Arrival }),
+    ("product", PRODUCT),
+    ("by-arrival", Way { order: Order::Arrival, ..PRODUCT }),
+    ("least-in-flight", Way { choice: Choice::LeastInFlight, ..PRODUCT }),
+    ("in-turn", Way { choice: Choice::InTurn, order: Order::Arrival, ..PRODUCT }),
 ];
 
 /// Plays every scene with every way.
 pub(crate) fn run(mut arguments: Arguments) -> Result<(), Failure> {
     let usage = |e: pico_args::Error| Failure::Usage(e.to_string());
+    if arguments.contains("--list") {
+        tools::finish(arguments)?;
+        Mechanism::ALL.iter().for_each(|(name, _)| println!("{name}"));
+        return Ok(());
+    }
+    let without: Option<String> = arguments.opt_value_from_str("--without").map_err(usage)?;
     let seeds = arguments.opt_value_from_str("--seeds").map_err(usage)?.unwrap_or(SEEDS);
     let nodes: usize = arguments.opt_value_from_str("--nodes").map_err(usage)?.unwrap_or(12);
     let only: Option<String> = arguments.opt_value_from_str("--scene").map_err(usage)?;
@@ -49,7 +60,8 @@
         let names: Vec<&str> = scene::all(nodes).iter().map(|s| s.name).collect();
         return Err(Failure::Usage(format!("no such scene; there are {}", names.join(", "))));
     }
-    let sums = compare(&wanted, seeds);
+    let ways = without.map_or(Ok(WAYS.to_vec()), |name| ablation(&name))?;
+    let sums = compare(&wanted, &ways, seeds);
     table(&sums);
     if let Some(path) = lines {
         let mut file = File::create(path)?;
@@ -60,10 +72,22 @@
     picture.map_or(Ok(()), |path| plot::draw(&path, &sums))
 }
 
-fn compare(scenes: &[Scene], seeds: u64) -> Vec<Sum> {
+/// Returns the product's way, and that without the mechanism `name` or, for `all`, without each.
+fn ablation(name: &str) -> Result<Vec<(&'static str, Way)>, Failure> {
+    let off = |mechanism| Way { without: Some(mechanism), ..PRODUCT };
+    let wanted = Mechanism::ALL.into_iter().filter(|(known, _)| name == "all" || *known == name);
+    let mut ways = vec![("product", PRODUCT)];
+    ways.extend(wanted.map(|(known, mechanism)| (known, off(mechanism))));
+    if ways.len() == 1 {
+        return Err(Failure::Usage(format!("no mechanism {name:?}; see experiment --list")));
+    }
+    Ok(ways)
+}
+
+fn compare(scenes: &[Scene], ways: &[(&'static str, Way)], seeds: u64) -> Vec<Sum> {
     let mut sums = Vec::new();
     for scene in scenes {
-        for (name, way) in WAYS {
+        for &(name, way) in ways {
             let settings = Settings { way, ..scene.settings.clone() };
             let reports: Vec<_> = (0..seeds).map(|seed| play(&settings, seed)).collect();
             sums.push(Sum::of(scene.name, name, &reports));
--- a/xtask/src/experiment/scene.rs
+++ b/xtask/src/experiment/scene.rs
@@ -1,6 +1,7 @@
 //! The loads and troubles that ways are compared under.
 
-use standins::served::{Burst, Fault, Route, Service, Settings, Trouble};
+use policy::retry::Kind;
+use standins::served::{Burst, Calls, Fault, Route, Service, Settings, Trouble};
 use std::time::Duration;
 
 /// A day to compare ways on.
@@ -32,9 +33,63 @@
         Scene { name: "slow", settings: with_fault(Trouble::Slow(5.0)) },
         Scene { name: "failing", settings: with_fault(Trouble::Failing(0.5)) },
         Scene { name: "silent", settings: with_fault(Trouble::Silent(0.4)) },
+        Scene { name: "shortage", settings: shortage(nodes) },
     ]
 }
 
+/// A service of few upstreams that takes uploads of callers and, for less urgent lookups of another
+/// service, more checks than it has room for: two of its three upstreams have left.
+fn shortage(nodes: usize) -> Settings {
+    let ms = Duration::from_millis;
+    let factor = nodes as f64 / 12.0;
+    let service = |upstreams: f64, speeds: &[f64]| Service {
+        upstreams: (upstreams * factor).ceil() as usize,
+        slots: 9,
+        speeds: speeds.to_vec(),
+    };
+    let base = Settings::default();
+    let lookup = Route {
+        per_second: 260.0 * factor,
+        work: ms(120),
+        spread: 0.8,
+        objective: ms(400),
+        deadline: ms(1_000),
+        attempts: 2,
+        calls: Some(Calls { route: 2, times: 2, share: 0.7 }),
+        ..base.routes[0].clone()
+    };
+    let upload = Route {
+        service: 1,
+        per_second: 25.5 * factor,
+        work: ms(140),
+        spread: 0.3,
+        objective: ms(500),
+        deadline: ms(1_200),
+        priority: 1,
+        kind: Kind::Once,
+        worth: 2.0,
+        calls: None,
+        ..lookup.clone()
+    };
+    let check = Route {
+        service: 1,
+        per_second: 0.0,
+        work: ms(30),
+        spread: 0.5,
+        objective: ms(120),
+        deadline: ms(400),
+        attempts: 1,
+        worth: 0.0,
+        calls: None,
+        ..lookup.clone()
+    };
+    Settings {
+        services: vec![service(9.0, &[0.7, 0.7, 1.6]), service(1.0, &[1.0])],
+        routes: vec![lookup, upload, check],
+        ..base
+    }
+}
+
 fn sized(nodes: usize) -> Settings {
     let base = Settings::default();
     let upstreams = nodes.div_ceil(base.services.len());
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -20,7 +20,7 @@
   fuzz        random scripts against the oracle [--seed N] [--steps M]
   soak        real processes under random faults [--seed N] [--seeds M] [--seconds S] [--nodes K]
   experiment  compares ways of deciding on a model [--seeds N] [--nodes K] [--scene NAME]
-              [--json FILE] [--plot FILE.svg]
+              [--json FILE] [--plot FILE.svg] [--without NAME | --list]
   bench       measures [--nodes 10,40,120] [--json FILE] [--only PART]
   reference   writes docs/PROFILES.md, docs/SETTINGS.md and docs/METRICS.md from the code
   --help      prints this text
