--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -177,22 +177,19 @@
     /// Returns the calls that the upstream is expected to hold: the own ones, and those of others
     /// as last told, which count less the older the word is.
     pub fn expected_load(&self, now: Time) -> f64 {
-        let halvings = now.since(self.others_at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        self.in_flight as f64 + self.others / halvings.exp2()
+        self.in_flight as f64 + self.others * weight(self.others_at, now, LOAD_HALF_LIFE)
     }
 
     /// Returns the large bodies that are expected to be on their way to the upstream, as last told;
     /// the older the word, the less it counts.
     pub fn expected_bodies(&self, now: Time) -> f64 {
-        let halvings = now.since(self.others_at).as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        self.bodies / halvings.exp2()
+        self.bodies * weight(self.others_at, now, LOAD_HALF_LIFE)
     }
 
     /// Returns the share of failures among the last calls; it halves for every [`HALF_LIFE`]
     /// without a call.
     pub fn failure_share(&self, now: Time) -> f64 {
-        let halvings = now.since(self.failure_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.failure_share / halvings.exp2()
+        self.failure_share * weight(self.failure_at, now, HALF_LIFE)
     }
 
     /// Ends an ejection early: the upstream's node has been heard of again.
@@ -244,15 +241,14 @@
     ///
     /// An upstream that was slow once and is avoided since would otherwise be avoided for ever.
     pub fn latency(&self, now: Time) -> Option<Duration> {
-        let halvings = now.since(self.latency_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.latency.map(|latency| latency.div_f64(halvings.exp2()))
+        let weight = weight(self.latency_at, now, HALF_LIFE);
+        self.latency.map(|latency| latency.mul_f64(weight))
     }
 
     /// Returns how many times as long as usual calls to the upstream take; the difference from 1
     /// halves for every [`HALF_LIFE`] without a call.
     pub fn slowness(&self, now: Time) -> f64 {
-        let halvings = now.since(self.slowness_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        1.0 + (self.slowness - 1.0) / halvings.exp2()
+        1.0 + (self.slowness - 1.0) * weight(self.slowness_at, now, HALF_LIFE)
     }
 
     /// Returns the share of calls due to the upstream, from near 0 to 1, during its slow start.
@@ -306,6 +302,12 @@
     }
 }
 
+/// Returns the weight at `now` of what was seen at `since`: 1 at once, halved for each `half_life`.
+fn weight(since: Time, now: Time, half_life: Duration) -> f64 {
+    let halvings = now.since(since).as_secs_f64() / half_life.as_secs_f64();
+    (-halvings).exp2()
+}
+
 /// Returns the mean latency of those upstreams that have one.
 pub fn usual_latency<'a>(
     records: impl IntoIterator<Item = &'a Record>,
