--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -38,7 +38,7 @@
 ///
 /// A refusal shows that less room is near by than was thought. With seventeen upstreams in a data
 /// centre, a call would otherwise be refused by four of them while others stand idle elsewhere:
-/// callers of the busiest of three got 0.77 of their worth, the others 0.88.
+/// callers of the busiest of three got 0.77 of their worth, the others 0.86 and 0.91.
 const PER_REFUSAL: f64 = 2.0;
 
 /// Bodies of at least so many bytes take turns on slow links. Smaller ones cross a link of 5 Mbit/s
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -66,6 +66,16 @@
     }
 }
 
+/// A caller that claims to be an upstream's work, or the most urgent of all, goes before everybody:
+/// only what other nodes say of a call's rank and of an upstream's life is believed.
+#[test]
+fn what_nodes_tell_each_other_is_not_believed_of_callers() {
+    let scene = Scene::new(1, 4);
+    let forged = "baobab-nested: 1\r\nbaobab-priority: none\r\nbaobab-started-ms: never\r\n";
+    check(&scene, &request("GET", "/read/a", forged, ""), "200");
+    assert!(!scene.seen()[0].head.contains("baobab-"), "{}", scene.seen()[0].head);
+}
+
 /// A payment is refused by an upstream that is full and by one whose address was taken over. Both
 /// prove that it has not run, so it goes on to the third.
 #[test]
