The tests' reader of a status stands once; what counts as a refusal is told as it is

The comment on placement::Candidate::refusals said that only refusals count; upstreams that are silent beside a second attempt count as well, as the entry node passes the number of all that were tried.

--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -97,7 +97,8 @@
     pub returning: usize,
     /// Whether it is slow after its start.
     pub cold: bool,
-    /// Times that the call was refused for want of room so far.
+    /// Upstreams that the call was offered to so far. Nearly all of them refused it for want of room;
+    /// one that is silent beside a second attempt counts as well.
     pub refusals: u32,
 }
 
--- a/crates/traffic/tests/restarts.rs
+++ b/crates/traffic/tests/restarts.rs
@@ -2,12 +2,7 @@
 
 mod scene;
 
-use scene::{Act, Scene, request};
-
-/// Returns the status of an answer; empty where there is none.
-fn status(answer: &str) -> &str {
-    answer.split(' ').nth(1).unwrap_or("")
-}
+use scene::{Act, Scene, request, status};
 
 /// A lookup reaches an upstream that knows nothing of it: the address and the name were those of a
 /// life that had ended, the process behind them was already of another service. The node beside it
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -2,14 +2,9 @@
 
 mod scene;
 
-use scene::{Act, Scene, request};
+use scene::{Act, Scene, request, status};
 use std::{io::Write, thread, time::Duration};
 
-/// Returns the status of an answer; empty where there is none.
-fn status(answer: &str) -> &str {
-    answer.split(' ').nth(1).unwrap_or("")
-}
-
 fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
     answer.lines().find_map(|line| {
         let (found, value) = line.split_once(": ")?;
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -319,6 +319,11 @@
     }
 }
 
+/// Returns the status of an answer; empty where there is none.
+pub(crate) fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or("")
+}
+
 /// Returns a request that asks for the connection to end with its answer.
 pub(crate) fn request(method: &str, path: &str, extra: &str, body: &str) -> String {
     format!(
