Tests of the incident, failing: what grows does not reach slow links, and the largest configurations are refused

Besides, a node takes at most 4,096 documents, while the platform's largest value holds some 12,000 routes.

Ruled out so far: that the versions of the first change are refused (nodes on fast links hold them); that a split has no part (the denied routes are among the added ones).

Change: none of logic.

--- /dev/null
+++ b/crates/fleet/tests/growth.rs
@@ -0,0 +1,42 @@
+//! A configuration that grows reaches nodes whose links are slow for its size.
+
+mod net;
+
+use net::Net;
+
+const PLACES: [&str; 7] = ["a", "a", "a", "b", "b", "c", "c"];
+const FAST: u32 = 100;
+const SLOW: u32 = 5;
+
+/// Routes of a large site, and those that one change adds to them.
+const ROUTES: usize = 1_600;
+const ADDED: usize = 1_400;
+
+/// Time within which a change must be in force everywhere, in ms.
+const IN_FORCE: u64 = 2_500;
+
+/// A calm fleet with the routes of a large site; one node of each data centre has a fast link.
+fn calm(slow: u32) -> Net {
+    let mut net = Net::new(&PLACES);
+    net.links = vec![FAST, slow, slow, FAST, slow, FAST, slow];
+    (0..PLACES.len()).for_each(|node| net.start(node));
+    net.routes = ROUTES;
+    let revision = net.publish();
+    net.until(10_000, |net| net.all(|n| n.open && n.in_force == revision));
+    net.run(2_000);
+    net
+}
+
+/// Callers of routes that were added minutes ago are told 404, for the rest of the day, wherever a
+/// node's link is slow. A change added so many routes that what a node lacked took longer to cross
+/// its link than one pull may take; the pull was given up, nothing of it was kept, and the next one
+/// asked for the same again. Seen as links that are full with answers of which none is ever used;
+/// proved by this test, which needs nothing but the size of the change and the speed of the link.
+#[test]
+fn a_change_larger_than_one_pull_reaches_nodes_on_slow_links() {
+    let mut net = calm(SLOW);
+    net.routes += ADDED;
+    let revision = net.publish();
+    net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision));
+    assert!(net.regressions.is_empty());
+}
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -26,6 +26,9 @@
 /// Delay of every message, in ms.
 const DELAY: u64 = 2;
 
+/// Bits that a link of 1 Mbit/s carries in a millisecond.
+const BITS_PER_MS: u64 = 1_000;
+
 /// How long a store that is silent keeps a call, in ms: the adapter's patience.
 const SILENCE: u64 = 1_500;
 
@@ -40,7 +43,7 @@
 /// Something on its way.
 enum Due {
     Event(usize, u64, Event),
-    Ask { from: usize, life: u64, to: usize, request: Request },
+    Ask { from: usize, life: u64, to: usize, request: Request, until: u64 },
     Read { node: usize, life: u64, query: Query, until: u64 },
 }
 
@@ -71,6 +74,8 @@
     order: u64,
     revision: u64,
     store: BTreeMap<String, (u64, Value)>,
+    /// Routes that the configuration holds.
+    pub(crate) routes: usize,
     /// Writes in order, as far as the store remembers them.
     history: Vec<(u64, String)>,
     treatment: Vec<Treatment>,
@@ -102,6 +107,7 @@
             order: 0,
             revision: 1,
             store: BTreeMap::new(),
+            routes: 0,
             history: Vec::new(),
             treatment: vec![Treatment::Serve; zones.len()],
             cut: BTreeSet::new(),
@@ -287,16 +293,32 @@
                     self.apply(node, event);
                 }
             }
-            Due::Ask { from, life, to, request } => {
-                if let Some(response) = self.ask(to, request) {
-                    let event = Event::Answered(address(to), response);
-                    self.put(DELAY, Due::Event(from, life, event));
-                }
+            Due::Ask { from, life, to, request, until } => {
+                let asked = asked(&request);
+                let Some(response) = self.ask(to, request) else { return };
+                let arrival = self.now + DELAY + self.crossing(from, to, &response);
+                let event = if arrival <= until {
+                    Event::Answered(address(to), response)
+                } else {
+                    Event::Lost(address(to), Lost { asked, malformed: None })
+                };
+                self.put(arrival.min(until) - self.now, Due::Event(from, life, event));
             }
             Due::Read { node, life, query, until } => self.look(node, life, query, until),
         }
     }
 
+    /// Returns how long an answer takes over the slower of two links, in ms, as plain JSON.
+    fn crossing(&self, a: usize, b: usize, response: &Response) -> u64 {
+        let bytes = match response {
+            Response::Pull(bundle) => serde_json::to_vec(bundle),
+            Response::Fetch(update) => serde_json::to_vec(update),
+            Response::Beat(_) | Response::Sync(_) => return 0,
+        };
+        let bits = 8 * bytes.expect("messages have a JSON form").len() as u64;
+        bits / (BITS_PER_MS * u64::from(self.links[a].min(self.links[b])))
+    }
+
     fn ask(&mut self, to: usize, request: Request) -> Option<Response> {
         let now = self.moment();
         let effects = self.nodes[to].control.as_mut()?.apply(Event::Asked(request), now);
@@ -359,15 +381,13 @@
         request: Request,
         timeout: Duration,
     ) {
-        let asked = match request {
-            Request::Fetch(_) => Asked::Fetch,
-            _ => Asked::Pull,
-        };
+        let asked = asked(&request);
+        let until = self.now + timeout.as_millis() as u64;
         let reachable = self
             .index(peer)
             .filter(|&to| !self.cut.contains(&(node, to)) && self.nodes[to].control.is_some());
         match reachable {
-            Some(to) => self.put(DELAY, Due::Ask { from: node, life, to, request }),
+            Some(to) => self.put(DELAY, Due::Ask { from: node, life, to, request, until }),
             None => {
                 let lost = Event::Lost(peer, Lost { asked, malformed: None });
                 self.put(timeout.as_millis() as u64, Due::Event(node, life, lost));
@@ -441,22 +461,39 @@
                     reason: Reason::Unusable,
                     ..Removal::default()
                 }),
-                Value::Config(number) => config = Some(documents(*revision, *number)),
+                Value::Config(number) => {
+                    config = Some(documents(*revision, *number, self.routes));
+                }
             }
         }
         Bulletin { revision: self.revision, config, list, faults: Vec::new() }
     }
 }
 
-fn documents(revision: u64, number: u64) -> Delta {
+fn asked(request: &Request) -> Asked {
+    match request {
+        Request::Fetch(_) => Asked::Fetch,
+        _ => Asked::Pull,
+    }
+}
+
+fn documents(revision: u64, number: u64, routes: usize) -> Delta {
     let document = |key: &str, text: String| Document {
         key: key.to_owned(),
         modified: revision,
         text: text.into(),
     };
-    let documents = vec![
+    let mut documents = vec![
         document("profiles/p", format!("{{\"deadline_ms\": {}}}", 1_000 + number)),
         document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
     ];
+    documents.extend((0..routes).map(|route| {
+        let text = format!(
+            "{{\"host\": \"shop.example\", \"prefix\": \"/p{route}/\", \"kind\": \"idempotent\", \
+             \"attempts\": 2, \"timeout_ms\": 3000, \"objective_ms\": 1000, \"priority\": 2, \
+             \"targets\": [{{\"service\": \"shelfview\"}}]}}"
+        );
+        document(&format!("routes/r-{route}"), text)
+    }));
     Delta { revision, full: true, documents, ..Delta::default() }
 }
--- a/crates/model/tests/accept.rs
+++ b/crates/model/tests/accept.rs
@@ -93,6 +93,31 @@
     check(&many, &[" "]);
 }
 
+/// Callers of new routes are told 404 on every node, and nothing published afterwards comes into
+/// force. The platform had accepted a configuration of its largest size; each node refused it, since
+/// it held more documents than a node takes, and kept the version of before. Seen as nodes that start
+/// long after the change and still serve the version before it.
+#[test]
+fn a_configuration_of_the_largest_size_is_accepted() {
+    // The platform's largest value, 1 MiB, holds about 12,000 routes if they name only what they must.
+    let routes = (0..12_000).map(|i| {
+        let text = format!(
+            r#"{{"host": "shop.example", "prefix": "/p{i}/", "kind": "idempotent", "attempts": 2,
+                "timeout_ms": 3000, "objective_ms": 1000, "priority": 2,
+                "targets": [{{"service": "shelfview"}}]}}"#
+        );
+        (format!("routes/r-{i}"), text)
+    });
+    let mut documents = vec![
+        ("profiles/p".to_owned(), "{}".to_owned()),
+        ("services/shelfview".to_owned(), r#"{"profile": "p"}"#.to_owned()),
+    ];
+    documents.extend(routes);
+    let documents: Vec<(&str, &str)> =
+        documents.iter().map(|(key, text)| (key.as_str(), text.as_str())).collect();
+    check(&documents, &[]);
+}
+
 /// Any bytes at all lead to a verdict and not to a panic.
 #[test]
 fn no_text_stops_the_process() {
