The configuration comes in pieces that slow links carry, and what has come counts

Cause: a pull had one second, and its answer held everything that the asker lacked, unpacked unless it held nothing: 780 KB after 1,400 routes were added. Over 5 Mbit/s that takes longer; the pull was given up, nothing of it was kept, and the next one asked for the same, so that links were full and the change arrived nowhere. Class: a fixed time for work whose size is not bounded, begun anew after each failure.

Ruled out: a longer time alone (a stuck node would be noticed later, and the next size breaks it again); packing alone (the same at another size). Asking by revision first in listed mode was not tried.

All pulls are packed, and packed pieces are kept for other askers. A lost pull leaves an event (the first, second, fourth ... in a row). Nodes of former versions get and give everything as before.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    catchup::Draft,
     clock::{Clock, Now, Stamp},
     directory::Update,
     fence::Fence,
@@ -99,6 +100,9 @@
     random: SmallRng,
     roster: Roster,
     fence: Fence,
+    draft: Draft,
+    /// Pulls in a row that brought no answer.
+    lost_pulls: u32,
     duty: Duty,
     prober: Prober,
     contacts: Vec<SocketAddr>,
@@ -134,6 +138,8 @@
             ring: Ring::default(),
             roster,
             fence: Fence::default(),
+            draft: Draft::default(),
+            lost_pulls: 0,
             duty: Duty::new(begin + jitter),
             prober: Prober::new(begin),
             contacts,
--- a/crates/fleet/src/control/port.rs
+++ b/crates/fleet/src/control/port.rs
@@ -60,6 +60,18 @@
     Fetch,
 }
 
+impl Asked {
+    /// Returns the name used in metrics and events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Asked::Beat => "beat",
+            Asked::Pull => "pull",
+            Asked::Sync => "sync",
+            Asked::Fetch => "fetch",
+        }
+    }
+}
+
 /// Something to be done.
 #[derive(Clone, Debug)]
 pub enum Effect {
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -3,8 +3,9 @@
 use model::{config::Version, document::Set};
 use std::net::SocketAddr;
 
-use super::{Control, Effect, PULL_TIMEOUT};
+use super::{Asked, Control, Effect, PULL_TIMEOUT};
 use crate::{
+    catchup::Progress,
     clock::Now,
     fence::Verdict,
     message::{Bundle, Pull, Request},
@@ -74,33 +75,32 @@
         let Some((&peer, _)) = self.offers.iter().max_by_key(|(_, version)| **version) else {
             return;
         };
-        self.send_pull(peer, held);
+        self.send_pull(peer);
     }
 
     pub(super) fn bundle(&self, pull: Pull) -> Bundle {
-        Bundle { version: self.fence.version(), delta: self.fence.since(pull.have) }
+        self.fence.answer(&pull)
     }
 
     pub(super) fn hear_bundle(&mut self, peer: SocketAddr, bundle: Bundle, now: Now) {
         if self.pulling == Some(peer) {
             self.pulling = None;
         }
-        let full = bundle.delta.full;
-        let set = self.fence.with(bundle.delta);
-        if set.version() == bundle.version {
-            self.offers.remove(&peer);
-            self.offer(set, Some(peer), now);
-        } else if !full {
-            // The delta does not lead from what is held here to what the peer holds: it was made
-            // for a version that has been replaced since, or a removal was forgotten. The digest
-            // shows it, and nothing of it is kept.
-            cov_mark::hit!(delta_mismatch);
-            self.send_pull(peer, None);
-            return;
-        } else {
-            self.offers.remove(&peer);
-            let reason = "the documents do not have the announced digest".to_owned();
-            self.note(Kind::BadMessage { peer, reason }, now);
+        self.lost_pulls = 0;
+        match self.draft.take(&self.fence, bundle) {
+            Progress::Whole(set) => {
+                self.offers.remove(&peer);
+                self.offer(*set, Some(peer), now);
+            }
+            Progress::Part => {
+                self.send_pull(peer);
+                return;
+            }
+            Progress::Unusable => {
+                self.offers.remove(&peer);
+                let reason = "the documents do not have the announced digest".to_owned();
+                self.note(Kind::BadMessage { peer, reason }, now);
+            }
         }
         self.pull(now);
     }
@@ -108,11 +108,23 @@
     pub(super) fn abandon_pull(&mut self, peer: SocketAddr, now: Now) {
         if self.pulling == Some(peer) {
             self.pulling = None;
+            self.lost_pulls += 1;
+            self.draft.lose();
+            self.note_lost_pull(peer, now);
         }
         self.offers.remove(&peer);
         self.pull(now);
     }
 
+    /// Notes the first, second, fourth and so on of a row of pulls without an answer.
+    fn note_lost_pull(&mut self, peer: SocketAddr, now: Now) {
+        let failures = self.lost_pulls;
+        if failures.is_power_of_two() {
+            let asked = Asked::Pull.name().to_owned();
+            self.note(Kind::PullLost { peer, asked, failures }, now);
+        }
+    }
+
     pub(super) fn plan_targets(&mut self, revision: u64, weight: u32) -> Vec<SocketAddr> {
         let occasion = Occasion { roster: &self.roster, revision, weight };
         self.settings.plan.targets(&occasion, &mut self.random)
@@ -123,6 +135,7 @@
             Verdict::InForce(snapshot) => {
                 let version = snapshot.version;
                 self.note(Kind::InForce { version, from }, now);
+                self.draft.clear();
                 let weight = snapshot.convergence_weight();
                 self.effects.push(Effect::InForce(snapshot));
                 self.announce(version, weight, now);
@@ -147,13 +160,15 @@
         }
     }
 
-    fn send_pull(&mut self, peer: SocketAddr, have: Option<u64>) {
+    fn send_pull(&mut self, peer: SocketAddr) {
         self.pulling = Some(peer);
-        self.effects.push(Effect::Send(
-            peer,
-            Request::Pull(Pull { have, ..Pull::default() }),
-            PULL_TIMEOUT,
-        ));
+        // What changed since a revision is the least to send; once more than a piece of it is lacking,
+        // the contents tell what was received already.
+        let pull = match (self.fence.held(), self.draft.is_empty()) {
+            (Some(_), true) => self.draft.pull_changes(&self.fence),
+            _ => self.draft.pull_content(&self.fence),
+        };
+        self.effects.push(Effect::Send(peer, Request::Pull(pull), PULL_TIMEOUT));
     }
 
     fn report_conflict(&mut self, offered: Version, now: Now) {
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -11,7 +11,10 @@
 };
 use std::{collections::VecDeque, sync::Arc};
 
-use crate::status;
+use crate::{
+    message::{Bundle, Pull},
+    status,
+};
 
 /// Rejected versions that a node remembers.
 const REJECTED_LIMIT: usize = 16;
@@ -76,19 +79,20 @@
         self.rejected.iter().map(told).collect()
     }
 
-    /// Returns what a holder of revision `have` lacks of the version in force.
-    pub fn since(&self, have: Option<u64>) -> Delta {
-        self.set.since(have)
-    }
-
-    /// Returns digests of the documents in force, see [`Set::buckets`].
-    pub fn buckets(&self) -> &[u64] {
-        self.set.buckets()
+    /// Returns the documents in force.
+    pub fn set(&self) -> &Set {
+        &self.set
     }
 
-    /// Returns what a holder of documents with these digests lacks.
-    pub fn differing(&self, buckets: &[u64]) -> Delta {
-        self.set.differing(buckets)
+    /// Returns what the asker lacks of the version in force, as much of it as it asks for.
+    pub fn answer(&self, pull: &Pull) -> Bundle {
+        let limit = pull.limit.unwrap_or(usize::MAX);
+        let piece = if pull.buckets.is_empty() {
+            self.set.since_within(pull.have, limit)
+        } else {
+            self.set.differing_within(&pull.buckets, limit)
+        };
+        Bundle { version: self.version(), delta: piece.delta, more: piece.more }
     }
 
     /// Returns the set that `delta` leads to from the one in force.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! not know HTTP or JSON-RPC. The messages in [`message`] are the protocol between nodes and the
 //! events in [`timeline`] are read by operators' tools: those two modules are an API border.
 
+pub mod catchup;
 pub mod clock;
 pub mod control;
 pub mod directory;
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -22,8 +22,9 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
+    catchup::{Draft, Progress},
     clock::{Clock, Now, Stamp},
-    control::{Effect, Event, Machine},
+    control::{Asked, Effect, Event, Machine},
     directory::{Change, Directory, Entry},
     fence::Fence,
     listed::{peers::Peers, pull::Pulls, watch::Watch},
@@ -105,6 +106,7 @@
     ring: Ring,
     random: SmallRng,
     fence: Fence,
+    draft: Draft,
     directory: Directory,
     watch: Watch,
     peers: Peers,
@@ -130,6 +132,7 @@
             ring: Ring::default(),
             random,
             fence: Fence::default(),
+            draft: Draft::default(),
             directory: Directory::default(),
             watch: Watch::new(settings.reading, first_call),
             peers: Peers::new(settings.address, settings.link_mbps, settings.data_centre.clone()),
@@ -161,7 +164,7 @@
                 if let Some(reason) = lost.malformed {
                     self.note(Kind::BadMessage { peer, reason }, now);
                 }
-                self.pulls.fail(lost.asked, peer, now.time);
+                self.lose(lost.asked, peer, now);
             }
             Event::Source(answer) => self.hear_source(answer, now),
             Event::Note(kind) => self.note(kind, now),
@@ -236,13 +239,7 @@
 
     fn answer(&mut self, request: Request, now: Now) {
         let response = match request {
-            Request::Pull(pull) => Response::Pull(Bundle {
-                version: self.fence.version(),
-                delta: match (pull.have, pull.buckets.as_slice()) {
-                    (Some(_), buckets) if !buckets.is_empty() => self.fence.differing(buckets),
-                    (have, _) => self.fence.since(have),
-                },
-            }),
+            Request::Pull(pull) => Response::Pull(self.fence.answer(&pull)),
             Request::Fetch(fetch) => Response::Fetch(self.directory.since(fetch.have, now.time)),
             // Beats and exchanges of records belong to the mode without a list.
             Request::Beat(_) | Request::Sync(_) => return,
@@ -263,17 +260,16 @@
 
     fn take_bundle(&mut self, peer: SocketAddr, bundle: Bundle, now: Now) {
         self.pulls.config.end();
-        let full = bundle.delta.full;
-        let set = self.fence.with(bundle.delta);
-        if set.version() == bundle.version {
-            self.offer(set, Some(peer), now);
-        } else if full {
-            let reason = "the documents do not have the announced digest".to_owned();
-            self.note(Kind::BadMessage { peer, reason }, now);
-            self.pulls.config.avoid(peer, now.time);
-        } else {
-            // The delta does not lead from what is held here to what the other node holds.
-            self.pulls.whole_config = true;
+        match self.draft.take(&self.fence, bundle) {
+            Progress::Whole(set) => {
+                self.offer(*set, Some(peer), now);
+            }
+            Progress::Part => self.pulls.config.go_on_with(peer),
+            Progress::Unusable => {
+                let reason = "the documents do not have the announced digest".to_owned();
+                self.note(Kind::BadMessage { peer, reason }, now);
+                self.pulls.config.avoid(peer, now.time);
+            }
         }
     }
 
@@ -283,9 +279,9 @@
         let refused = self.fence.rejected().map(|r| r.version.revision).max().unwrap_or(0);
         if !self.awaits_platform(now) {
             let held = held.max(refused);
-            let buckets = self.fence.buckets();
-            let next =
-                self.pulls.next_config(&self.peers, held, buckets, now.time, &mut self.random);
+            let peer = self.pulls.next_config(&self.peers, held, now.time, &mut self.random);
+            let pull = || Request::Pull(self.draft.pull_content(&self.fence));
+            let next = peer.map(|peer| (peer, pull()));
             self.send_pull(next);
         }
         let held = self.directory.revision();
@@ -293,6 +289,19 @@
         self.send_pull(next);
     }
 
+    /// Takes into account that `peer` did not answer a pull in time.
+    fn lose(&mut self, asked: Asked, peer: SocketAddr, now: Now) {
+        if asked == Asked::Pull {
+            self.draft.lose();
+        }
+        let failures = self.pulls.fail(asked, peer, now.time);
+        // A night of failures must not push everything else out of the ring.
+        if failures.is_power_of_two() {
+            let asked = asked.name().to_owned();
+            self.note(Kind::PullLost { peer, asked, failures }, now);
+        }
+    }
+
     fn send_pull(&mut self, next: Option<(SocketAddr, Request)>) {
         if let Some((peer, request)) = next {
             self.effects.push(Effect::Send(peer, request, pull::TIMEOUT));
--- a/crates/fleet/src/listed/news.rs
+++ b/crates/fleet/src/listed/news.rs
@@ -95,6 +95,7 @@
         match self.fence.offer(set) {
             Verdict::InForce(snapshot) => {
                 self.note(Kind::InForce { version: snapshot.version, from }, now);
+                self.draft.clear();
                 self.effects.push(Effect::InForce(snapshot));
                 if from.is_some() {
                     let targets = self.peers.some(PASSED_ON, &mut self.random);
--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -247,6 +247,17 @@
         best.choose(random).copied()
     }
 
+    /// Tells whether `peer` holds more than `held` by `measure`.
+    pub(super) fn is_ahead(
+        &self,
+        peer: SocketAddr,
+        held: u64,
+        measure: impl Fn(&Digest) -> u64,
+    ) -> bool {
+        let digest = self.peers.get(&peer).and_then(|peer| peer.digest.as_ref());
+        digest.is_some_and(|digest| measure(digest) > held)
+    }
+
     pub(super) fn iter(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         self.peers.iter()
     }
--- a/crates/fleet/src/listed/pull.rs
+++ b/crates/fleet/src/listed/pull.rs
@@ -7,12 +7,12 @@
 use crate::{
     control::Asked,
     listed::peers::Peers,
-    message::{Digest, Fetch, Pull, Request},
+    message::{Digest, Fetch, Request},
 };
 
 /// How long a pull may take. A node that does not answer by then is left for another one, so that
-/// two nodes can be asked within the time in which a change must be in force; a slow link takes half
-/// a second for the largest answers.
+/// two nodes can be asked within the time in which a change must be in force. What does not cross a
+/// link in that time comes in pieces, see [`crate::catchup`].
 pub(super) const TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// For how long a node that did not answer is not asked again.
@@ -23,6 +23,10 @@
 pub(super) struct Line {
     asked: Option<SocketAddr>,
     avoided: Vec<(SocketAddr, Time)>,
+    /// The node that holds more of what the last pull brought.
+    unfinished: Option<SocketAddr>,
+    /// Pulls in a row that brought no answer.
+    failures: u32,
 }
 
 /// Pulls under way.
@@ -30,15 +34,20 @@
 pub(super) struct Pulls {
     pub(super) config: Line,
     pub(super) list: Line,
-    /// The next pull of the configuration asks for every document.
-    pub(super) whole_config: bool,
     /// The next pull of the list asks for every entry.
     pub(super) whole_list: bool,
 }
 
 impl Line {
+    /// Notes an answer.
     pub(super) fn end(&mut self) {
         self.asked = None;
+        self.failures = 0;
+    }
+
+    /// Has the next pull ask `peer`, which has not told everything yet.
+    pub(super) fn go_on_with(&mut self, peer: SocketAddr) {
+        self.unfinished = Some(peer);
     }
 
     /// Asks `peer` nothing more for a while.
@@ -46,9 +55,11 @@
         self.avoided.push((peer, now + AVOIDED));
     }
 
-    fn fail(&mut self, peer: SocketAddr, now: Time) {
-        self.end();
+    fn fail(&mut self, peer: SocketAddr, now: Time) -> u32 {
+        self.asked = None;
+        self.failures += 1;
         self.avoid(peer, now);
+        self.failures
     }
 
     fn begin(
@@ -63,8 +74,10 @@
         if self.asked.is_some() {
             return None;
         }
+        let unfinished = self.unfinished.take();
         let avoided = |peer| self.avoided.iter().any(|(address, _)| *address == peer);
-        self.asked = peers.ahead(held, measure, avoided, random);
+        self.asked = unfinished.filter(|peer| peers.is_ahead(*peer, held, &measure));
+        self.asked = self.asked.or_else(|| peers.ahead(held, measure, avoided, random));
         self.asked
     }
 }
@@ -74,15 +87,10 @@
         &mut self,
         peers: &Peers,
         held: u64,
-        buckets: &[u64],
         now: Time,
         random: &mut SmallRng,
-    ) -> Option<(SocketAddr, Request)> {
-        let peer = self.config.begin(peers, held, now, random, |digest| digest.config)?;
-        let whole = std::mem::replace(&mut self.whole_config, false) || held == 0;
-        let buckets = if whole { Vec::new() } else { buckets.to_vec() };
-        let have = (!whole).then_some(held);
-        Some((peer, Request::Pull(Pull { have, buckets })))
+    ) -> Option<SocketAddr> {
+        self.config.begin(peers, held, now, random, |digest| digest.config)
     }
 
     pub(super) fn next_list(
@@ -98,11 +106,12 @@
         Some((peer, Request::Fetch(Fetch { have })))
     }
 
-    pub(super) fn fail(&mut self, asked: Asked, peer: SocketAddr, now: Time) {
+    /// Notes that `peer` did not answer; returns how many pulls in a row brought no answer.
+    pub(super) fn fail(&mut self, asked: Asked, peer: SocketAddr, now: Time) -> u32 {
         match asked {
             Asked::Pull => self.config.fail(peer, now),
             Asked::Fetch => self.list.fail(peer, now),
-            Asked::Beat | Asked::Sync => {}
+            Asked::Beat | Asked::Sync => 0,
         }
     }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -58,6 +58,9 @@
     /// Digests of the asker's documents per bucket; empty asks for what changed since `have`.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub buckets: Vec<u64>,
+    /// Bytes of documents after which the answer should end; none asks for everything.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub limit: Option<usize>,
 }
 
 /// The version in force at the replier.
@@ -65,8 +68,11 @@
 pub struct Bundle {
     /// Version that the delta leads to.
     pub version: Version,
-    /// What the asker lacks.
+    /// What the asker lacks, or the first part of it.
     pub delta: Delta,
+    /// Whether the asker lacks more than this.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub more: bool,
 }
 
 /// Exchanges records: digests per bucket and those records that the other side may lack.
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -126,6 +126,16 @@
         /// What is wrong with it.
         reason: String,
     },
+    /// Another node did not answer a pull in time. In a row of failures the first, second, fourth,
+    /// eighth and so on are told.
+    PullLost {
+        /// Who was asked.
+        peer: SocketAddr,
+        /// What it was asked: `pull` for the configuration, `fetch` for the list.
+        asked: String,
+        /// Failures in a row.
+        failures: u32,
+    },
     /// The platform's list changed about an upstream.
     Upstream {
         /// Its identity.
--- /dev/null
+++ b/crates/fleet/tests/catchup.rs
@@ -0,0 +1,143 @@
+//! A newer version is put together from pieces, whoever they come from.
+
+use fleet::{
+    catchup::{Draft, Progress},
+    fence::Fence,
+    message::Bundle,
+};
+use model::{
+    config::Version,
+    document::{Delta, Document, Set},
+};
+
+/// Most pieces that any of these cases takes.
+const PIECES: usize = 100;
+
+fn documents(count: usize, text: &str) -> Vec<Document> {
+    let document = |i| Document {
+        key: format!("profiles/p{i}"),
+        modified: 1,
+        text: format!("{{\"deadline_ms\": {text}}}{}", " ".repeat(200)).into(),
+    };
+    (0..count).map(document).collect()
+}
+
+fn set(revision: u64, count: usize, text: &str) -> Set {
+    let documents = documents(count, text);
+    Set::default().with(Delta { revision, full: true, documents, ..Delta::default() })
+}
+
+/// A node with `set` in force; none of its documents if that has none.
+fn holder(set: Set) -> Fence {
+    let mut fence = Fence::default();
+    fence.offer(set);
+    fence
+}
+
+/// Asks `other` until the draft is whole; returns the version and the number of answers.
+#[track_caller]
+fn finish(draft: &mut Draft, own: &Fence, other: &Fence) -> (Version, usize) {
+    for answers in 1..PIECES {
+        match draft.take(own, other.answer(&draft.pull_content(own))) {
+            Progress::Whole(set) => return (set.version(), answers),
+            Progress::Part => {}
+            Progress::Unusable => panic!("unusable after {answers} answers"),
+        }
+    }
+    panic!("not whole after {PIECES} answers");
+}
+
+#[track_caller]
+fn check(own: &Set, other: &Set, expect: std::ops::RangeInclusive<usize>) {
+    let (own, other) = (holder(own.clone()), holder(other.clone()));
+    let (version, answers) = finish(&mut Draft::default(), &own, &other);
+    assert_eq!(version, other.version());
+    assert!(expect.contains(&answers), "{answers}");
+}
+
+#[test]
+fn large_differences_come_in_pieces_and_small_ones_at_once() {
+    check(&Set::default(), &set(2, 3_000, "1"), 5..=10);
+    check(&set(1, 1_600, "1"), &set(2, 3_000, "1"), 5..=10);
+    check(&set(1, 3_000, "1"), &set(2, 10, "1"), 1..=1);
+    check(&set(1, 10, "1"), &set(2, 10, "2"), 1..=1);
+    check(&set(1, 10, "1"), &set(2, 10, "1"), 1..=1);
+}
+
+/// A node that was far behind is told of still another version by the next node it asks, since the
+/// first one ended. What it has received must count, and the result be one whole version.
+#[test]
+fn pieces_of_two_versions_lead_to_the_later_one() {
+    let own = holder(set(1, 100, "1"));
+    let (older, newer) = (holder(set(2, 3_000, "1")), holder(set(3, 3_500, "1")));
+    let mut draft = Draft::default();
+    for _ in 0..4 {
+        let answer = older.answer(&draft.pull_content(&own));
+        assert!(matches!(draft.take(&own, answer), Progress::Part));
+    }
+    assert_eq!(finish(&mut draft, &own, &newer).0, newer.version());
+}
+
+/// A node is never served by some of the documents of a version: no piece comes into force, and what
+/// does not have the announced digest is begun from nothing once, and then dropped.
+#[test]
+fn what_does_not_have_the_announced_digest_is_dropped() {
+    let own = holder(set(1, 100, "1"));
+    let other = holder(set(2, 200, "1"));
+    let mut draft = Draft::default();
+    let lie =
+        |answer: Bundle| Bundle { version: Version { revision: 3, ..answer.version }, ..answer };
+    let first = draft.take(&own, lie(other.answer(&draft.pull_content(&own))));
+    assert!(matches!(first, Progress::Part));
+    let second = draft.take(&own, lie(other.answer(&draft.pull_content(&own))));
+    assert!(matches!(second, Progress::Unusable));
+    assert!(draft.is_empty());
+}
+
+/// A faulty node promises more and sends nothing, again and again; it must not be asked for ever.
+#[test]
+fn promises_without_documents_end() {
+    let own = holder(set(1, 100, "1"));
+    let mut draft = Draft::default();
+    let delta = Delta { revision: 2, ..Delta::default() };
+    let empty = || Bundle { version: Version::default(), delta: delta.clone(), more: true };
+    assert!(matches!(draft.take(&own, empty()), Progress::Part));
+    assert!(matches!(draft.take(&own, empty()), Progress::Unusable));
+}
+
+/// Two product versions run side by side: a former one neither asks for pieces nor answers with them.
+#[test]
+fn nodes_that_know_no_pieces_get_and_give_everything() {
+    let own = holder(set(1, 1_600, "1"));
+    let other = holder(set(2, 3_000, "1"));
+    let mut pull = Draft::default().pull_content(&own);
+    pull.limit = None;
+    let answer = other.answer(&pull);
+    assert!(!answer.more);
+    assert!(matches!(Draft::default().take(&own, answer), Progress::Whole(_)));
+    let everything =
+        Bundle { version: other.version(), delta: other.set().since(None), more: false };
+    assert!(matches!(Draft::default().take(&own, everything), Progress::Whole(_)));
+}
+
+/// Changes since a revision are told at once or not at all; then they are asked for by content.
+#[test]
+fn what_changed_since_a_revision_is_told_if_it_is_little() {
+    let own = holder(set(1, 100, "1"));
+    let draft = Draft::default();
+    let little = set(1, 100, "1").with(Delta {
+        revision: 2,
+        documents: vec![Document { modified: 2, ..documents(1, "2").remove(0) }],
+        ..Delta::default()
+    });
+    let little = holder(little).answer(&draft.pull_changes(&own));
+    assert_eq!((little.delta.documents.len(), little.more), (1, false));
+    let documents = documents(3_000, "2").into_iter().map(|d| Document { modified: 2, ..d });
+    let much = set(1, 100, "1").with(Delta {
+        revision: 2,
+        documents: documents.collect(),
+        ..Delta::default()
+    });
+    let much = holder(much).answer(&draft.pull_changes(&own));
+    assert_eq!((much.delta.documents.len(), much.more), (0, true));
+}
--- a/crates/fleet/tests/growth.rs
+++ b/crates/fleet/tests/growth.rs
@@ -2,7 +2,7 @@
 
 mod net;
 
-use net::Net;
+use net::{Net, Treatment};
 
 const PLACES: [&str; 7] = ["a", "a", "a", "b", "b", "c", "c"];
 const FAST: u32 = 100;
@@ -40,3 +40,43 @@
     net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision));
     assert!(net.regressions.is_empty());
 }
+
+/// On a link on which even a piece takes almost all the time of a pull, a change is late but arrives.
+#[test]
+fn the_slowest_links_get_it_later() {
+    let mut net = calm(2);
+    net.routes += ADDED;
+    let revision = net.publish();
+    net.until(8_000, |net| net.all(|n| n.in_force == revision));
+    assert!(net.regressions.is_empty());
+}
+
+/// The platform takes longer to read than other nodes take to tell, so a node that starts learns
+/// from them; it must not begin anew with each change that is published meanwhile.
+#[test]
+fn a_starting_node_gets_there_while_changes_go_on() {
+    let mut net = calm(SLOW);
+    net.kill(6);
+    net.run(500);
+    net.treat(6, Treatment::Refuse);
+    net.start(6);
+    for _ in 0..10 {
+        net.routes += 10;
+        net.publish();
+        net.run(200);
+    }
+    let revision = net.publish();
+    net.until(IN_FORCE, |net| net.all(|n| n.open && n.in_force == revision));
+    assert!(net.regressions.is_empty());
+}
+
+/// The node that tells a change ends midway; what it has told counts.
+#[test]
+fn another_node_tells_the_rest() {
+    let mut net = calm(SLOW);
+    net.routes += ADDED;
+    let revision = net.publish();
+    net.run(300);
+    net.kill(0);
+    net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision));
+}
--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -93,6 +93,13 @@
     pub text: Arc<str>,
 }
 
+impl Document {
+    /// Returns the bytes of its key and text.
+    fn size(&self) -> usize {
+        self.key.len() + self.text.len()
+    }
+}
+
 /// A removed document.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Removal {
@@ -119,6 +126,15 @@
     pub buckets: Vec<usize>,
 }
 
+/// As much of a delta as was asked for.
+#[derive(Clone, Debug, Default)]
+pub struct Piece {
+    /// What it changes.
+    pub delta: Delta,
+    /// Whether the receiver lacks more than this.
+    pub more: bool,
+}
+
 /// All documents of one revision.
 #[derive(Clone, Debug, Default)]
 pub struct Set {
@@ -216,16 +232,44 @@
     /// assert_eq!(Set::default().with(difference).version(), set.version());
     /// ```
     pub fn differing(&self, theirs: &[u64]) -> Delta {
+        self.differing_within(theirs, usize::MAX).delta
+    }
+
+    /// Returns the first of the buckets whose digests differ from `theirs`, whole: one at least, and
+    /// as many as hold no more than `limit` bytes.
+    pub fn differing_within(&self, theirs: &[u64], limit: usize) -> Piece {
         let own = self.buckets();
+        let mut sizes = [0; BUCKETS];
+        for document in self.documents.values() {
+            sizes[bucket_of(&document.key)] += document.size();
+        }
         let differs = |bucket: &usize| theirs.get(*bucket) != Some(&own[*bucket]);
-        let buckets: Vec<usize> = (0..BUCKETS).filter(differs).collect();
+        let mut buckets = Vec::new();
+        let mut total = 0;
+        let mut more = false;
+        for bucket in (0..BUCKETS).filter(differs) {
+            total += sizes[bucket];
+            more = total > limit && !buckets.is_empty();
+            if more {
+                break;
+            }
+            buckets.push(bucket);
+        }
         let within = |d: &&Document| buckets.contains(&bucket_of(&d.key));
-        Delta {
-            revision: self.revision,
-            documents: self.documents.values().filter(within).cloned().collect(),
-            buckets,
-            ..Delta::default()
+        let documents = self.documents.values().filter(within).cloned().collect();
+        let delta = Delta { revision: self.revision, documents, buckets, ..Delta::default() };
+        Piece { delta, more }
+    }
+
+    /// Returns what a holder of revision `have` lacks, or nothing of it if that is more than `limit`
+    /// bytes: then it is to be asked for by buckets.
+    pub fn since_within(&self, have: Option<u64>, limit: usize) -> Piece {
+        let delta = self.since(have);
+        let size: usize = delta.documents.iter().map(Document::size).sum();
+        if size <= limit {
+            return Piece { delta, more: false };
         }
+        Piece { delta: Delta { revision: self.revision, ..Delta::default() }, more: true }
     }
 
     /// Collects the removals that `next` should remember: those told and those seen.
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -283,7 +283,7 @@
             Request::Sync(_) => Asked::Sync,
             Request::Fetch(_) => Asked::Fetch,
         };
-        self.parts.meter.message(name(asked));
+        self.parts.meter.message(asked.name());
         let link = self.link.clone();
         self.parts.peers.spawn(async move {
             let event = match peer::ask(peer, &request, timeout).await {
@@ -336,12 +336,3 @@
         }
     }
 }
-
-fn name(asked: Asked) -> &'static str {
-    match asked {
-        Asked::Beat => "beat",
-        Asked::Pull => "pull",
-        Asked::Sync => "sync",
-        Asked::Fetch => "fetch",
-    }
-}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -104,17 +104,14 @@
 ) -> Result<Response, Error> {
     match request {
         Request::Beat(beat) => call(peer, "beat", beat, timeout).await.map(Response::Beat),
-        Request::Pull(pull) if pull.have.is_none() => {
-            pull_whole(peer, pull, timeout).await.map(Response::Pull)
-        }
-        Request::Pull(pull) => call(peer, "pull", pull, timeout).await.map(Response::Pull),
+        Request::Pull(pull) => pull_packed(peer, pull, timeout).await.map(Response::Pull),
         Request::Sync(sync) => call(peer, "sync", sync, timeout).await.map(Response::Sync),
         Request::Fetch(fetch) => call(peer, "fetch", fetch, timeout).await.map(Response::Fetch),
     }
 }
 
-/// Pulls the whole configuration, packed if the other node's version of the product can pack it.
-async fn pull_whole(peer: SocketAddr, pull: &Pull, timeout: Duration) -> Result<Bundle, Error> {
+/// Pulls the configuration, packed if the other node's version of the product can pack it.
+async fn pull_packed(peer: SocketAddr, pull: &Pull, timeout: Duration) -> Result<Bundle, Error> {
     match call::<_, packed::Message>(peer, PULL_PACKED, pull, timeout).await {
         Ok(message) => packed::unpack(&message, MESSAGE_LIMIT.into()).context(UnpackableSnafu),
         Err(Error::Silent { source }) if is_unknown_method(&source) => {
--- a/crates/peer/src/packed.rs
+++ b/crates/peer/src/packed.rs
@@ -1,16 +1,17 @@
 //! Large answers, compressed.
 //!
-//! Pattern: half of the fleet restarts at once. Each node needs the whole configuration, half a
+//! Pattern: half of the fleet restarts at once, or many routes are added. Each node needs half a
 //! megabyte for 2,000 routes; a link of 5 Mbit/s takes 0.8 s for it, and callers are turned away
 //! meanwhile. Compressed it is a fraction of that.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder};
 use fleet::message::Bundle;
-use model::config::Version;
+use model::{config::Version, document::Delta};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
 use std::{
+    collections::VecDeque,
     io::{Read, Write},
     sync::{Arc, Mutex, PoisonError},
 };
@@ -95,27 +96,48 @@
     }
 }
 
-/// The last whole configuration that was packed: after a herd restart many nodes ask one for the
-/// same, and packing takes some ten milliseconds on a slow core.
+/// Bundles that were packed last: after a herd restart or a change many nodes ask one for the same,
+/// and packing takes some ten milliseconds on a slow core.
 #[derive(Debug, Default)]
 pub(crate) struct Cache {
-    last: Mutex<Option<(Version, Message)>>,
+    last: Mutex<VecDeque<(Content, Message)>>,
+}
+
+/// Most bundles that are kept, some 30 KB each: the pieces of one large change.
+const KEPT: usize = 16;
+
+/// What a bundle holds, as far as that follows from its version.
+#[derive(Debug, PartialEq)]
+struct Content {
+    version: Version,
+    full: bool,
+    buckets: Vec<usize>,
+    more: bool,
+}
+
+impl Content {
+    /// Returns what `bundle` holds; none if that depends on who asked.
+    fn of(bundle: &Bundle) -> Option<Self> {
+        let Bundle { version, delta: Delta { full, buckets, .. }, more } = bundle;
+        let is_known = *full || !buckets.is_empty();
+        let buckets = buckets.clone();
+        is_known.then_some(Content { version: *version, full: *full, buckets, more: *more })
+    }
 }
 
 impl Cache {
     /// Packs `bundle`, or returns what it was packed to before.
     pub(crate) fn pack(&self, bundle: &Bundle) -> Result<Message, serde_json::Error> {
+        let Some(content) = Content::of(bundle) else { return pack(bundle) };
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some((version, message)) = last.as_ref()
-            && *version == bundle.version
-            && bundle.delta.full
-        {
+        if let Some((_, message)) = last.iter().find(|(kept, _)| *kept == content) {
             return Ok(message.clone());
         }
         let message = pack(bundle)?;
-        if bundle.delta.full {
-            *last = Some((bundle.version, message.clone()));
+        if last.len() == KEPT {
+            last.pop_front();
         }
+        last.push_back((content, message.clone()));
         Ok(message)
     }
 }
--- a/crates/peer/tests/packed.rs
+++ b/crates/peer/tests/packed.rs
@@ -24,7 +24,7 @@
     };
     let documents = (0..2_000).map(document).collect();
     let delta = Delta { revision: 7, full: true, documents, ..Delta::default() };
-    Bundle { version: Version { revision: 7, ..Version::default() }, delta }
+    Bundle { version: Version { revision: 7, ..Version::default() }, delta, more: false }
 }
 
 #[test]
