A node that is behind does not say that a route is unknown

Cause: callers of added routes got 404, which they take for final, from nodes that had heard for minutes that a newer configuration is in force elsewhere. While one is behind it cannot know.

Ruled out: holding such calls until the configuration has come (a caller would wait for what may not come); saying so for every unmatched call after a change (routes that never existed would never be told so).

Change: control tells traffic the highest revision that is in force at any node and was not refused here; a call that leads nowhere is refused as not run, with cause outdated and when to come back, while that is higher than the revision held. 404 as before otherwise.

Figures: traffic routed, fleet growth (two new tests; the former rule had no way to tell, so they have nothing to fail on but that 404). Tests of fleet, traffic, policy, node and trail pass.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -26,7 +26,7 @@
     catchup::Draft,
     clock::{Clock, Now, Stamp},
     directory::Update,
-    fence::Fence,
+    fence::{Announced, Fence},
     member::{Record, State},
     message::{Beat, Request, Response, Sender, Sync},
     plan::{Epidemic, Plan},
@@ -103,6 +103,7 @@
     draft: Draft,
     /// Pulls in a row that brought no answer.
     lost_pulls: u32,
+    announced: Announced,
     duty: Duty,
     prober: Prober,
     contacts: Vec<SocketAddr>,
@@ -140,6 +141,7 @@
             fence: Fence::default(),
             draft: Draft::default(),
             lost_pulls: 0,
+            announced: Announced::default(),
             duty: Duty::new(begin + jitter),
             prober: Prober::new(begin),
             contacts,
@@ -185,6 +187,7 @@
         }
         self.spread_news(now);
         self.refresh();
+        self.effects.extend(self.announced.update(&self.fence).map(Effect::Known));
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/fleet/src/control/port.rs
+++ b/crates/fleet/src/control/port.rs
@@ -81,6 +81,8 @@
     Tell(Vec<SocketAddr>, Digest),
     /// Answer the request that this call of `apply` was about.
     Reply(Response),
+    /// A revision of the configuration is in force somewhere: this one at most.
+    Known(u64),
     /// Call the platform and report what comes of it.
     Read(Query),
     /// Route by this configuration from now on.
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -50,6 +50,7 @@
 
     /// Notes that `peer` holds `version`, and pulls it if it is newer.
     pub(super) fn hear_version(&mut self, peer: SocketAddr, version: Version, now: Now) {
+        self.fence.hear(version.revision);
         let held = self.fence.version();
         if version.revision == held.revision && version.digest != held.digest {
             self.report_conflict(version, now);
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -43,12 +43,27 @@
     KnownBad,
 }
 
+/// The highest known revision, as traffic was told of it.
+#[derive(Debug, Default)]
+pub struct Announced(u64);
+
+impl Announced {
+    /// Returns what is to be told, if that has changed.
+    pub fn update(&mut self, fence: &Fence) -> Option<u64> {
+        let known = fence.known();
+        let changed = std::mem::replace(&mut self.0, known) != known;
+        changed.then_some(known)
+    }
+}
+
 /// The version in force and the versions refused.
 #[derive(Debug, Default)]
 pub struct Fence {
     set: Set,
     snapshot: Arc<Snapshot>,
     rejected: VecDeque<Rejection>,
+    /// Highest revision that another node was heard to hold.
+    heard: u64,
 }
 
 impl Fence {
@@ -62,6 +77,27 @@
         Some(self.version().revision).filter(|&revision| revision > 0)
     }
 
+    /// Notes that another node holds `revision`.
+    pub fn hear(&mut self, revision: u64) {
+        self.heard = self.heard.max(revision);
+    }
+
+    /// Returns the highest revision that is in force here or at another node.
+    ///
+    /// One that was refused here does not count: this node is not going to hold it.
+    ///
+    /// ```
+    /// use fleet::fence::Fence;
+    /// let mut fence = Fence::default();
+    /// fence.hear(7);
+    /// assert_eq!((fence.version().revision, fence.known()), (0, 7));
+    /// ```
+    pub fn known(&self) -> u64 {
+        let refused = self.rejected.iter().any(|r| r.version.revision == self.heard);
+        let heard = if refused { 0 } else { self.heard };
+        heard.max(self.version().revision)
+    }
+
     /// Returns the snapshot in force.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         &self.snapshot
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -26,7 +26,7 @@
     clock::{Clock, Now, Stamp},
     control::{Asked, Effect, Event, Machine},
     directory::{Change, Directory, Entry},
-    fence::Fence,
+    fence::{Announced, Fence},
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
     message::{Bundle, Digest, Request, Response, Sender},
@@ -119,6 +119,7 @@
     upkeep_due: Time,
     view_stale: bool,
     shown: View,
+    announced: Announced,
     effects: Vec<Effect>,
 }
 
@@ -144,6 +145,7 @@
             upkeep_due: now.time,
             view_stale: false,
             shown: View::default(),
+            announced: Announced::default(),
             effects: Vec::new(),
             settings,
         };
@@ -232,6 +234,7 @@
         if let Some(age) = digest.contact_ms {
             self.watch.hear(Duration::from_millis(age), now.time);
         }
+        self.fence.hear(digest.config);
         if self.peers.hear(digest, now.time) {
             self.view_stale = true;
         }
@@ -361,6 +364,7 @@
                 self.effects.push(Effect::View(Arc::new(view)));
             }
         }
+        self.effects.extend(self.announced.update(&self.fence).map(Effect::Known));
         let ready = self.fence.held().is_some() && self.directory.revision() > 0;
         if ready && !self.ready {
             self.ready = true;
--- a/crates/fleet/tests/growth.rs
+++ b/crates/fleet/tests/growth.rs
@@ -80,3 +80,15 @@
     net.kill(0);
     net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision));
 }
+
+/// A node on a slow link hears of a change at once and holds it later. In between it knows that it is
+/// behind, and afterwards that it is not.
+#[test]
+fn a_node_knows_while_it_is_behind() {
+    let mut net = calm(SLOW);
+    net.routes += ADDED;
+    let revision = net.publish();
+    net.until(500, |net| net.all(|n| n.known == revision));
+    assert!(net.node(6).in_force < revision);
+    net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision && n.known == revision));
+}
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -60,6 +60,8 @@
     control: Option<Control>,
     life: u64,
     pub(crate) in_force: u64,
+    /// Highest revision that the node says is in force somewhere.
+    pub(crate) known: u64,
     pub(crate) view: Arc<View>,
     pub(crate) open: bool,
 }
@@ -96,8 +98,14 @@
 impl Net {
     /// Starts one node in each of the places `zones`, each beside an upstream that registers.
     pub(crate) fn new(zones: &[&'static str]) -> Net {
-        let node =
-            || Node { control: None, life: 0, in_force: 0, view: Arc::default(), open: false };
+        let node = || Node {
+            control: None,
+            life: 0,
+            in_force: 0,
+            known: 0,
+            view: Arc::default(),
+            open: false,
+        };
         let mut net = Net {
             now: 1_000,
             nodes: zones.iter().map(|_| node()).collect(),
@@ -140,6 +148,7 @@
         };
         self.nodes[node].control = Some(Control::new(settings, self.moment()));
         self.nodes[node].in_force = 0;
+        self.nodes[node].known = 0;
         self.nodes[node].open = false;
         self.nodes[node].view = Arc::default();
     }
@@ -365,6 +374,7 @@
             }
             Effect::View(view) => self.nodes[node].view = view,
             Effect::Open => self.nodes[node].open = true,
+            Effect::Known(revision) => self.nodes[node].known = revision,
             Effect::Reply(_) | Effect::Drain => {}
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -258,6 +258,7 @@
                     self.parts.meter.revision(snapshot.version.revision);
                     self.parts.hub.set_config(snapshot);
                 }
+                Effect::Known(revision) => self.parts.hub.set_known(revision),
                 Effect::View(view) => self.parts.hub.set_view(view),
                 Effect::Tell(targets, digest) => self.tell(&targets, &digest),
                 Effect::Open => self.parts.hub.set_open(true),
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -13,6 +13,9 @@
     UnknownService,
     /// The node holds no configuration yet.
     Unready,
+    /// The configuration that the node holds does not name the service or route, but a newer one is
+    /// in force elsewhere, which may.
+    Outdated,
     /// The service has no upstream that may take work.
     NoUpstream,
     /// Slots and queue of the upstream are full, or the queue is longer than the time left.
@@ -156,6 +159,7 @@
         match self {
             Cause::Leaving | Cause::Paused | Cause::Replaced | Cause::Cancelled => BRIEF,
             Cause::Unready
+            | Cause::Outdated
             | Cause::Unreachable
             | Cause::Overloaded
             | Cause::Refused
@@ -175,8 +179,9 @@
 const LONG: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 13] = [
+const CAUSES: [(Cause, &str); 14] = [
     (Cause::Unready, "unready"),
+    (Cause::Outdated, "outdated"),
     (Cause::UnknownService, "unknown-service"),
     (Cause::NoUpstream, "no-upstream"),
     (Cause::Overloaded, "overloaded"),
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -228,6 +228,7 @@
         | Cause::Replaced => true,
         Cause::UnknownService
         | Cause::Unready
+        | Cause::Outdated
         | Cause::NoUpstream
         | Cause::Late
         | Cause::Cancelled
--- a/crates/standins/src/memory/delivery.rs
+++ b/crates/standins/src/memory/delivery.rs
@@ -131,7 +131,11 @@
             Effect::Read(query) => self.read(node, query),
             Effect::InForce(snapshot) => self.check_in_force(node, &snapshot),
             Effect::Drain => self.slots[node].drained = true,
-            Effect::Reply(_) | Effect::View(_) | Effect::Tell(..) | Effect::Open => {}
+            Effect::Reply(_)
+            | Effect::Known(_)
+            | Effect::View(_)
+            | Effect::Tell(..)
+            | Effect::Open => {}
         }
     }
 
--- a/crates/traffic/src/target.rs
+++ b/crates/traffic/src/target.rs
@@ -26,11 +26,27 @@
         // Without any configuration nothing is known, not even that a route is missing.
         return Err(Cause::Unready);
     }
-    if config.has_routes() {
-        return find_route(hub, config, request);
-    }
-    let (name, path) = address(request).ok_or(Cause::UnknownService)?;
-    let service = config.service(&name).ok_or(Cause::UnknownService)?;
+    let found = if config.has_routes() {
+        find_route(hub, config, request)
+    } else {
+        find_service(config, request)
+    };
+    found.ok_or_else(|| unknown(hub, config))
+}
+
+/// Returns why a call that leads nowhere is refused.
+///
+/// A caller takes "unknown" for final. While another node holds a newer configuration, which this one
+/// still lacks, it cannot know: what was added there is to be asked for again in a moment. Otherwise
+/// callers of new routes would be turned away for good, wherever a change comes late.
+fn unknown(hub: &Hub, config: &Snapshot) -> Cause {
+    if hub.is_outdated(config) { Cause::Outdated } else { Cause::UnknownService }
+}
+
+/// Finds the service that a request names.
+fn find_service<'a>(config: &'a Snapshot, request: &Request<Inflow>) -> Option<Target<'a>> {
+    let (name, path) = address(request)?;
+    let service = config.service(&name)?;
     let profile = config.profile(service);
     let rule = profile.rule(request.method().as_str(), path.path());
     let kind = if rule.idempotent { Kind::Idempotent } else { Kind::Once };
@@ -42,7 +58,7 @@
         priority: 0,
         route: String::new(),
     };
-    Ok(Target {
+    Some(Target {
         service: &service.name,
         profile,
         path,
@@ -68,10 +84,10 @@
     hub: &Hub,
     config: &'a Snapshot,
     request: &Request<Inflow>,
-) -> Result<Target<'a>, Cause> {
-    let route = config.route(&host(request), request.uri().path()).ok_or(Cause::UnknownService)?;
+) -> Option<Target<'a>> {
+    let route = config.route(&host(request), request.uri().path())?;
     let weights: Vec<u32> = route.targets.iter().map(|t| t.weight).collect();
-    let part = hub.next_part(&route.name, &weights).ok_or(Cause::UnknownService)?;
+    let part = hub.next_part(&route.name, &weights)?;
     let service = config.target(route.targets[part].service);
     let idempotent = route.terms.kind == route::Kind::Idempotent;
     let terms = Terms {
@@ -82,7 +98,7 @@
         priority: route.terms.priority,
         route: route.name.clone(),
     };
-    Ok(Target {
+    Some(Target {
         service: &service.name,
         profile: config.profile(service),
         path: request.uri().clone(),
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -42,6 +42,22 @@
     assert_eq!(header(&answer, "baobab-cause"), Some("unready"));
 }
 
+/// Callers of a route that was just added give up: one node holds the configuration without it, and
+/// tells them that the route does not exist, which they take for final. The node has heard that a newer
+/// configuration is in force elsewhere, so it cannot know, and asks them to come back.
+#[test]
+fn a_node_that_is_behind_does_not_say_that_a_route_is_unknown() {
+    let scene = Scene::new(1, 4);
+    let held = scene.hubs[0].config().version.revision;
+    scene.hubs[0].set_known(held + 1);
+    let answer = check(&scene, &request("GET", "/added/a", "", ""), "503");
+    assert_eq!(header(&answer, "baobab-cause"), Some("outdated"));
+    assert!(header(&answer, "retry-after").is_some());
+    check(&scene, &request("GET", "/read/a", "", ""), "200");
+    scene.hubs[0].set_known(held);
+    check(&scene, &request("GET", "/added/a", "", ""), "404");
+}
+
 #[test]
 fn the_entry_node_sets_what_only_it_may_set() {
     let scene = Scene::new(2, 4);
--- a/crates/trail/src/cause.rs
+++ b/crates/trail/src/cause.rs
@@ -54,6 +54,9 @@
     let text = match reason {
         "unknown-service" => "no route or service of the revision in force matches",
         "unready" => "the node held no configuration yet",
+        "outdated" => {
+            "no route led anywhere in the configuration of the node, which was older than another's"
+        }
         "no-upstream" => "no upstream of the service was listed and within reach",
         "overloaded" => "every upstream that was asked had no slot in time",
         "refused" => "the upstream refused to run it",
