A call finds its route by the beginnings of its path, not by a scan

Cause: all routes may share one host. The check for two routes of the same calls compared each new prefix with all before it, and every call compared its path with the prefixes one after the other.

A table holds the prefixes of a host in a map, with the lengths that occur. A beginning of the path is looked up only where a slash ends it at one of these lengths, the longest first, so that neither many routes nor a path of thousands of slashes costs much. Terms are shared between draft and route instead of copied.

Ruled out: a sorted list of prefixes, which needs as much code and a search for each beginning; a tree of segments, which needs more memory.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -15,6 +15,7 @@
     read,
     route::{self, Route, Target},
     service::{self, Service},
+    table::Table,
 };
 
 /// Prefix of the keys that hold profiles.
@@ -57,8 +58,7 @@
     services: Arena<Service>,
     by_name: HashMap<String, Key<Service>>,
     routes: Arena<Route>,
-    /// Routes of each host, those with the longest prefix first.
-    by_host: HashMap<String, Vec<Key<Route>>>,
+    table: Table,
     /// Route documents as read, by key: most are the same in the next version.
     drafts: HashMap<String, Read>,
 }
@@ -93,8 +93,7 @@
 
     /// Finds the route of `host` with the longest prefix that begins `path`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
-        let routes = self.by_host.get(host)?;
-        routes.iter().map(|&key| self.routes.get(key)).find(|r| path.starts_with(&r.terms.prefix))
+        self.table.find(host, path).map(|key| self.routes.get(key))
     }
 
     /// Iterates over all routes.
@@ -219,24 +218,14 @@
         let read = Read { text: document.text.clone(), draft: draft.clone() };
         snapshot.drafts.insert(document.key.clone(), read);
         let targets = find_targets(&draft.shares, document, snapshot, faults);
-        let host = draft.terms.host.clone();
-        let prefix = draft.terms.prefix.clone();
-        let key = snapshot.routes.insert(Route {
-            name: name.to_owned(),
-            terms: draft.terms.clone(),
-            targets,
-        });
-        let of_host = snapshot.by_host.entry(host).or_default();
-        if of_host.iter().any(|&k| snapshot.routes.get(k).terms.prefix == prefix) {
+        let route = Route { name: name.to_owned(), terms: draft.terms.clone(), targets };
+        let key = snapshot.routes.insert(route);
+        let (host, prefix) = (&draft.terms.host, &draft.terms.prefix);
+        if snapshot.table.insert(host, prefix, key).is_some() {
             // Two routes for the same calls: which of them holds would depend on their order.
             let reason = format!("another route of this host has the prefix \"{prefix}\"");
             faults.push(Fault::new(&document.key, "/prefix", reason));
         }
-        of_host.push(key);
-    }
-    let routes = &snapshot.routes;
-    for keys in snapshot.by_host.values_mut() {
-        keys.sort_by_key(|&key| std::cmp::Reverse(routes.get(key).terms.prefix.len()));
     }
 }
 
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod route;
 pub mod service;
 pub mod strict;
+mod table;
 pub mod time;
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -5,6 +5,7 @@
 //! name must not reach a service that no route sends it to.
 
 use serde::{Deserialize, Serialize};
+use std::sync::Arc;
 
 use crate::{
     arena::Key,
@@ -83,8 +84,8 @@
 pub struct Route {
     /// Name of its document.
     pub name: String,
-    /// What holds for its calls.
-    pub terms: Terms,
+    /// What holds for its calls; shared with the draft that it was read into.
+    pub terms: Arc<Terms>,
     /// Services it leads to; at least one has a weight.
     pub targets: Vec<Target>,
 }
@@ -93,7 +94,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Draft {
     /// What holds for its calls.
-    pub terms: Terms,
+    pub terms: Arc<Terms>,
     /// Services by name.
     pub shares: Vec<Share>,
 }
@@ -129,7 +130,7 @@
 fn read_object(object: &mut Object<'_>) -> Draft {
     let timeout_ms = object.number("timeout_ms", 1..=TIMEOUT_LIMIT_MS, 2_000);
     Draft {
-        terms: Terms {
+        terms: Arc::new(Terms {
             host: object.text("host", "a host name in lower case without port", is_host),
             prefix: object.text("prefix", "a path that begins and ends with /", is_prefix),
             kind: read_kind(object),
@@ -137,7 +138,7 @@
             timeout_ms,
             objective_ms: object.number("objective_ms", 1..=TIMEOUT_LIMIT_MS, timeout_ms),
             priority: object.number("priority", 0..=PRIORITY_LIMIT, 0) as u8,
-        },
+        }),
         shares: object.objects("targets", TARGET_LIMIT, read_share),
     }
 }
