Metrics: histograms last, revisions known and in force side by side

Cause: families were rendered in the order of their names, so that the histogram of calls, which grows with each service, stood before the revision in force. Of the incident's metrics only the first 40 lines were kept, and they never told that nodes served an old revision.

Histograms now come last, all others in the order of their names. Two metrics are new, their use is still to come: baobabrelay.config.known and baobabrelay.peer.lost. The number of refused versions shows as 0 before the first one. Ruled out: other names, which would break the users' readers.

--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -5,7 +5,7 @@
     metrics::{Counter, Gauge, Histogram, MeterProvider as _},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use prometheus::{Encoder, Registry, TextEncoder, proto::MetricType};
 use snafu::{ResultExt, Snafu};
 use std::time::Duration;
 
@@ -68,6 +68,12 @@
     attributes: "",
     help: "Revision in force",
 };
+const KNOWN: Entry = Entry {
+    name: "baobabrelay.config.known",
+    unit: "{revision}",
+    attributes: "",
+    help: "Highest revision of the configuration that any node was heard to hold",
+};
 const REJECTED: Entry = Entry {
     name: "baobabrelay.config.rejected",
     unit: "{version}",
@@ -82,6 +88,12 @@
     attributes: "kind",
     help: "Requests sent to other nodes",
 };
+const LOST: Entry = Entry {
+    name: "baobabrelay.peer.lost",
+    unit: "{message}",
+    attributes: "kind",
+    help: "Requests to other nodes that brought no answer in time",
+};
 const READS: Entry = Entry {
     name: "baobabrelay.source.reads",
     unit: "{call}",
@@ -102,7 +114,7 @@
 };
 
 /// Every metric, in the order of the operators' page.
-pub const CATALOGUE: [Entry; 13] = [
+pub const CATALOGUE: [Entry; 15] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -110,9 +122,11 @@
     EJECTIONS,
     DURATION,
     REVISION,
+    KNOWN,
     REJECTED,
     MEMBERS,
     MESSAGES,
+    LOST,
     READS,
     CONTROL_CPU,
     IN_HAND,
@@ -146,9 +160,11 @@
     ejections: Counter<u64>,
     duration: Histogram<f64>,
     revision: Gauge<u64>,
+    known: Gauge<u64>,
     rejected: Counter<u64>,
     members: Gauge<u64>,
     messages: Counter<u64>,
+    lost: Counter<u64>,
     reads: Counter<u64>,
     control_cpu: Gauge<f64>,
     in_hand: Gauge<u64>,
@@ -168,6 +184,9 @@
             |e: Entry| meter.u64_counter(e.name).with_unit(e.unit).with_description(e.help).build();
         let gauge =
             |e: Entry| meter.u64_gauge(e.name).with_unit(e.unit).with_description(e.help).build();
+        let rejected = counter(REJECTED);
+        // A counter without any event is not rendered, and would look like one that is not there.
+        rejected.add(0, &[]);
         Ok(Meter {
             calls: counter(CALLS),
             not_run: counter(NOT_RUN),
@@ -181,9 +200,11 @@
                 .with_boundaries(LATENCY_BOUNDS.to_vec())
                 .build(),
             revision: gauge(REVISION),
-            rejected: counter(REJECTED),
+            known: gauge(KNOWN),
+            rejected,
             members: gauge(MEMBERS),
             messages: counter(MESSAGES),
+            lost: counter(LOST),
             reads: counter(READS),
             control_cpu: meter
                 .f64_gauge(CONTROL_CPU.name)
@@ -229,6 +250,11 @@
         self.revision.record(revision, &[]);
     }
 
+    /// Sets the highest revision of the configuration that any node was heard to hold.
+    pub fn known_revision(&self, revision: u64) {
+        self.known.record(revision, &[]);
+    }
+
     /// Counts a refused version.
     pub fn rejection(&self) {
         self.rejected.add(1, &[]);
@@ -244,6 +270,11 @@
         self.messages.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a request to another node that brought no answer in time.
+    pub fn lost(&self, kind: &'static str) {
+        self.lost.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
     /// Counts a call to the platform.
     pub fn read(&self) {
         self.reads.add(1, &[]);
@@ -259,10 +290,15 @@
         self.in_hand.record(calls, &[]);
     }
 
-    /// Renders all metrics as Prometheus text.
+    /// Renders all metrics as Prometheus text, histograms last.
+    ///
+    /// Histograms grow with each service that is called. Who keeps only the beginning of the text
+    /// still sees what there is one line of, such as the revision in force.
     pub fn render(&self) -> Result<String, Error> {
+        let mut families = self.registry.gather();
+        families.sort_by_key(|family| family.get_field_type() == MetricType::HISTOGRAM);
         let mut text = Vec::new();
-        TextEncoder::new().encode(&self.registry.gather(), &mut text).context(RenderSnafu)?;
+        TextEncoder::new().encode(&families, &mut text).context(RenderSnafu)?;
         Ok(String::from_utf8_lossy(&text).into_owned())
     }
 }
