Operators see which revision is known, and how many requests to other nodes bring nothing

Cause: no line and no figure told a node that is behind from one that knows nothing newer, and a lost request left no trace but in the malformed case.

Change: the gauge of the known revision and the counter of lost requests are wired; a version that was refused here is known but not expected, so it turns nobody away.

--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -187,7 +187,7 @@
         }
         self.spread_news(now);
         self.refresh();
-        self.effects.extend(self.announced.update(&self.fence).map(Effect::Known));
+        self.effects.extend(self.announced.update(&self.fence).map(Effect::Expected));
         std::mem::take(&mut self.effects)
     }
 
@@ -416,6 +416,10 @@
         Control::events_after(self, stamp)
     }
 
+    fn known_revision(&self) -> u64 {
+        self.fence.known()
+    }
+
     fn count(&self, state: State) -> usize {
         self.roster.iter().filter(|r| r.state == state).count()
     }
--- a/crates/fleet/src/control/port.rs
+++ b/crates/fleet/src/control/port.rs
@@ -81,8 +81,8 @@
     Tell(Vec<SocketAddr>, Digest),
     /// Answer the request that this call of `apply` was about.
     Reply(Response),
-    /// A revision of the configuration is in force somewhere: this one at most.
-    Known(u64),
+    /// Another revision of the configuration is the highest that this node holds or is going to.
+    Expected(u64),
     /// Call the platform and report what comes of it.
     Read(Query),
     /// Route by this configuration from now on.
@@ -103,6 +103,8 @@
     fn status(&mut self, now: Now) -> status::Node;
     /// Returns the events after `stamp`.
     fn events_after(&self, stamp: Stamp) -> Vec<timeline::Event>;
+    /// Returns the highest revision of the configuration that any node was heard to hold.
+    fn known_revision(&self) -> u64;
     /// Returns the number of known nodes in `state`.
     fn count(&self, state: State) -> usize;
 }
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -43,16 +43,16 @@
     KnownBad,
 }
 
-/// The highest known revision, as traffic was told of it.
+/// The expected revision, as traffic was told of it.
 #[derive(Debug, Default)]
 pub struct Announced(u64);
 
 impl Announced {
     /// Returns what is to be told, if that has changed.
     pub fn update(&mut self, fence: &Fence) -> Option<u64> {
-        let known = fence.known();
-        let changed = std::mem::replace(&mut self.0, known) != known;
-        changed.then_some(known)
+        let expected = fence.expected();
+        let changed = std::mem::replace(&mut self.0, expected) != expected;
+        changed.then_some(expected)
     }
 }
 
@@ -84,8 +84,6 @@
 
     /// Returns the highest revision that is in force here or at another node.
     ///
-    /// One that was refused here does not count: this node is not going to hold it.
-    ///
     /// ```
     /// use fleet::fence::Fence;
     /// let mut fence = Fence::default();
@@ -93,9 +91,15 @@
     /// assert_eq!((fence.version().revision, fence.known()), (0, 7));
     /// ```
     pub fn known(&self) -> u64 {
-        let refused = self.rejected.iter().any(|r| r.version.revision == self.heard);
-        let heard = if refused { 0 } else { self.heard };
-        heard.max(self.version().revision)
+        self.heard.max(self.version().revision)
+    }
+
+    /// Returns the highest revision that this node holds or is going to: the known one, unless that
+    /// was refused here.
+    pub fn expected(&self) -> u64 {
+        let known = self.known();
+        let refused = self.rejected.iter().any(|r| r.version.revision == known);
+        if refused { self.version().revision } else { known }
     }
 
     /// Returns the snapshot in force.
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -364,7 +364,7 @@
                 self.effects.push(Effect::View(Arc::new(view)));
             }
         }
-        self.effects.extend(self.announced.update(&self.fence).map(Effect::Known));
+        self.effects.extend(self.announced.update(&self.fence).map(Effect::Expected));
         let ready = self.fence.held().is_some() && self.directory.revision() > 0;
         if ready && !self.ready {
             self.ready = true;
@@ -426,6 +426,10 @@
         Control::events_after(self, stamp)
     }
 
+    fn known_revision(&self) -> u64 {
+        self.fence.known()
+    }
+
     fn count(&self, state: State) -> usize {
         self.shown.iter().filter(|(_, upstream)| upstream.state == state).count()
     }
--- a/crates/fleet/tests/fence.rs
+++ b/crates/fleet/tests/fence.rs
@@ -72,3 +72,23 @@
     check(&[(5, GOOD), (5, OTHER)], &["in force", "conflict"], 5);
     check(&[(5, GOOD), (5, OTHER), (6, OTHER)], &["in force", "conflict", "in force"], 6);
 }
+
+/// Compares what is known and what is expected after `offers`, where another node holds `heard`.
+#[track_caller]
+fn check_expected(offers: &[Offer], heard: u64, known: u64, expected: u64) {
+    let mut fence = Fence::default();
+    offers.iter().for_each(|&offer| drop(fence.offer(set(offer))));
+    fence.hear(heard);
+    assert_eq!((fence.known(), fence.expected()), (known, expected));
+}
+
+/// A node that refuses the newest version turns callers away as one that is behind, for ever: what it
+/// has refused it is not going to hold.
+#[test]
+fn a_refused_version_is_not_expected() {
+    check_expected(&[], 0, 0, 0);
+    check_expected(&[(5, GOOD)], 4, 5, 5);
+    check_expected(&[(5, GOOD)], 6, 6, 6);
+    check_expected(&[(5, GOOD), (6, BAD)], 6, 6, 5);
+    check_expected(&[(5, GOOD), (6, BAD)], 7, 7, 7);
+}
--- a/crates/fleet/tests/growth.rs
+++ b/crates/fleet/tests/growth.rs
@@ -88,7 +88,7 @@
     let mut net = calm(SLOW);
     net.routes += ADDED;
     let revision = net.publish();
-    net.until(500, |net| net.all(|n| n.known == revision));
+    net.until(500, |net| net.all(|n| n.expected == revision));
     assert!(net.node(6).in_force < revision);
-    net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision && n.known == revision));
+    net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision && n.expected == revision));
 }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -60,8 +60,8 @@
     control: Option<Control>,
     life: u64,
     pub(crate) in_force: u64,
-    /// Highest revision that the node says is in force somewhere.
-    pub(crate) known: u64,
+    /// Highest revision that the node is to hold, as it says.
+    pub(crate) expected: u64,
     pub(crate) view: Arc<View>,
     pub(crate) open: bool,
 }
@@ -102,7 +102,7 @@
             control: None,
             life: 0,
             in_force: 0,
-            known: 0,
+            expected: 0,
             view: Arc::default(),
             open: false,
         };
@@ -148,7 +148,7 @@
         };
         self.nodes[node].control = Some(Control::new(settings, self.moment()));
         self.nodes[node].in_force = 0;
-        self.nodes[node].known = 0;
+        self.nodes[node].expected = 0;
         self.nodes[node].open = false;
         self.nodes[node].view = Arc::default();
     }
@@ -374,7 +374,7 @@
             }
             Effect::View(view) => self.nodes[node].view = view,
             Effect::Open => self.nodes[node].open = true,
-            Effect::Known(revision) => self.nodes[node].known = revision,
+            Effect::Expected(revision) => self.nodes[node].expected = revision,
             Effect::Reply(_) | Effect::Drain => {}
         }
     }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -258,7 +258,7 @@
                     self.parts.meter.revision(snapshot.version.revision);
                     self.parts.hub.set_config(snapshot);
                 }
-                Effect::Known(revision) => self.parts.hub.set_known(revision),
+                Effect::Expected(revision) => self.parts.hub.set_expected(revision),
                 Effect::View(view) => self.parts.hub.set_view(view),
                 Effect::Tell(targets, digest) => self.tell(&targets, &digest),
                 Effect::Open => self.parts.hub.set_open(true),
@@ -286,10 +286,12 @@
         };
         self.parts.meter.message(asked.name());
         let link = self.link.clone();
+        let meter = self.parts.meter.clone();
         self.parts.peers.spawn(async move {
             let event = match peer::ask(peer, &request, timeout).await {
                 Ok(response) => Event::Answered(peer, response),
                 Err(error) => {
+                    meter.lost(asked.name());
                     let malformed = matches!(
                         error,
                         peer::Error::Malformed { .. } | peer::Error::Unpackable { .. }
@@ -321,6 +323,7 @@
             self.apply(Event::Note(kind), None);
         }
         self.parts.meter.control_cpu(crate::process::control_seconds());
+        self.parts.meter.known_revision(self.machine.known_revision());
         for (state, name) in STATES {
             self.parts.meter.members(name, self.machine.count(state) as u64);
         }
--- a/crates/standins/src/memory/delivery.rs
+++ b/crates/standins/src/memory/delivery.rs
@@ -132,7 +132,7 @@
             Effect::InForce(snapshot) => self.check_in_force(node, &snapshot),
             Effect::Drain => self.slots[node].drained = true,
             Effect::Reply(_)
-            | Effect::Known(_)
+            | Effect::Expected(_)
             | Effect::View(_)
             | Effect::Tell(..)
             | Effect::Open => {}
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/state.rs
@@ -116,8 +116,8 @@
     pub(crate) running: Running,
     tuning: ArcSwap<Tuning>,
     config: ArcSwap<Snapshot>,
-    /// Highest revision of the configuration that is in force at any node, as far as known.
-    known: AtomicU64,
+    /// Highest revision of the configuration that this node holds or is going to.
+    expected: AtomicU64,
     view: ArcSwap<View>,
     leaving: AtomicBool,
     closed: AtomicBool,
@@ -220,7 +220,7 @@
             running: Running::default(),
             tuning: ArcSwap::from_pointee(tuning),
             config: ArcSwap::default(),
-            known: AtomicU64::new(0),
+            expected: AtomicU64::new(0),
             view: ArcSwap::default(),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -256,14 +256,14 @@
         self.config.store(snapshot);
     }
 
-    /// Takes note that `revision` is the highest that is in force at any node.
-    pub fn set_known(&self, revision: u64) {
-        self.known.store(revision, Ordering::Relaxed);
+    /// Takes note that `revision` is the highest that this node holds or is going to.
+    pub fn set_expected(&self, revision: u64) {
+        self.expected.store(revision, Ordering::Relaxed);
     }
 
     /// Tells whether a newer configuration than `held` is in force at another node.
     pub(crate) fn is_outdated(&self, held: &Snapshot) -> bool {
-        self.known.load(Ordering::Relaxed) > held.version.revision
+        self.expected.load(Ordering::Relaxed) > held.version.revision
     }
 
     /// Routes to the upstreams of `view` from now on, and forgets what was seen of others.
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -49,12 +49,12 @@
 fn a_node_that_is_behind_does_not_say_that_a_route_is_unknown() {
     let scene = Scene::new(1, 4);
     let held = scene.hubs[0].config().version.revision;
-    scene.hubs[0].set_known(held + 1);
+    scene.hubs[0].set_expected(held + 1);
     let answer = check(&scene, &request("GET", "/added/a", "", ""), "503");
     assert_eq!(header(&answer, "baobab-cause"), Some("outdated"));
     assert!(header(&answer, "retry-after").is_some());
     check(&scene, &request("GET", "/read/a", "", ""), "200");
-    scene.hubs[0].set_known(held);
+    scene.hubs[0].set_expected(held);
     check(&scene, &request("GET", "/added/a", "", ""), "404");
 }
 
