traffic: files into folders by stage

Cause: 26 files side by side say nothing of the order in which a call passes them.

Every file moves into the folder of its stage (intake, routing, entry, link, serving) or of what the stages stand on (hub, gate, net, record, call). Only paths of imports change; what the crate exports is the same under the same names.

--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -1,5 +1,7 @@
 //! The entry node's part: finds an upstream for a call, and another if the first fails.
 
+mod contest;
+
 use fleet::view::Upstream;
 use model::{profile::Profile, time::Time};
 use policy::{
@@ -14,13 +16,12 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    contest, offer,
-    payload::Payload,
-    record::Trail,
+    call::Payload,
+    hub::{self, Hub},
+    link::offer,
+    net::stream::{Look, Probe},
+    record::{Trail, tally::Count},
     serving::{self, Answer},
-    state::{self, Hub},
-    stream::{Look, Probe},
-    tally::Count,
     wire,
 };
 
@@ -225,7 +226,7 @@
 /// Tells whether the call was offered to this life of `upstream`. What else its entry says may have
 /// changed since.
 fn is_tried(tried: &[Upstream], upstream: &Upstream) -> bool {
-    tried.iter().any(|earlier| state::is_same_life(earlier, upstream))
+    tried.iter().any(|earlier| hub::is_same_life(earlier, upstream))
 }
 
 fn way(hub: &Hub, upstream: &Upstream) -> placement::Way {
--- a/crates/traffic/src/contest.rs
+++ b/crates/traffic/src/entry/contest.rs
@@ -15,9 +15,9 @@
 
 use crate::{
     entry::{self, Call, choose, graver, observed},
+    hub::Hub,
+    record::tally::Count,
     serving::Answer,
-    state::Hub,
-    tally::Count,
 };
 
 /// Offers the call to `first`, and to one more upstream if that stays silent for long.
--- /dev/null
+++ b/crates/traffic/src/gate.rs
@@ -0,0 +1,7 @@
+//! What the own upstream and its link are busy with: slots, turns of large bodies, running work.
+//!
+//! Nothing here knows a call; tasks wait, hold and give back.
+
+pub(crate) mod running;
+pub(crate) mod transfer;
+pub(crate) mod turnstile;
--- a/crates/traffic/src/transfer.rs
+++ b/crates/traffic/src/gate/transfer.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     clock::Clock,
-    turnstile::{Pass, Turnstile},
+    gate::turnstile::{Pass, Turnstile},
 };
 
 /// Most bodies that wait for their turn.
--- a/crates/traffic/src/state.rs
+++ b/crates/traffic/src/hub.rs
@@ -1,5 +1,8 @@
 //! What all calls of a node share.
 
+mod explain;
+pub(crate) mod room;
+
 use arc_swap::ArcSwap;
 use fleet::{
     timeline::Kind,
@@ -27,8 +30,11 @@
 use telemetry::metric::Meter;
 
 use crate::{
-    clock::Clock, pool::Pool, record::Logbook, running::Running, tally::Tally, transfer::Transfers,
-    turnstile::Turnstile, wire,
+    clock::Clock,
+    gate::{running::Running, transfer::Transfers, turnstile::Turnstile},
+    net::pool::Pool,
+    record::{Logbook, tally::Tally},
+    wire,
 };
 
 /// Most routes whose times are remembered, some 100 bytes each; of others nothing is known.
--- a/crates/traffic/src/explain.rs
+++ b/crates/traffic/src/hub/explain.rs
@@ -2,7 +2,7 @@
 
 use fleet::{member::State, status::Candidate};
 
-use crate::state::Hub;
+use crate::hub::Hub;
 
 impl Hub {
     /// Explains every known upstream of `service`.
--- a/crates/traffic/src/hold.rs
+++ b/crates/traffic/src/hub/room.rs
@@ -4,7 +4,7 @@
 
 use std::sync::atomic::Ordering;
 
-use crate::state::Hub;
+use crate::hub::Hub;
 
 /// Bytes of bodies reserved in the node's room; given back when dropped.
 pub(crate) struct Reservation<'a> {
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -1,5 +1,10 @@
 //! Takes in requests: calls of callers and offers of other nodes.
 
+pub(crate) mod ahead;
+mod open;
+mod ready;
+pub(crate) mod server;
+
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
     header::{self, HeaderValue},
@@ -16,19 +21,23 @@
 use trail::Step;
 
 use crate::{
-    body::{self, Inflow},
+    call::Payload,
     entry::{self, Call, Terms},
-    hold::{Hand, Reservation},
-    open::Open,
-    payload::Payload,
-    record::Trail,
-    returning::{self, Caller},
-    server::Door,
+    hub::{
+        Hub,
+        room::{Hand, Reservation},
+    },
+    intake::{open::Open, server::Door},
+    net::{
+        body::{self, Inflow},
+        stream::Probe,
+    },
+    record::{Trail, tally::Count},
+    routing::{
+        returning::{self, Caller},
+        target::{self, Target},
+    },
     serving::{self, Answer, Offer},
-    state::Hub,
-    stream::Probe,
-    tally::Count,
-    target::{self, Target},
     wire,
 };
 
--- a/crates/traffic/src/ahead.rs
+++ b/crates/traffic/src/intake/ahead.rs
@@ -22,12 +22,10 @@
 use tokio::{select, task::JoinHandle};
 
 use crate::{
-    body::Inflow,
-    intake,
-    server::Door,
-    state::Hub,
-    stream::Probe,
-    target,
+    hub::Hub,
+    intake::{self, server::Door},
+    net::{body::Inflow, stream::Probe},
+    routing::target,
     wire::{self, Precision},
 };
 
--- a/crates/traffic/src/open.rs
+++ b/crates/traffic/src/intake/open.rs
@@ -5,9 +5,9 @@
 use trail::Step;
 
 use crate::{
-    body::Inflow,
+    hub::Hub,
+    net::body::Inflow,
     record::{Interest, Trail},
-    state::Hub,
     wire::{self, header_text},
 };
 
--- a/crates/traffic/src/ready.rs
+++ b/crates/traffic/src/intake/ready.rs
@@ -2,7 +2,7 @@
 
 use hyper::{Response, StatusCode};
 
-use crate::{state::Hub, wire};
+use crate::{hub::Hub, wire};
 
 /// Answers 200 while callers may send new work here and 503 otherwise, whatever the path.
 pub(crate) fn answer(hub: &Hub) -> Response<wire::Body> {
--- a/crates/traffic/src/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -11,7 +11,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{ahead::Ahead, intake, ready, state::Hub, stream::Stream};
+use crate::{
+    hub::Hub,
+    intake::{self, ahead::Ahead, ready},
+    net::stream::Stream,
+};
 
 /// Bound on waiting for a request's head, which also ends idle connections.
 ///
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -5,35 +5,22 @@
 //! platform or the messages between control threads. The headers in [`wire`] are an API border,
 //! towards callers and between nodes; the rest is not.
 
-mod ahead;
-mod body;
+mod call;
 mod clock;
-mod contest;
 mod entry;
-mod explain;
-mod hold;
+mod gate;
+mod hub;
 mod intake;
-mod offer;
-mod open;
-mod payload;
-mod pool;
-mod ready;
+mod link;
+mod net;
 mod record;
-mod returning;
-mod running;
-mod server;
+mod routing;
 mod serving;
-mod state;
-mod stream;
-mod tally;
-mod target;
-mod transfer;
-mod turnstile;
 pub mod wire;
 
 pub use crate::{
     clock::Clock,
-    server::{Door, Error, Listener},
-    state::{Hub, Settings, Tuning},
-    tally::Count,
+    hub::{Hub, Settings, Tuning},
+    intake::server::{Door, Error, Listener},
+    record::tally::Count,
 };
--- /dev/null
+++ b/crates/traffic/src/link.rs
@@ -0,0 +1,3 @@
+//! Offers between nodes.
+
+pub(crate) mod offer;
--- a/crates/traffic/src/offer.rs
+++ b/crates/traffic/src/link/offer.rs
@@ -15,11 +15,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    body,
     entry::Call,
-    pool::{Connection, Failure},
+    hub::Hub,
+    net::{
+        body,
+        pool::{Connection, Failure},
+    },
     serving::{self, Answer, Offer},
-    state::Hub,
     wire,
 };
 
--- /dev/null
+++ b/crates/traffic/src/net.rs
@@ -0,0 +1,5 @@
+//! Streams, connections that are kept, and bodies taken in whole.
+
+pub(crate) mod body;
+pub(crate) mod pool;
+pub(crate) mod stream;
--- a/crates/traffic/src/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     clock::Clock,
-    stream::{Look, Probe, Stream},
+    net::stream::{Look, Probe, Stream},
     wire::Body,
 };
 
--- a/crates/traffic/src/stream.rs
+++ b/crates/traffic/src/net/stream.rs
@@ -18,7 +18,7 @@
 };
 use tokio::net::TcpStream;
 
-use crate::ahead::Ahead;
+use crate::intake::ahead::Ahead;
 
 /// Bytes read from a socket at once; larger reads save system calls but cost memory per call.
 const CHUNK: usize = 16 * 1024;
--- a/crates/traffic/src/record.rs
+++ b/crates/traffic/src/record.rs
@@ -4,6 +4,8 @@
 //! whole; of the others one in [`SAMPLE`] is, chosen by the request's id, so that all nodes choose
 //! the same ones. What exceeds the bound is counted, and the count is logged.
 
+pub(crate) mod tally;
+
 use fleet::timeline::Kind;
 use model::time::Time;
 use std::{
@@ -16,7 +18,7 @@
 use trail::{Line, Step};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::state::Hub;
+use crate::hub::Hub;
 
 /// Of so many requests that went well, one is logged: enough to see what is usual, at about 1 % of
 /// the processor time that a request costs.
--- /dev/null
+++ b/crates/traffic/src/routing.rs
@@ -0,0 +1,4 @@
+//! Where a call goes, and what holds for it on the way.
+
+pub(crate) mod returning;
+pub(crate) mod target;
--- a/crates/traffic/src/returning.rs
+++ b/crates/traffic/src/routing/returning.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
-    state::Hub,
+    hub::Hub,
     wire::{self, header_text},
 };
 
--- a/crates/traffic/src/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -5,9 +5,9 @@
 use policy::{outcome::Cause, retry::Kind};
 
 use crate::{
-    body::Inflow,
     entry::Terms,
-    state::Hub,
+    hub::Hub,
+    net::body::Inflow,
     wire::{self, header_text},
 };
 
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -19,13 +19,15 @@
 use tokio::time::timeout;
 
 use crate::{
-    body,
-    payload::Payload,
-    pool::{Connection, Failure},
+    call::Payload,
+    gate::turnstile::Pass,
+    hub::Hub,
+    net::{
+        body,
+        pool::{Connection, Failure},
+        stream::{Look, Probe},
+    },
     record::{Interest, Trail},
-    state::Hub,
-    stream::{Look, Probe},
-    turnstile::Pass,
     wire,
 };
 
