traffic: no circle of imports between its folders

Cause: 16 files were in one circle of imports, through four knots. A stream named the reader of calls sent ahead, which names the intake; a trail named the hub, which names the log; what stages hand on (terms, call, offer, answer) stood in the stage that makes it or takes it; and who answers callers and who answers other nodes stood in one file with who tells them apart.

A stream knows its reader as a trait object. A trail is given the log, which holds clock and name of the instance itself. What is handed on stands in call. Offers of other nodes are taken in by link::arrival, calls of callers by intake::caller, and intake only tells them apart.

Ruled out: a generic reader on the stream; it would run through pool and server for one indirect call a read.

Imports between folders before: intake, entry, link, serving, hub, net, record, routing in one circle; now none, counted over all use statements.

--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -3,9 +3,8 @@
 mod contest;
 
 use fleet::view::Upstream;
-use model::{profile::Profile, time::Time};
+use model::time::Time;
 use policy::{
-    admission::Rank,
     choice::{self, Reach},
     health::{Change, Record, Sample},
     latency::Estimate,
@@ -16,61 +15,20 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    call::Payload,
+    call::{Answer, Call},
     hub::{self, Hub},
     link::offer,
-    net::stream::{Look, Probe},
-    record::{Trail, tally::Count},
-    serving::{self, Answer},
+    net::stream::Look,
+    record::tally::Count,
     wire,
 };
 
-/// A call with its whole request in hand.
-pub(crate) struct Call<'a> {
-    pub(crate) service: &'a str,
-    pub(crate) profile: &'a Profile,
-    pub(crate) terms: Terms,
-    pub(crate) payload: Payload,
-    pub(crate) received: Time,
-    pub(crate) deadline: Time,
-    /// When an answer becomes late, if its route names an objective.
-    pub(crate) due: Option<Time>,
-    /// By when its body must begin to cross if it is large, if its route names an objective.
-    pub(crate) turn_by: Option<Time>,
-    pub(crate) rank: Rank,
-    pub(crate) origin: Probe,
-    pub(crate) trail: &'a Trail,
-}
-
-/// What holds for a call by its route, or by its service's profile.
-#[derive(Clone, Debug)]
-pub(crate) struct Terms {
-    /// Whether it may run more than once.
-    pub(crate) kind: Kind,
-    /// Longest time until the final answer, in ms.
-    pub(crate) timeout_ms: u64,
-    /// Most upstreams that it is sent to.
-    pub(crate) attempts: u32,
-    /// Time within which an answer is worth most, in ms, if the route names one.
-    pub(crate) objective_ms: Option<u64>,
-    /// Urgency among the calls of the service; 0 is the most urgent.
-    pub(crate) priority: u8,
-    /// Name of the route; empty without one.
-    pub(crate) route: String,
-}
-
 /// Most nodes that one call is offered to, whether its upstream sees it or not.
 ///
 /// Each refusal costs a round trip of about 2 ms; four of them stay within an eighth of the
 /// shortest objectives, 100 ms.
 const OFFER_LIMIT: usize = 4;
 
-impl Call<'_> {
-    pub(crate) fn kind(&self) -> Kind {
-        self.terms.kind
-    }
-}
-
 /// Offers the call to one upstream after the other until one answers or nothing more may be tried.
 pub(crate) async fn run(hub: &Arc<Hub>, call: &Call<'_>) -> Result<Answer, Outcome> {
     note_call(hub, call);
@@ -231,7 +189,7 @@
 
 fn way(hub: &Hub, upstream: &Upstream) -> placement::Way {
     match upstream {
-        own if serving::is_own(hub, own) => placement::Way::Own,
+        own if hub.is_own(own) => placement::Way::Own,
         near if near.near => placement::Way::Near,
         _ => placement::Way::Far,
     }
@@ -341,7 +299,7 @@
             candidates,
         }
     });
-    call.trail.note(hub, step);
+    call.trail.note(&hub.log, step);
 }
 
 fn note_end(
@@ -357,7 +315,7 @@
         Err(outcome @ Outcome::Unknown(_)) => (wire::UNKNOWN, outcome.reason(), 0),
     };
     call.trail.note(
-        hub,
+        &hub.log,
         trail::Step::Attempted {
             attempt,
             outcome: outcome.to_owned(),
--- a/crates/traffic/src/entry/contest.rs
+++ b/crates/traffic/src/entry/contest.rs
@@ -14,10 +14,10 @@
 use tokio::{select, time::timeout};
 
 use crate::{
-    entry::{self, Call, choose, graver, observed},
+    call::{Answer, Call},
+    entry::{self, choose, graver, observed},
     hub::Hub,
     record::tally::Count,
-    serving::Answer,
 };
 
 /// Offers the call to `first`, and to one more upstream if that stays silent for long.
--- a/crates/traffic/src/hub.rs
+++ b/crates/traffic/src/hub.rs
@@ -33,7 +33,7 @@
     clock::Clock,
     gate::{running::Running, transfer::Transfers, turnstile::Turnstile},
     net::pool::Pool,
-    record::{Logbook, tally::Tally},
+    record::{Log, tally::Tally},
     wire,
 };
 
@@ -118,7 +118,7 @@
     pub(crate) meter: Arc<Meter>,
     pub(crate) pool: Pool,
     pub(crate) tally: Tally,
-    pub(crate) logbook: Logbook,
+    pub(crate) log: Log,
     pub(crate) running: Running,
     tuning: ArcSwap<Tuning>,
     config: ArcSwap<Snapshot>,
@@ -213,6 +213,8 @@
         let tuning = settings.tuning;
         let slots = Turnstile::new(clock, settings.slots);
         let transfers = Transfers::new(clock, settings.link_mbps);
+        let log = Log::new(clock);
+        let log = if settings.log { log.keep(&settings.instance) } else { log };
         let watch = pause::Watch::new(settings.pause, clock.now());
         Arc::new(Hub {
             settings,
@@ -220,7 +222,7 @@
             meter,
             pool: Pool::default(),
             tally: Tally::default(),
-            logbook: Logbook::default(),
+            log,
             running: Running::default(),
             tuning: ArcSwap::from_pointee(tuning),
             config: ArcSwap::default(),
@@ -288,6 +290,11 @@
         }
     }
 
+    /// Tells whether `upstream` is the one beside this node.
+    pub(crate) fn is_own(&self, upstream: &Upstream) -> bool {
+        upstream.address == self.settings.own
+    }
+
     /// Returns the life of the own upstream, if it is listed.
     fn own_life(&self, view: &View) -> Option<Life> {
         let own = view.upstreams(&self.settings.service).iter();
@@ -438,7 +445,7 @@
         self.transfers.sweep(self.clock.now());
         self.meter.in_hand(self.calls.load(Ordering::Relaxed) as u64);
         let mut events = self.tally.take();
-        events.extend(self.logbook.left_out());
+        events.extend(self.log.left_out());
         events
     }
 
--- a/crates/traffic/src/intake/ahead.rs
+++ b/crates/traffic/src/intake/ahead.rs
@@ -23,8 +23,11 @@
 
 use crate::{
     hub::Hub,
-    intake::{self, server::Door},
-    net::{body::Inflow, stream::Probe},
+    intake::{self, Door},
+    net::{
+        body::Inflow,
+        stream::{Probe, Reader},
+    },
     routing::target,
     wire::{self, Precision},
 };
@@ -84,26 +87,6 @@
         Arc::new(Ahead { hub, probe, state: Mutex::default() })
     }
 
-    /// Reads along what comes on the connection.
-    pub(crate) fn feed(&self, bytes: &[u8]) {
-        let mut state = self.lock();
-        if state.blind {
-            return;
-        }
-        state.bytes.extend_from_slice(bytes);
-        while let Some(head) = next_head(&mut state) {
-            let number = state.read;
-            state.read += 1;
-            let is_behind = number > state.answered;
-            if is_behind
-                && state.begun.len() < AHEAD_MOST
-                && let Some(task) = self.begin(&head)
-            {
-                state.begun.push_back((number, task));
-            }
-        }
-    }
-
     /// Answers the next request that `hyper` hands over: by what was taken up ahead, or else by
     /// `request` itself.
     pub(crate) async fn answer(&self, request: Request<Inflow>) -> Response<wire::Body> {
@@ -145,13 +128,6 @@
         std::future::pending().await
     }
 
-    /// Returns up to `room` of the bytes that were read before `hyper` asked for them.
-    pub(crate) fn unread(&self, room: usize) -> Option<BytesMut> {
-        let mut state = self.lock();
-        let length = state.inbox.len().min(room);
-        (length > 0).then(|| state.inbox.split_to(length))
-    }
-
     /// Returns the call of the next request, if it was taken up.
     fn take(&self) -> Option<Task> {
         let mut state = self.lock();
@@ -181,6 +157,33 @@
     }
 }
 
+impl Reader for Ahead {
+    fn feed(&self, bytes: &[u8]) {
+        let mut state = self.lock();
+        if state.blind {
+            return;
+        }
+        state.bytes.extend_from_slice(bytes);
+        while let Some(head) = next_head(&mut state) {
+            let number = state.read;
+            state.read += 1;
+            let is_behind = number > state.answered;
+            if is_behind
+                && state.begun.len() < AHEAD_MOST
+                && let Some(task) = self.begin(&head)
+            {
+                state.begun.push_back((number, task));
+            }
+        }
+    }
+
+    fn unread(&self, room: usize) -> Option<BytesMut> {
+        let mut state = self.lock();
+        let length = state.inbox.len().min(room);
+        (length > 0).then(|| state.inbox.split_to(length))
+    }
+}
+
 /// Takes the next whole head of a request without a body off the bytes read along.
 fn next_head(state: &mut State) -> Option<BytesMut> {
     if state.blind || state.bytes.is_empty() {
--- a/crates/traffic/src/intake/open.rs
+++ b/crates/traffic/src/intake/open.rs
@@ -32,7 +32,7 @@
         let outcome = wire::known_outcome(Some(text(wire::OUTCOME)));
         let status = response.status();
         self.trail.note(
-            self.hub,
+            &self.hub.log,
             Step::Ended {
                 outcome: outcome.to_owned(),
                 reason: text(wire::CAUSE).to_owned(),
@@ -45,7 +45,7 @@
         let is_late = self.trail.is_late(self.hub.clock.now());
         let went_well = outcome == wire::ANSWERED && !status.is_server_error() && !is_late;
         let interest = if went_well { Interest::Usual } else { Interest::Notable };
-        self.trail.write(self.hub, interest);
+        self.trail.write(&self.hub.log, interest);
     }
 
     fn elapsed_ms(&self) -> u64 {
@@ -56,8 +56,8 @@
 impl Drop for Open<'_> {
     fn drop(&mut self) {
         if !self.ended {
-            self.trail.note(self.hub, Step::Abandoned { ms: self.elapsed_ms() });
-            self.trail.write(self.hub, Interest::Notable);
+            self.trail.note(&self.hub.log, Step::Abandoned { ms: self.elapsed_ms() });
+            self.trail.write(&self.hub.log, Interest::Notable);
         }
     }
 }
--- a/crates/traffic/src/intake/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     hub::Hub,
-    intake::{self, ahead::Ahead, ready},
+    intake::{self, Door, ahead::Ahead, ready},
     net::stream::Stream,
 };
 
@@ -37,20 +37,6 @@
     source: std::io::Error,
 }
 
-/// Who may speak at an address.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Door {
-    /// Callers and other nodes, told apart by the header of an offer.
-    #[default]
-    All,
-    /// Callers only; what looks like an offer is a call.
-    Callers,
-    /// Other nodes only.
-    Nodes,
-    /// Whoever asks whether this node takes new work.
-    Ready,
-}
-
 /// A socket that callers or other nodes connect to.
 #[derive(Debug)]
 pub struct Listener {
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -21,6 +21,9 @@
 pub use crate::{
     clock::Clock,
     hub::{Hub, Settings, Tuning},
-    intake::server::{Door, Error, Listener},
+    intake::{
+        Door,
+        server::{Error, Listener},
+    },
     record::tally::Count,
 };
--- a/crates/traffic/src/link.rs
+++ b/crates/traffic/src/link.rs
@@ -1,3 +1,4 @@
 //! Offers between nodes.
 
+pub(crate) mod arrival;
 pub(crate) mod offer;
--- a/crates/traffic/src/link/offer.rs
+++ b/crates/traffic/src/link/offer.rs
@@ -15,14 +15,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    entry::Call,
+    call::{Answer, Call, Offer},
     hub::Hub,
     net::{
         body,
         pool::{Connection, Failure},
     },
-    serving::{self, Answer, Offer},
-    wire,
+    serving, wire,
 };
 
 /// Offers the call to one upstream and waits for its answer no longer than until `patience`.
@@ -46,7 +45,7 @@
         origin: call.origin.clone(),
         id,
     };
-    if serving::is_own(hub, upstream) {
+    if hub.is_own(upstream) {
         let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
         let result = work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
         let (load, now) = (hub.load(), hub.clock.now());
--- a/crates/traffic/src/net/stream.rs
+++ b/crates/traffic/src/net/stream.rs
@@ -5,6 +5,7 @@
 //! later than the request that waited in the same buffer. So the socket is shared, and
 //! [`Probe`] looks at it directly.
 
+use bytes::BytesMut;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::{SockRef, TcpKeepalive};
 use std::{
@@ -18,8 +19,6 @@
 };
 use tokio::net::TcpStream;
 
-use crate::intake::ahead::Ahead;
-
 /// Bytes read from a socket at once; larger reads save system calls but cost memory per call.
 const CHUNK: usize = 16 * 1024;
 
@@ -33,7 +32,16 @@
 pub(crate) struct Stream {
     socket: Arc<TcpStream>,
     /// Who reads along.
-    ahead: Option<Arc<Ahead>>,
+    reader: Option<Arc<dyn Reader>>,
+}
+
+/// Whoever reads along on a stream, and may read before its owner does.
+pub(crate) trait Reader: Send + Sync {
+    /// Reads along bytes that the owner is given.
+    fn feed(&self, bytes: &[u8]);
+
+    /// Returns up to `room` of the bytes that were read before the owner asked for them.
+    fn unread(&self, room: usize) -> Option<BytesMut>;
 }
 
 /// A look at a stream that somebody else reads and writes.
@@ -71,12 +79,12 @@
     /// Takes over an open socket.
     pub(crate) fn new(socket: TcpStream) -> io::Result<Stream> {
         socket.set_nodelay(true)?;
-        Ok(Stream { socket: Arc::new(socket), ahead: None })
+        Ok(Stream { socket: Arc::new(socket), reader: None })
     }
 
-    /// Lets `ahead` read along what comes from now on.
-    pub(crate) fn read_along(&mut self, ahead: Arc<Ahead>) {
-        self.ahead = Some(ahead);
+    /// Lets `reader` read along what comes from now on.
+    pub(crate) fn read_along(&mut self, reader: Arc<dyn Reader>) {
+        self.reader = Some(reader);
     }
 
     /// Ends the own side; the other side reads everything that was written and then the end.
@@ -140,7 +148,7 @@
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; CHUNK];
         let room = target.remaining().min(CHUNK);
-        if let Some(bytes) = self.ahead.as_ref().and_then(|ahead| ahead.unread(room)) {
+        if let Some(bytes) = self.reader.as_ref().and_then(|reader| reader.unread(room)) {
             target.put_slice(&bytes);
             return Poll::Ready(Ok(()));
         }
@@ -149,8 +157,8 @@
             match self.socket.try_read(&mut chunk[..room]) {
                 Ok(count) => {
                     target.put_slice(&chunk[..count]);
-                    if let Some(ahead) = &self.ahead {
-                        ahead.feed(&chunk[..count]);
+                    if let Some(reader) = &self.reader {
+                        reader.feed(&chunk[..count]);
                     }
                     return Poll::Ready(Ok(()));
                 }
--- a/crates/traffic/src/record.rs
+++ b/crates/traffic/src/record.rs
@@ -18,7 +18,7 @@
 use trail::{Line, Step};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::hub::Hub;
+use crate::clock::Clock;
 
 /// Of so many requests that went well, one is logged: enough to see what is usual, at about 1 % of
 /// the processor time that a request costs.
@@ -71,8 +71,8 @@
     }
 
     /// Notes a step.
-    pub(crate) fn note(&self, hub: &Hub, step: Step) {
-        self.lock().push((hub.clock.now(), step));
+    pub(crate) fn note(&self, log: &Log, step: Step) {
+        self.lock().push((log.clock.now(), step));
     }
 
     /// Returns how many times the request was offered so far.
@@ -81,16 +81,16 @@
     }
 
     /// Logs the steps, if the request matters enough and the bound allows it.
-    pub(crate) fn write(&self, hub: &Hub, interest: Interest) {
+    pub(crate) fn write(&self, log: &Log, interest: Interest) {
         let steps = std::mem::take(&mut *self.lock());
-        if !hub.settings.log || !hub.logbook.admits(&self.id, interest, steps.len(), hub) {
+        if !log.is_kept || !log.admits(&self.id, interest, steps.len()) {
             return;
         }
-        let now = hub.clock.now();
+        let now = log.clock.now();
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         for (at, step) in steps {
             let t = wall.saturating_sub(now.since(at)).as_millis() as u64;
-            let node = hub.settings.instance.clone();
+            let node = log.instance.clone();
             telemetry::log::line(&Line { t, node, id: self.id.clone(), step });
         }
     }
@@ -100,23 +100,45 @@
     }
 }
 
-/// The bounds of the log, and what exceeded them.
-#[derive(Debug, Default)]
-pub(crate) struct Logbook {
+/// The log of requests, its bounds, and what exceeded them.
+#[derive(Debug)]
+pub(crate) struct Log {
+    clock: Clock,
+    /// The platform's name of the instance.
+    instance: String,
+    /// Whether requests are logged.
+    is_kept: bool,
     notable: Mutex<Allowance>,
     usual: Mutex<Allowance>,
     left_out: AtomicU64,
 }
 
-impl Logbook {
-    fn admits(&self, id: &str, interest: Interest, lines: usize, hub: &Hub) -> bool {
+impl Log {
+    /// Creates a log in which nothing is written.
+    pub(crate) fn new(clock: Clock) -> Self {
+        Log {
+            clock,
+            instance: String::new(),
+            is_kept: false,
+            notable: Mutex::default(),
+            usual: Mutex::default(),
+            left_out: AtomicU64::new(0),
+        }
+    }
+
+    /// Writes requests from now on, as lines of `instance`.
+    pub(crate) fn keep(self, instance: &str) -> Self {
+        Log { instance: instance.to_owned(), is_kept: true, ..self }
+    }
+
+    fn admits(&self, id: &str, interest: Interest, lines: usize) -> bool {
         let (allowance, limit) = match interest {
             Interest::Notable => (&self.notable, NOTABLE_LINES),
             Interest::Usual if !xxh3_64(id.as_bytes()).is_multiple_of(SAMPLE) => return false,
             Interest::Usual => (&self.usual, USUAL_LINES),
         };
         let mut allowance = allowance.lock().unwrap_or_else(PoisonError::into_inner);
-        let admitted = allowance.take(lines as u32, limit, hub.clock.now());
+        let admitted = allowance.take(lines as u32, limit, self.clock.now());
         if !admitted {
             self.left_out.fetch_add(lines as u64, Ordering::Relaxed);
         }
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -5,7 +5,7 @@
 use policy::{outcome::Cause, retry::Kind};
 
 use crate::{
-    entry::Terms,
+    call::Terms,
     hub::Hub,
     net::body::Inflow,
     wire::{self, header_text},
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -2,64 +2,31 @@
 //!
 //! Slots, leaving, deadlines and the claim are decided here, next to the upstream, on fresh facts.
 
-use bytes::Bytes;
-use fleet::view::Upstream;
 use hyper::{
     Request, Response, StatusCode,
     header::{self, HeaderValue},
 };
-use model::{profile::Profile, time::Time};
+use model::profile::Profile;
 use policy::{
-    admission::Rank,
     claim,
     outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss},
-    retry::Kind,
 };
 use std::{sync::Arc, sync::atomic::Ordering, time::Duration};
 use tokio::time::timeout;
 
 use crate::{
-    call::Payload,
+    call::{Answer, Offer},
     gate::turnstile::Pass,
     hub::Hub,
     net::{
         body,
         pool::{Connection, Failure},
-        stream::{Look, Probe},
+        stream::Look,
     },
     record::{Interest, Trail},
     wire,
 };
 
-/// A call that is offered to this node's upstream.
-#[derive(Clone, Debug)]
-pub(crate) struct Offer {
-    pub(crate) payload: Payload,
-    /// When its head was read.
-    pub(crate) received: Time,
-    pub(crate) deadline: Time,
-    pub(crate) kind: Kind,
-    /// Its urgency.
-    pub(crate) rank: Rank,
-    /// Life of the node that it is meant for.
-    pub(crate) incarnation: u64,
-    /// Identity that the upstream must confirm, if it was listed with one.
-    pub(crate) identity: Option<Arc<str>>,
-    /// When the life of the upstream that it is meant for began, in ms of Unix time, if known.
-    pub(crate) started_ms: Option<u64>,
-    /// The connection that it came on.
-    pub(crate) origin: Probe,
-    /// Identifies the attempt.
-    pub(crate) id: u64,
-}
-
-/// A whole answer.
-#[derive(Debug)]
-pub(crate) struct Answer {
-    pub(crate) head: Response<()>,
-    pub(crate) body: Bytes,
-}
-
 /// Runs an offered call on the own upstream, if it may be run.
 pub(crate) async fn run(
     hub: &Arc<Hub>,
@@ -76,7 +43,7 @@
         Ok(answer) if !answer.head.status().is_server_error() => Interest::Usual,
         _ => Interest::Notable,
     };
-    trail.write(hub, interest);
+    trail.write(&hub.log, interest);
     result
 }
 
@@ -91,7 +58,7 @@
     let load = hub.slots.load();
     let now = hub.clock.now();
     trail.note(
-        hub,
+        &hub.log,
         trail::Step::Claimed {
             attempt: offer.id,
             upstream: offer.identity.as_deref().unwrap_or_default().to_owned(),
@@ -118,7 +85,7 @@
     };
     let ms = span.as_millis() as u64;
     let step = trail::Step::Ran { attempt: offer.id, outcome: outcome.to_owned(), status, ms };
-    trail.note(hub, step);
+    trail.note(&hub.log, step);
 }
 
 async fn attempt(
@@ -333,11 +300,6 @@
     Duration::from_millis(profile.idle_ms)
 }
 
-/// Tells whether `upstream` is the one beside this node.
-pub(crate) fn is_own(hub: &Hub, upstream: &Upstream) -> bool {
-    upstream.address == hub.settings.own
-}
-
 /// Counts a call as in hand while it exists.
 struct InHand {
     hub: Arc<Hub>,
