traffic: the entry stage by job; the graver of two outcomes decided in policy

Cause: entry.rs held the choice of an upstream, attempts and what they show, repeats, and was in a circle with the second attempt, which takes all of them.

entry::choice, entry::attempt, entry::repeat and entry::contest have one job each; entry itself only runs the loop. Which of two outcomes holds for a call is policy::outcome::Outcome::after now, with a test of its own; traffic decided it without one.

Left as it is: the reasons for which the loop ends before an attempt. They look like those of the claim, but name a late call late before they look for a pause, and the claim does it the other way round; to make them one would change what callers are told.

--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -65,6 +65,22 @@
             Outcome::Unknown(doubt) => doubt.name(),
         }
     }
+
+    /// Returns the outcome of a call whose attempts ended with `earlier` and then with this one.
+    ///
+    /// If one attempt may have run, "not run" of a later one does not make the call not run.
+    ///
+    /// ```
+    /// use policy::outcome::{Cause, Doubt, Outcome};
+    /// let lost = Outcome::Unknown(Doubt::Timeout);
+    /// assert_eq!(Cause::Overloaded.outcome().after(lost), lost);
+    /// ```
+    pub fn after(self, earlier: Outcome) -> Outcome {
+        match (earlier, self) {
+            (Outcome::Unknown(_), Outcome::NotRun(..)) => earlier,
+            _ => self,
+        }
+    }
 }
 
 /// A step of a call at which it can be lost.
--- a/crates/policy/tests/outcome.rs
+++ b/crates/policy/tests/outcome.rs
@@ -43,3 +43,15 @@
     }
     assert_eq!(Cause::parse("whatever"), None);
 }
+
+/// A cashier is told that a payment was not run, since its last attempt was refused, and enters it
+/// again; the attempt before had been posted, and only its answer was lost.
+#[test]
+fn a_later_refusal_does_not_undo_an_earlier_attempt() {
+    let (lost, broken) = (Outcome::Unknown(Doubt::Timeout), Outcome::Unknown(Doubt::Broken));
+    let (full, late) = (Cause::Overloaded.outcome(), Cause::Late.outcome());
+    assert_eq!(full.after(lost), lost);
+    assert_eq!(late.after(full), late);
+    assert_eq!(lost.after(full), lost);
+    assert_eq!(broken.after(lost), broken);
+}
--- /dev/null
+++ b/crates/traffic/src/entry/attempt.rs
@@ -0,0 +1,162 @@
+//! One attempt of a call at an upstream, and what it shows of the upstream.
+
+use fleet::view::Upstream;
+use model::time::Time;
+use policy::{
+    health::{Change, Sample},
+    outcome::{Cause, Doubt, Outcome},
+};
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    call::{Answer, Call},
+    hub::Hub,
+    link::offer,
+    record::tally::Count,
+    wire,
+};
+
+/// Makes one attempt and notes what it shows about the upstream.
+pub(super) async fn run(
+    hub: &Arc<Hub>,
+    call: &Call<'_>,
+    upstream: &Upstream,
+    patience: Time,
+) -> Result<Answer, Outcome> {
+    let begun = hub.clock.now();
+    let id = hub.next_id();
+    note_offer(hub, call, upstream, id, begun);
+    let mut watch = Watch::new(hub, call.service, upstream, begun);
+    let remaining = call.deadline.since(begun);
+    let result = offer::attempt(hub, call, upstream, id, patience).await;
+    let elapsed = hub.clock.now().since(begun);
+    note_end(hub, call, id, &result, elapsed);
+    if result.is_ok() && elapsed > remaining / 2 {
+        hub.tally.add(Count::Slow(call.service.to_owned(), upstream.address));
+    }
+    let sample = match &result {
+        Ok(answer) if answer.head.status().is_server_error() => Sample::Erred(elapsed),
+        Ok(_) => Sample::Answered(elapsed),
+        Err(outcome) => sample_of(*outcome, elapsed),
+    };
+    watch.end(sample);
+    if let (Ok(answer), Sample::Answered(_)) = (&result, sample) {
+        hub.note_answer_bytes(call.service, &call.terms.route, answer.body.len());
+    }
+    compare(hub, call, upstream, sample);
+    result
+}
+
+/// Notes how the time of an attempt compares with that of other calls of the route.
+fn compare(hub: &Hub, call: &Call<'_>, upstream: &Upstream, sample: Sample) {
+    let route = &call.terms.route;
+    let latency = hub.latency(call.service, route);
+    let ratio = match sample {
+        Sample::Answered(time) => {
+            hub.note_latency(call.service, route, time);
+            latency.map_or(1.0, |latency| latency.ratio(time))
+        }
+        Sample::Silent(time) => latency.map_or(1.0, |latency| latency.ratio(time)).max(1.0),
+        // A failure may come sooner or later than an answer; its time tells nothing.
+        Sample::Refused | Sample::Erred(_) | Sample::Failed | Sample::Unreachable => return,
+    };
+    let now = hub.clock.now();
+    hub.with_service(call.service, |s| s.record(upstream, now).compare(ratio, now));
+}
+
+/// Notes that a call to `first` was answered by another upstream after `waited`.
+pub(super) fn note_overtaken(hub: &Hub, call: &Call<'_>, first: &Upstream, waited: Duration) {
+    let now = hub.clock.now();
+    hub.with_service(call.service, |s| s.record(first, now).overtaken(waited, now));
+    compare(hub, call, first, Sample::Silent(waited));
+}
+
+fn note_offer(hub: &Hub, call: &Call<'_>, upstream: &Upstream, attempt: u64, now: Time) {
+    let candidates = hub.view().upstreams(call.service).len();
+    let step = hub.with_service(call.service, |service| {
+        let record = service.record(upstream, now);
+        trail::Step::Offered {
+            attempt,
+            upstream: upstream.instance.clone(),
+            peer: upstream.traffic.to_string(),
+            near: upstream.near,
+            in_flight: record.in_flight(),
+            expected_load: record.expected_load(now),
+            failure_share: record.failure_share(now),
+            candidates,
+        }
+    });
+    call.trail.note(&hub.log, step);
+}
+
+fn note_end(
+    hub: &Hub,
+    call: &Call<'_>,
+    attempt: u64,
+    result: &Result<Answer, Outcome>,
+    elapsed: Duration,
+) {
+    let (outcome, reason, status) = match result {
+        Ok(answer) => (wire::ANSWERED, "", answer.head.status().as_u16()),
+        Err(outcome @ Outcome::NotRun(..)) => (wire::NOT_RUN, outcome.reason(), 0),
+        Err(outcome @ Outcome::Unknown(_)) => (wire::UNKNOWN, outcome.reason(), 0),
+    };
+    call.trail.note(
+        &hub.log,
+        trail::Step::Attempted {
+            attempt,
+            outcome: outcome.to_owned(),
+            reason: reason.to_owned(),
+            status,
+            ms: elapsed.as_millis() as u64,
+        },
+    );
+}
+
+fn sample_of(outcome: Outcome, elapsed: Duration) -> Sample {
+    match outcome {
+        // A node that says it leaves, or that another life has replaced, is as good as absent
+        // until the view says the same.
+        Outcome::NotRun(Cause::Unreachable | Cause::Leaving | Cause::Replaced, _) => {
+            Sample::Unreachable
+        }
+        Outcome::NotRun(..) => Sample::Refused,
+        Outcome::Unknown(Doubt::Timeout) => Sample::Silent(elapsed),
+        Outcome::Unknown(_) => Sample::Failed,
+    }
+}
+
+/// Notes a call to an upstream, also if the call is dropped before it ends.
+struct Watch<'a> {
+    hub: &'a Hub,
+    service: &'a str,
+    upstream: &'a Upstream,
+    ended: bool,
+}
+
+impl<'a> Watch<'a> {
+    fn new(hub: &'a Hub, service: &'a str, upstream: &'a Upstream, now: Time) -> Self {
+        hub.with_service(service, |s| s.record(upstream, now).begin());
+        Watch { hub, service, upstream, ended: false }
+    }
+
+    fn end(&mut self, sample: Sample) {
+        self.ended = true;
+        let now = self.hub.clock.now();
+        let change =
+            self.hub.with_service(self.service, |s| s.record(self.upstream, now).end(now, sample));
+        if change == Change::Ejected {
+            self.hub.meter.ejection(self.service);
+            self.hub.tally.add(Count::Ejected(self.service.to_owned(), self.upstream.address));
+        }
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            let now = self.hub.clock.now();
+            self.hub.with_service(self.service, |s| s.record(self.upstream, now).abandon());
+        }
+    }
+}
--- /dev/null
+++ b/crates/traffic/src/entry/choice.rs
@@ -0,0 +1,103 @@
+//! Which upstream a call is offered to.
+
+use fleet::view::Upstream;
+use model::time::Time;
+use policy::{
+    choice::{self, Reach},
+    health::Record,
+    outcome::{Doubt, Outcome},
+    placement,
+    retry::Kind,
+};
+use std::time::Duration;
+
+use crate::{
+    call::Call,
+    hub::{self, Hub},
+};
+
+/// Chooses an upstream that the call was not offered to so far.
+pub(super) fn choose(hub: &Hub, call: &Call<'_>, tried: &[Upstream]) -> Option<Upstream> {
+    let view = hub.view();
+    let now = hub.clock.now();
+    let able: Vec<&Upstream> =
+        view.upstreams(call.service).iter().filter(|u| u.state.takes_work()).collect();
+    hub.with_service(call.service, |service| {
+        for upstream in &able {
+            service.record(upstream, now);
+        }
+        let records: Vec<&Record> = able.iter().map(|u| service.seen(u)).collect::<Option<_>>()?;
+        let chosen = match hub.settings.incarnation {
+            Some(_) => choose_near(call, &able, &records, tried, now),
+            None => choose_room(hub, call, &able, &records, tried, now),
+        };
+        chosen.map(|index| able[index].clone())
+    })
+}
+
+/// Chooses by what this node has seen alone.
+fn choose_near(
+    call: &Call<'_>,
+    able: &[&Upstream],
+    records: &[&Record],
+    tried: &[Upstream],
+    now: Time,
+) -> Option<usize> {
+    let reach = if call.profile.spill { Reach::Spill } else { Reach::OwnOnly };
+    let slow_start = Duration::from_millis(call.profile.slow_start_ms);
+    let candidates: Vec<choice::Candidate<'_>> = able
+        .iter()
+        .zip(records)
+        .map(|(u, record)| choice::Candidate { record, near: u.near, tried: is_tried(tried, u) })
+        .collect();
+    choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())
+}
+
+/// Chooses by the room that upstreams are known to have.
+fn choose_room(
+    hub: &Hub,
+    call: &Call<'_>,
+    able: &[&Upstream],
+    records: &[&Record],
+    tried: &[Upstream],
+    now: Time,
+) -> Option<usize> {
+    let returning = hub.answer_bytes(call.service, &call.terms.route);
+    let candidates: Vec<placement::Candidate<'_>> = able
+        .iter()
+        .zip(records)
+        .map(|(u, record)| placement::Candidate {
+            record,
+            slots: u.slots,
+            way: way(hub, u),
+            tried: is_tried(tried, u),
+            crossing: call.payload.body.len(),
+            returning,
+            refusals: tried.len() as u32,
+            cold: record.age(now) < Duration::from_millis(u.cold_ms),
+        })
+        .collect();
+    placement::choose(&candidates, call.kind(), now, &mut rand::rng())
+}
+
+/// Chooses among all upstreams again, where every one was tried and the last was silent.
+///
+/// The connection may have been silent and not the upstream; the next attempt uses a new one.
+pub(super) fn choose_again(hub: &Hub, call: &Call<'_>, last: Outcome) -> Option<Upstream> {
+    let silent = last == Outcome::Unknown(Doubt::Timeout) && call.kind() == Kind::Idempotent;
+    if silent { choose(hub, call, &[]) } else { None }
+}
+
+/// Tells whether the call was offered to this life of `upstream`. What else its entry says may have
+/// changed since.
+fn is_tried(tried: &[Upstream], upstream: &Upstream) -> bool {
+    tried.iter().any(|earlier| hub::is_same_life(earlier, upstream))
+}
+
+fn way(hub: &Hub, upstream: &Upstream) -> placement::Way {
+    match upstream {
+        own if hub.is_own(own) => placement::Way::Own,
+        near if near.near => placement::Way::Near,
+        _ => placement::Way::Far,
+    }
+}
--- a/crates/traffic/src/entry/contest.rs
+++ b/crates/traffic/src/entry/contest.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     call::{Answer, Call},
-    entry::{self, choose, graver, observed},
+    entry::{attempt, choice::choose, repeat},
     hub::Hub,
     record::tally::Count,
 };
@@ -23,7 +23,7 @@
 /// Offers the call to `first`, and to one more upstream if that stays silent for long.
 ///
 /// `tried` and `arrivals` count the second upstream as well.
-pub(crate) async fn run(
+pub(super) async fn run(
     hub: &Arc<Hub>,
     call: &Call<'_>,
     first: &Upstream,
@@ -31,8 +31,8 @@
     arrivals: &mut u32,
 ) -> Result<Answer, Outcome> {
     let begun = hub.clock.now();
-    let mut primary = pin!(observed(hub, call, first, call.deadline));
-    let Some(delay) = entry::second_delay(hub, call, first) else { return primary.await };
+    let mut primary = pin!(attempt::run(hub, call, first, call.deadline));
+    let Some(delay) = repeat::second_delay(hub, call, first) else { return primary.await };
     if let Ok(result) = timeout(delay, &mut primary).await {
         return result;
     }
@@ -43,7 +43,7 @@
     *arrivals += 1;
     hub.meter.retry(call.service);
     hub.tally.add(Count::Retried(call.service.to_owned(), first.address, "silent"));
-    let mut secondary = pin!(observed(hub, call, &second, call.deadline));
+    let mut secondary = pin!(attempt::run(hub, call, &second, call.deadline));
     let (earlier, later) = select! {
         result = &mut primary => match result {
             Ok(answer) => return Ok(answer),
@@ -51,13 +51,13 @@
         },
         result = &mut secondary => match result {
             Ok(answer) => {
-                entry::note_overtaken(hub, call, first, hub.clock.now().since(begun));
+                attempt::note_overtaken(hub, call, first, hub.clock.now().since(begun));
                 return Ok(answer);
             }
             Err(outcome) => (outcome, primary.await),
         },
     };
-    later.map_err(|outcome| graver(earlier, outcome))
+    later.map_err(|outcome| outcome.after(earlier))
 }
 
 /// Returns the upstream for a second attempt, if one may be made.
@@ -71,6 +71,6 @@
         return None;
     }
     let second = choose(hub, call, tried)?;
-    let step = entry::next_step(hub, call, retry::SILENT, tried.len(), arrivals);
+    let step = repeat::next_step(hub, call, retry::SILENT, tried.len(), arrivals);
     (step == retry::Step::Again).then_some(second)
 }
--- /dev/null
+++ b/crates/traffic/src/entry/repeat.rs
@@ -0,0 +1,79 @@
+//! Whether and when a call is offered once more: `policy::retry` and `policy::budget` put into effect.
+
+use fleet::view::Upstream;
+use model::time::Time;
+use policy::{
+    latency::Estimate,
+    outcome::Outcome,
+    retry::{self, Kind},
+};
+use std::time::Duration;
+
+use crate::{call::Call, hub::Hub};
+
+/// Most nodes that one call is offered to, whether its upstream sees it or not.
+///
+/// Each refusal costs a round trip of about 2 ms; four of them stay within an eighth of the
+/// shortest objectives, 100 ms.
+const OFFER_LIMIT: usize = 4;
+
+/// Counts a call towards the budget for repeats.
+pub(super) fn note_call(hub: &Hub, call: &Call<'_>) {
+    let now = hub.clock.now();
+    let budget = hub.tuning().budget;
+    hub.with_service(call.service, |service| match &budget {
+        Some(settings) => service.window.call(settings, now),
+        None => service.budget.earn(call.profile.retry_budget_percent),
+    });
+}
+
+/// Decides whether a failed attempt is followed by another one.
+pub(super) fn next_step(
+    hub: &Hub,
+    call: &Call<'_>,
+    outcome: Outcome,
+    offers: usize,
+    arrivals: u32,
+) -> retry::Step {
+    let limit = call.terms.attempts;
+    let kind = call.kind();
+    let Some(settings) = hub.tuning().budget else {
+        let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
+        return hub.with_service(call.service, |s| retry::decide(attempt, &mut s.budget));
+    };
+    if offers >= OFFER_LIMIT {
+        return retry::Step::GiveUp;
+    }
+    let attempt = retry::Attempt { outcome, kind, made: arrivals, limit };
+    let nodes = hub.fleet_size();
+    let now = hub.clock.now();
+    retry::decide_arrivals(attempt, || {
+        hub.with_service(call.service, |s| s.window.repeat(&settings, nodes, now))
+    })
+}
+
+/// Returns until when the attempt number `made` may take.
+pub(super) fn patience(hub: &Hub, call: &Call<'_>, made: usize) -> Time {
+    let now = hub.clock.now();
+    let remaining = call.deadline.since(now);
+    now + retry::attempt_time(remaining, call.kind(), made as u32 - 1, call.terms.attempts)
+}
+
+/// Returns how long the first attempt may be silent before a second one is made beside it; none
+/// where the call may run only once.
+pub(super) fn second_delay(hub: &Hub, call: &Call<'_>, first: &Upstream) -> Option<Duration> {
+    if call.kind() == Kind::Once {
+        return None;
+    }
+    let now = hub.clock.now();
+    let remaining = call.deadline.since(now);
+    let due = call.due.map_or(remaining, |due| due.since(now));
+    let latency = hub.latency(call.service, &call.terms.route);
+    let latency = latency.unwrap_or_else(|| Estimate::new(due / 3));
+    let (slowness, failure_share) = hub.with_service(call.service, |s| {
+        let record = s.record(first, now);
+        (record.slowness(now), record.failure_share(now))
+    });
+    let prospect = retry::Prospect { latency, slowness, failure_share, due, remaining };
+    Some(retry::second_delay(prospect))
+}
