traffic: the exchange with the upstream is a stage of its own

upstream makes one exchange and upstream::proof tells whether an answer is this call's; serving keeps claim, run and the notes of both. The claim stays where it was, after the request is made and before its first byte. The run that follows a kept connection closed in this moment goes through the same step as the first one. A call in hand borrows the hub in the place of a counted reference.

--- a/crates/traffic/src/hub/room.rs
+++ b/crates/traffic/src/hub/room.rs
@@ -63,3 +63,21 @@
         self.hub.with_service(self.service, |s| s.in_hand -= 1);
     }
 }
+
+/// A call that is offered to the own upstream, counted as in hand until this is dropped.
+pub(crate) struct Offered<'a> {
+    hub: &'a Hub,
+}
+
+impl<'a> Offered<'a> {
+    pub(crate) fn new(hub: &'a Hub) -> Self {
+        hub.offers.fetch_add(1, Ordering::SeqCst);
+        Offered { hub }
+    }
+}
+
+impl Drop for Offered<'_> {
+    fn drop(&mut self) {
+        self.hub.offers.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -16,6 +16,7 @@
 mod record;
 mod routing;
 mod serving;
+mod upstream;
 pub mod wire;
 
 pub use crate::{
--- /dev/null
+++ b/crates/traffic/src/upstream.rs
@@ -0,0 +1,126 @@
+//! One exchange with the own upstream.
+
+mod proof;
+
+use hyper::{Request, Response, header::HeaderValue};
+use model::profile::Profile;
+use policy::outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss};
+use std::time::Duration;
+use tokio::time::timeout;
+
+use crate::{
+    call::{Answer, Offer},
+    gate::turnstile::Pass,
+    hub::Hub,
+    net::{
+        body,
+        pool::{Connection, Failure},
+    },
+    upstream::proof::{belongs, is_authentic, refusal},
+    wire,
+};
+
+/// How sending a call to the upstream failed.
+pub(crate) enum Sent {
+    /// Nothing was written.
+    Not,
+    /// As told.
+    Lost(Outcome),
+}
+
+impl Sent {
+    /// Returns the outcome of a call that is not sent again.
+    pub(crate) fn outcome(self) -> Outcome {
+        match self {
+            Sent::Not => of_loss(Step::Dial, Loss::Closed),
+            Sent::Lost(outcome) => outcome,
+        }
+    }
+}
+
+/// Opens a connection to the upstream.
+pub(crate) async fn dial(hub: &Hub, offer: &Offer) -> Result<Connection, Outcome> {
+    let remaining = offer.deadline.since(hub.clock.now());
+    let time = hub.tuning().connect.min(remaining);
+    let opened = hub.pool.open(hub.settings.upstream, time).await;
+    opened.ok_or_else(|| of_loss(Step::Dial, Loss::Closed))
+}
+
+/// Returns the request as the upstream is to see it, with the time that is left now.
+pub(crate) fn request(hub: &Hub, offer: &Offer) -> Request<wire::Body> {
+    let mut request = offer.payload.request();
+    let remaining = offer.deadline.since(hub.clock.now()).as_millis() as u64;
+    let names = &hub.settings.names;
+    let headers = request.headers_mut();
+    headers.insert(names.deadline.clone(), wire::number(remaining));
+    if names.request.is_none() {
+        headers.insert(wire::ID, wire::number(offer.id));
+    }
+    if let (Some(name), Some(identity)) = (&names.identity, &offer.identity)
+        && let Ok(identity) = HeaderValue::from_str(identity)
+    {
+        headers.insert(name.clone(), identity);
+    }
+    request
+}
+
+/// Sends a claimed call and receives its answer; notes how long the slot was used.
+pub(crate) async fn exchange(
+    hub: &Hub,
+    profile: &Profile,
+    offer: &Offer,
+    mut connection: Connection,
+    request: Request<wire::Body>,
+    slot: &mut Pass,
+) -> Result<Answer, Sent> {
+    let begun = hub.clock.now();
+    let remaining = offer.deadline.since(begun);
+    let exchange = async {
+        let head = match connection.send(request).await {
+            Ok(head) => head,
+            Err(Failure::Unsent) => return Err(Sent::Not),
+            Err(Failure::Broken) => return Err(Sent::Lost(of_loss(Step::Run, Loss::Closed))),
+        };
+        receive(hub, profile, offer, head, remaining).await.map_err(Sent::Lost)
+    };
+    let result = timeout(remaining, exchange).await;
+    slot.service_time = Some(hub.clock.now().since(begun));
+    let Ok(result) = result else {
+        hub.pool.forget(hub.settings.upstream);
+        return Err(Sent::Lost(of_loss(Step::Run, Loss::Silent)));
+    };
+    let answer = result?;
+    let rejected_early = !answer.head.status().is_success() && !offer.payload.body.is_empty();
+    if !rejected_early {
+        // An upstream may reject a long request before it has read all of it and read on later;
+        // the next request on the connection would be taken for the rest.
+        hub.pool.put(hub.settings.upstream, connection);
+    }
+    if let Some(cause) = refusal(hub, &answer.head) {
+        return Err(Sent::Lost(of_loss(Step::Run, Loss::Refusal(cause))));
+    }
+    if Some(answer.head.status().as_u16()) == profile.refused_status {
+        return Err(Sent::Lost(of_loss(Step::Run, Loss::Refusal(Cause::Refused))));
+    }
+    Ok(answer)
+}
+
+/// Receives the upstream's answer whole and checks that it belongs to this call.
+async fn receive(
+    hub: &Hub,
+    profile: &Profile,
+    offer: &Offer,
+    head: Response<hyper::body::Incoming>,
+    time: Duration,
+) -> Result<Answer, Outcome> {
+    if !belongs(hub, offer, &head) || !is_authentic(hub, &head) {
+        return Err(Outcome::Unknown(Doubt::BadAnswer));
+    }
+    let (parts, incoming) = head.into_parts();
+    let body = body::receive(incoming, profile.max_answer_bytes, time).await;
+    let body = body.map_err(|fault| match fault {
+        body::Fault::Slow => of_loss(Step::Answer, Loss::Silent),
+        body::Fault::Large | body::Fault::Short => of_loss(Step::Answer, Loss::Garbled),
+    })?;
+    Ok(Answer { head: Response::from_parts(parts, ()), body })
+}
