traffic: taking in calls and offers in steps with typed results

A call of a caller: routing::schedule reads its time (Schedule), intake::upload its body within the room of the node (Upload), and every reason not to let it in is a Refusal that is told in one place. An offer: what its headers state is one value (Stated), read before anything else.

What was decided on the way goes to policy as pure functions: when an answer becomes late and what is left of a call that was held (urgency::Clock::due, at), how long a call is thought to take before any of its route was answered (urgency::usual), and by when a call whose large body has crossed must begin (transfer::start_crossed). Constants and results are the same; each has an example or a test.

A refused call gives its room back before the refusal is counted, not after.

--- a/crates/policy/src/transfer.rs
+++ b/crates/policy/src/transfer.rs
@@ -21,6 +21,9 @@
 /// Part of its objective that the body of a call may wait which can only be late.
 const LATE_SHARE: f64 = 0.125;
 
+/// Part of its time that a call may wait for a slot once its large body has crossed.
+const CROSSED_SHARE: u32 = 4;
+
 /// Speed of a link that carries one body at a time, in Mbit/s: one of 64 KB takes it 20 ms.
 const MBPS_PER_BODY: u32 = 25;
 
@@ -69,3 +72,16 @@
     };
     clock.received + wait
 }
+
+/// Returns by when a call whose large body has crossed must begin; it was found fit to be taken before,
+/// and to refuse it now would waste the transfer.
+///
+/// ```
+/// use model::time::Time;
+/// use policy::transfer::start_crossed;
+/// let (now, deadline) = (Time::from_millis(300), Time::from_millis(1_100));
+/// assert_eq!(start_crossed(now, deadline), Time::from_millis(500));
+/// ```
+pub fn start_crossed(now: Time, deadline: Time) -> Time {
+    now + deadline.since(now) / CROSSED_SHARE
+}
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -13,6 +13,7 @@
 use crate::{
     admission::{Line, Rank},
     comeback::Attempt,
+    latency::Estimate,
 };
 
 /// Part of its objective that a caller's first attempt may wait for a slot.
@@ -89,12 +90,55 @@
 }
 
 impl Clock {
+    /// Returns when an answer becomes late.
+    ///
+    /// ```
+    /// # use model::time::Time;
+    /// # use policy::{comeback::Attempt, urgency::Clock};
+    /// # use std::time::Duration;
+    /// # let ms = Duration::from_millis;
+    /// let again = Clock {
+    ///     received: Time::from_millis(1_000),
+    ///     deadline: Time::from_millis(2_000),
+    ///     attempt: Attempt::Later,
+    ///     elapsed: ms(300),
+    ///     objective: ms(400),
+    ///     usual: ms(80),
+    /// };
+    /// assert_eq!(again.due(), Time::from_millis(1_100));
+    /// ```
+    pub fn due(&self) -> Time {
+        self.received + self.objective.saturating_sub(self.elapsed)
+    }
+
+    /// Returns what is known at `now` of a call that was held since it arrived.
+    pub fn at(self, now: Time) -> Clock {
+        let held = now.since(self.received);
+        Clock { received: self.received + held, elapsed: self.elapsed + held, ..self }
+    }
+
     /// Returns the time that may pass until the call begins if it is to meet its objective.
     pub(crate) fn slack(&self) -> Duration {
         self.objective.saturating_sub(self.elapsed).saturating_sub(self.usual)
     }
 }
 
+/// Part of its objective that a call is thought to take before any of its route was answered.
+const GUESS_SHARE: u32 = 2;
+
+/// Returns the time that calls of a route usually take, as far as their `latency` is known.
+///
+/// ```
+/// use policy::{latency::Estimate, urgency::usual};
+/// use std::time::Duration;
+/// let ms = Duration::from_millis;
+/// assert_eq!(usual(Some(Estimate::new(ms(80))), ms(200)), ms(80));
+/// assert_eq!(usual(None, ms(200)), ms(100));
+/// ```
+pub fn usual(latency: Option<Estimate>, objective: Duration) -> Duration {
+    latency.map_or(objective / GUESS_SHARE, |latency| latency.usual())
+}
+
 /// Returns a call's rank among those that wait for the same upstream.
 ///
 /// ```
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -254,3 +254,14 @@
     assert_eq!((gate.finish(at(2), None), gate.finish(at(2), None)), (None, None));
     assert_eq!(gate.finish(at(2), None), Some(Ticket(3)));
 }
+
+/// A chef who was refused after a wait is told to come back as if the wait had not been, and comes too
+/// late for an answer in time.
+#[test]
+fn a_call_that_was_held_has_less_time_left() {
+    let arrived = clock(10, 0);
+    let refused = arrived.at(at(60));
+    assert_eq!((refused.received, refused.elapsed), (at(60), ms(60)));
+    assert_eq!((refused.due(), arrived.due()), (at(OBJECTIVE), at(OBJECTIVE)));
+    assert_eq!(refused.deadline, arrived.deadline);
+}
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -4,7 +4,9 @@
 mod caller;
 mod open;
 mod ready;
+mod refusal;
 pub(crate) mod server;
+mod upload;
 
 use hyper::{
     Request, Response, StatusCode,
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -1,31 +1,29 @@
 //! Takes in calls of callers, and answers them.
 
-use hyper::{Request, Response, StatusCode, header::HeaderValue};
+use bytes::Bytes;
+use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request::Parts};
 use model::time::Time;
 use policy::{
-    admission::Rank,
-    claim,
-    outcome::{Cause, Outcome},
-    transfer, urgency,
+    outcome::Outcome,
+    urgency::{self, Origin},
 };
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 use trail::Step;
 
 use crate::{
-    call::{Call, Payload, Terms},
+    call::{Call, Payload},
     entry,
-    hub::{
-        Hub,
-        room::{Hand, Reservation},
+    hub::Hub,
+    intake::{
+        open::Open,
+        refusal::{self, Refusal},
+        upload::{self, Upload},
     },
-    intake::open::Open,
-    net::{
-        body::{self, Inflow},
-        stream::Probe,
-    },
-    record::{Trail, tally::Count},
+    net::{body::Inflow, stream::Probe},
+    record::Trail,
     routing::{
-        returning::{self, Caller},
+        returning,
+        schedule::{self, Schedule},
         target::{self, Target},
     },
     wire,
@@ -41,10 +39,11 @@
     let config = hub.config();
     let mut open = Open::new(hub, &request, received);
     let mut response = match target::find(hub, &config, &request) {
-        Err(cause) => refuse(hub, "", cause, None),
+        Err(cause) => Refusal::of(cause).tell(hub, ""),
         Ok(target) => {
             let service = target.service;
-            let response = take(hub, request, target, origin, received, &open.trail).await;
+            let taken = take(hub, request, target, origin, received, &open.trail).await;
+            let response = taken.unwrap_or_else(|refusal| refusal.tell(hub, service));
             let elapsed = hub.clock.now().since(received);
             hub.meter.call(service, wire::known_outcome(outcome_of(&response)), elapsed);
             response
@@ -59,6 +58,7 @@
     wire::header_text(response.headers(), wire::OUTCOME)
 }
 
+/// Lets a call in and carries it to its end, or says why it is not let in.
 async fn take(
     hub: &Arc<Hub>,
     request: Request<Inflow>,
@@ -66,159 +66,100 @@
     origin: Probe,
     received: Time,
     trail: &Trail,
-) -> Response<wire::Body> {
-    let Target { service, profile, path, terms, body_limit, header_limit } = target;
-    let (parts, incoming) = request.into_parts();
-    if wire::size(&parts.headers) > header_limit {
-        let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
-        return refuse(hub, service, Cause::BadRequest, Some(status));
-    }
-    let names = &hub.settings.names;
-    let Ok(remaining) = wire::read_number(&parts.headers, names.deadline.clone()) else {
-        return refuse(hub, service, Cause::BadRequest, Some(StatusCode::BAD_REQUEST));
+) -> Result<Response<wire::Body>, Refusal> {
+    let (head, incoming) = request.into_parts();
+    let schedule = let_in(hub, &head, &target, received, trail)?;
+    let left = schedule.deadline.since(received);
+    let upload = upload::receive(hub, &target, &head.headers, incoming, left).await?;
+    let Upload { body, hand: _hand, reserved: _reserved } = upload;
+    let service = target.service;
+    let call = call(hub, head, target, &schedule, body, origin, trail);
+    let response = match entry::run(hub, &call).await {
+        Ok(answer) => {
+            hub.running.answered(trail.id());
+            answer.response()
+        }
+        Err(outcome) => refusal::tell(hub, service, with_comeback(hub, outcome, schedule.clock)),
     };
-    let deadline = claim::deadline(received, remaining, terms.timeout_ms);
-    let left = remaining.map_or(deadline.since(received), Duration::from_millis);
-    let caller =
-        returning::identify(hub, &parts.method, &parts.uri, &parts.headers, received, left);
-    let clock = clock(hub, &terms, service, caller, received, deadline);
-    let work = hub.running.parent_of(trail.id());
-    let behalf = work.map_or(urgency::Origin::Caller, urgency::Origin::Upstream);
-    let due = clock.map(|clock| received + clock.objective.saturating_sub(clock.elapsed));
-    if let Some(due) = due {
+    returning::note(hub, schedule.caller, &response);
+    Ok(response)
+}
+
+/// Checks the head of a call and reads its time.
+fn let_in(
+    hub: &Hub,
+    head: &Parts,
+    target: &Target<'_>,
+    received: Time,
+    trail: &Trail,
+) -> Result<Schedule, Refusal> {
+    if wire::size(&head.headers) > target.header_limit {
+        return Err(Refusal::bad_request(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE));
+    }
+    let schedule = schedule::read(hub, head, target, trail.id(), received)
+        .map_err(|wire::Malformed| Refusal::bad_request(StatusCode::BAD_REQUEST))?;
+    if let Some(due) = schedule.due() {
         trail.set_due(due);
     }
-    let rank =
-        clock.map_or_else(Rank::default, |clock| urgency::rank(behalf, terms.priority, clock));
+    note_routed(hub, target, &schedule, trail);
+    Ok(schedule)
+}
+
+fn note_routed(hub: &Hub, target: &Target<'_>, schedule: &Schedule, trail: &Trail) {
+    let elapsed_ms = schedule.clock.map_or(0, |clock| clock.elapsed.as_millis() as u64);
     trail.note(
         &hub.log,
         Step::Routed {
-            route: terms.route.clone(),
-            service: service.to_owned(),
+            route: target.terms.route.clone(),
+            service: target.service.to_owned(),
             revision: hub.config().version.revision,
-            nested: work.is_some(),
-            elapsed_ms: clock.map_or(0, |clock| clock.elapsed.as_millis() as u64),
-            left_ms: deadline.since(received).as_millis() as u64,
-            priority: rank.priority,
+            nested: matches!(schedule.origin, Origin::Upstream(_)),
+            elapsed_ms,
+            left_ms: schedule.deadline.since(schedule.received).as_millis() as u64,
+            priority: schedule.rank.priority,
         },
     );
-    let Some(_hand) = Hand::take(hub, service) else {
-        return refuse(hub, service, Cause::Saturated, None);
-    };
-    let declared = body::declared(&parts.headers).unwrap_or(0);
-    if declared > body_limit {
-        return refuse(hub, service, Cause::BadRequest, Some(StatusCode::PAYLOAD_TOO_LARGE));
-    }
-    let mut reserved = Reservation::new(hub);
-    if !reserved.extend(declared) {
-        return refuse(hub, service, Cause::Saturated, None);
-    }
-    let time = Duration::from_millis(profile.upload_ms).min(deadline.since(received));
-    let body = match body::receive(incoming, body_limit, time).await {
-        Ok(body) => body,
-        Err(fault) => {
-            return refuse(hub, service, Cause::BadRequest, Some(status_of(fault)));
-        }
-    };
-    if !reserved.extend(body.len().saturating_sub(declared)) {
-        return refuse(hub, service, Cause::Saturated, None);
-    }
-    let mut headers = parts.headers;
+}
+
+/// Returns the call as it is offered to upstreams.
+fn call<'a>(
+    hub: &Hub,
+    head: Parts,
+    target: Target<'a>,
+    schedule: &Schedule,
+    body: Bytes,
+    origin: Probe,
+    trail: &'a Trail,
+) -> Call<'a> {
+    let names = &hub.settings.names;
+    let mut headers = head.headers;
     wire::strip(&mut headers);
     wire::strip_claims(&mut headers, names);
     if let (Some(name), Ok(own)) = (&names.caller, HeaderValue::from_str(&hub.settings.service)) {
         headers.insert(name.clone(), own);
     }
-    let call = Call {
-        service,
-        profile,
-        terms,
-        payload: Payload { method: parts.method, path, headers, body },
-        received,
-        deadline,
-        due,
-        turn_by: clock.map(transfer::start_by),
-        rank,
+    Call {
+        service: target.service,
+        profile: target.profile,
+        terms: target.terms,
+        payload: Payload { method: head.method, path: target.path, headers, body },
+        received: schedule.received,
+        deadline: schedule.deadline,
+        due: schedule.due(),
+        turn_by: schedule.turn_by(),
+        rank: schedule.rank,
         origin,
         trail,
-    };
-    let response = match entry::run(hub, &call).await {
-        Ok(answer) => {
-            hub.running.answered(trail.id());
-            answer.response()
-        }
-        Err(outcome) => tell(hub, service, with_comeback(hub, outcome, clock)),
-    };
-    returning::note(hub, caller, &response);
-    response
+    }
 }
 
 /// Replaces the usual time to come back by one that suits the call.
 fn with_comeback(hub: &Hub, outcome: Outcome, clock: Option<urgency::Clock>) -> Outcome {
     match (outcome, clock) {
         (Outcome::NotRun(cause, _), Some(clock)) => {
-            let held = hub.clock.now().since(clock.received);
-            let clock = urgency::Clock {
-                received: clock.received + held,
-                elapsed: clock.elapsed + held,
-                ..clock
-            };
+            let clock = clock.at(hub.clock.now());
             Outcome::NotRun(cause, urgency::comeback(clock, &mut rand::rng()))
         }
         _ => outcome,
     }
 }
-
-/// Returns what is known of the time of a call whose route names an objective.
-fn clock(
-    hub: &Hub,
-    terms: &Terms,
-    service: &str,
-    caller: Caller,
-    received: Time,
-    deadline: Time,
-) -> Option<urgency::Clock> {
-    let objective = Duration::from_millis(terms.objective_ms?);
-    let usual = hub.latency(service, &terms.route).map_or(objective / 2, |latency| latency.usual());
-    Some(urgency::Clock {
-        received,
-        deadline,
-        attempt: caller.attempt,
-        elapsed: received.since(caller.begun),
-        objective,
-        usual,
-    })
-}
-
-fn status_of(fault: body::Fault) -> StatusCode {
-    match fault {
-        body::Fault::Large => StatusCode::PAYLOAD_TOO_LARGE,
-        body::Fault::Slow => StatusCode::REQUEST_TIMEOUT,
-        body::Fault::Short => StatusCode::BAD_REQUEST,
-    }
-}
-
-fn refuse(
-    hub: &Hub,
-    service: &str,
-    cause: Cause,
-    status: Option<StatusCode>,
-) -> Response<wire::Body> {
-    let mut response = tell(hub, service, cause.outcome());
-    if let Some(status) = status {
-        *response.status_mut() = status;
-    }
-    response
-}
-
-/// Tells the caller an outcome without an answer, and counts it.
-fn tell(hub: &Hub, service: &str, outcome: Outcome) -> Response<wire::Body> {
-    match outcome {
-        Outcome::NotRun(cause, _) => {
-            hub.meter.not_run(service, cause.name());
-            hub.tally.add(Count::NotRun(service.to_owned(), cause));
-        }
-        Outcome::Unknown(doubt) => hub.tally.add(Count::Unknown(service.to_owned(), doubt)),
-    }
-    wire::response(outcome, hub.settings.names.precision)
-}
--- a/crates/traffic/src/link/arrival.rs
+++ b/crates/traffic/src/link/arrival.rs
@@ -1,13 +1,14 @@
 //! Takes in offers of other nodes, and answers them.
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Request, Response, header::HeaderValue};
+use hyper::{HeaderMap, Request, Response, header::HeaderValue, http::request::Parts};
 use model::time::Time;
 use policy::{
     admission::{Line, Rank},
     claim,
     outcome::{Cause, Outcome},
     retry::Kind,
+    transfer,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -24,9 +25,6 @@
 /// Largest remaining time that a caller's header can name, in ms.
 const DEADLINE_LIMIT_MS: u64 = 600_000;
 
-/// Part of its time that a call may wait for a slot once its large body has crossed.
-const TRANSFERRED_WAIT_SHARE: u32 = 4;
-
 /// Answers an offer of an entry node.
 pub(crate) async fn answer(
     hub: &Arc<Hub>,
@@ -49,61 +47,39 @@
     response
 }
 
+/// Takes an offer in, and gives it a turn or runs it.
 async fn take(
-    hub: &Arc<Hub>,
+    hub: &Hub,
     request: Request<Inflow>,
     origin: Probe,
     received: Time,
 ) -> Result<Answer, Outcome> {
-    let (parts, incoming) = request.into_parts();
-    let number = |name| match wire::read_number(&parts.headers, name) {
-        Ok(Some(number)) => Ok(number),
-        _ => Err(Cause::BadRequest.outcome()),
-    };
-    let (incarnation, id) = (number(wire::OFFER)?, number(wire::ID)?);
-    let deadline = claim::deadline(received, Some(number(wire::DEADLINE)?), DEADLINE_LIMIT_MS);
-    let idempotent = number(wire::IDEMPOTENT)? == 1;
-    let rank = offered_rank(&parts.headers, received)?;
-    let identity = wire::header_text(&parts.headers, wire::IDENTITY).map(Arc::from);
-    let started_ms = wire::read_number(&parts.headers, wire::STARTED)
-        .map_err(|wire::Malformed| Cause::BadRequest.outcome())?;
+    let (head, incoming) = request.into_parts();
+    let stated =
+        read(&head.headers, received).map_err(|wire::Malformed| Cause::BadRequest.outcome())?;
     let config = hub.config();
     // A node that holds no configuration yet cannot keep the profile's promises.
     let service = config.service(&hub.settings.service);
     let profile = service.map(|s| config.profile(s)).ok_or_else(|| Cause::Unreachable.outcome())?;
-    let mut headers = parts.headers;
-    let turn = match wire::read_number(&headers, wire::TICKET) {
+    let limit =
+        if config.has_routes() { config.limits.body_bytes } else { profile.max_request_bytes };
+    let turn = match wire::read_number(&head.headers, wire::TICKET) {
         Ok(Some(ticket)) => hub.transfers.redeem(ticket),
         _ => None,
     };
-    let reserves = headers.contains_key(wire::RESERVE);
+    let reserves = head.headers.contains_key(wire::RESERVE);
     let mut reserved = Reservation::new(hub);
-    if !reserved.extend(body::declared(&headers).unwrap_or(0)) {
+    if !reserved.extend(body::declared(&head.headers).unwrap_or(0)) {
         return Err(Cause::Overloaded.outcome());
     }
-    let limit =
-        if config.has_routes() { config.limits.body_bytes } else { profile.max_request_bytes };
-    let body = body::receive(incoming, limit, deadline.since(received)).await;
+    let body = body::receive(incoming, limit, stated.deadline.since(received)).await;
     let body = body.map_err(|_| Cause::BadRequest.outcome())?;
-    let rank = if turn.is_some() { after_transfer(hub, rank, deadline) } else { rank };
+    let mut offer = offer(head, stated, body, origin, received);
     if let Some(turn) = turn {
+        let start_by = transfer::start_crossed(hub.clock.now(), offer.deadline);
+        offer.rank = Rank { start_by: Some(start_by), ..offer.rank };
         hub.transfers.finish(turn);
     }
-    wire::strip(&mut headers);
-    let payload = Payload { method: parts.method, path: parts.uri, headers, body };
-    let kind = if idempotent { Kind::Idempotent } else { Kind::Once };
-    let offer = Offer {
-        payload,
-        received,
-        deadline,
-        kind,
-        rank,
-        identity,
-        started_ms,
-        incarnation,
-        origin,
-        id,
-    };
     if reserves {
         let ticket = serving::reserve(hub, profile, &offer).await?;
         return Ok(turn_given(ticket));
@@ -111,24 +87,37 @@
     serving::run(hub, profile, offer).await
 }
 
-/// Returns the rank of a call whose large body has crossed: it was found fit to be taken before, and
-/// to refuse it now would waste the transfer.
-fn after_transfer(hub: &Hub, rank: Rank, deadline: Time) -> Rank {
-    let now = hub.clock.now();
-    Rank { start_by: Some(now + deadline.since(now) / TRANSFERRED_WAIT_SHARE), ..rank }
+/// What an entry node states of a call that it offers.
+struct Stated {
+    id: u64,
+    incarnation: u64,
+    identity: Option<Arc<str>>,
+    started_ms: Option<u64>,
+    deadline: Time,
+    kind: Kind,
+    rank: Rank,
 }
 
-fn turn_given(ticket: u64) -> Answer {
-    let mut head = Response::new(());
-    head.headers_mut().insert(wire::TICKET, wire::number(ticket));
-    Answer { head, body: Bytes::new() }
+fn read(headers: &HeaderMap, received: Time) -> Result<Stated, wire::Malformed> {
+    let number = |name| wire::read_number(headers, name)?.ok_or(wire::Malformed);
+    let (incarnation, id) = (number(wire::OFFER)?, number(wire::ID)?);
+    let remaining = number(wire::DEADLINE)?;
+    let idempotent = number(wire::IDEMPOTENT)? == 1;
+    Ok(Stated {
+        id,
+        incarnation,
+        identity: wire::header_text(headers, wire::IDENTITY).map(Arc::from),
+        started_ms: wire::read_number(headers, wire::STARTED)?,
+        deadline: claim::deadline(received, Some(remaining), DEADLINE_LIMIT_MS),
+        kind: if idempotent { Kind::Idempotent } else { Kind::Once },
+        rank: read_rank(headers, received)?,
+    })
 }
 
-fn offered_rank(headers: &HeaderMap, received: Time) -> Result<Rank, Outcome> {
-    let malformed = |_: wire::Malformed| Cause::BadRequest.outcome();
-    let priority = wire::read_number(headers, wire::PRIORITY).map_err(malformed)?;
-    let start = wire::read_number(headers, wire::START).map_err(malformed)?;
-    let nested = wire::read_number(headers, wire::NESTED).map_err(malformed)? == Some(1);
+fn read_rank(headers: &HeaderMap, received: Time) -> Result<Rank, wire::Malformed> {
+    let priority = wire::read_number(headers, wire::PRIORITY)?;
+    let start = wire::read_number(headers, wire::START)?;
+    let nested = wire::read_number(headers, wire::NESTED)? == Some(1);
     Ok(Rank {
         priority: priority.unwrap_or(0).min(u8::MAX.into()) as u8,
         start_by: start.map(|ms| received + Duration::from_millis(ms)),
@@ -136,6 +125,20 @@
     })
 }
 
+fn offer(head: Parts, stated: Stated, body: Bytes, origin: Probe, received: Time) -> Offer {
+    let Stated { id, incarnation, identity, started_ms, deadline, kind, rank } = stated;
+    let mut headers = head.headers;
+    wire::strip(&mut headers);
+    let payload = Payload { method: head.method, path: head.uri, headers, body };
+    Offer { payload, received, deadline, kind, rank, incarnation, identity, started_ms, origin, id }
+}
+
+fn turn_given(ticket: u64) -> Answer {
+    let mut head = Response::new(());
+    head.headers_mut().insert(wire::TICKET, wire::number(ticket));
+    Answer { head, body: Bytes::new() }
+}
+
 /// Passes on a turn that was given.
 fn given(answer: Answer) -> Response<wire::Body> {
     let mut response = answer.head.map(|()| wire::Body::default());
--- /dev/null
+++ b/crates/traffic/src/routing/schedule.rs
@@ -0,0 +1,79 @@
+//! Whose attempt a call is, by when it needs an answer, and how urgent it is.
+
+use hyper::http::request::Parts;
+use model::time::Time;
+use policy::{admission::Rank, claim, transfer, urgency};
+use std::time::Duration;
+
+use crate::{
+    hub::Hub,
+    routing::{
+        returning::{self, Caller},
+        target::Target,
+    },
+    wire,
+};
+
+/// The time of a call.
+pub(crate) struct Schedule {
+    pub(crate) received: Time,
+    pub(crate) deadline: Time,
+    pub(crate) caller: Caller,
+    /// What is known of its time, if its route names an objective.
+    pub(crate) clock: Option<urgency::Clock>,
+    /// Who makes it.
+    pub(crate) origin: urgency::Origin,
+    pub(crate) rank: Rank,
+}
+
+impl Schedule {
+    /// Returns when an answer becomes late, if the route names an objective.
+    pub(crate) fn due(&self) -> Option<Time> {
+        self.clock.map(|clock| clock.due())
+    }
+
+    /// Returns by when a large body must begin to cross, if the route names an objective.
+    pub(crate) fn turn_by(&self) -> Option<Time> {
+        self.clock.map(transfer::start_by)
+    }
+}
+
+/// Reads the time of the call `id` from its head.
+pub(crate) fn read(
+    hub: &Hub,
+    head: &Parts,
+    target: &Target<'_>,
+    id: &str,
+    received: Time,
+) -> Result<Schedule, wire::Malformed> {
+    let remaining = wire::read_number(&head.headers, hub.settings.names.deadline.clone())?;
+    let deadline = claim::deadline(received, remaining, target.terms.timeout_ms);
+    let left = remaining.map_or(deadline.since(received), Duration::from_millis);
+    let caller = returning::identify(hub, &head.method, &head.uri, &head.headers, received, left);
+    let clock = clock(hub, target, caller, received, deadline);
+    let work = hub.running.parent_of(id);
+    let origin = work.map_or(urgency::Origin::Caller, urgency::Origin::Upstream);
+    let rank = clock
+        .map_or_else(Rank::default, |clock| urgency::rank(origin, target.terms.priority, clock));
+    Ok(Schedule { received, deadline, caller, clock, origin, rank })
+}
+
+/// Returns what is known of the time of a call whose route names an objective.
+fn clock(
+    hub: &Hub,
+    target: &Target<'_>,
+    caller: Caller,
+    received: Time,
+    deadline: Time,
+) -> Option<urgency::Clock> {
+    let objective = Duration::from_millis(target.terms.objective_ms?);
+    let latency = hub.latency(target.service, &target.terms.route);
+    Some(urgency::Clock {
+        received,
+        deadline,
+        attempt: caller.attempt,
+        elapsed: received.since(caller.begun),
+        objective,
+        usual: urgency::usual(latency, objective),
+    })
+}
