traffic: Hub in parts by job

hub::settings, hub::services (observations of services and upstreams), hub::estimates, hub::state (open, leaving, closed), hub::own (what the list says of the own upstream, as functions of a view) and hub::room (what is in hand). Guards of what is in hand take the parts that they need and the room; none of the parts imports the hub. The public functions of Hub are as before.

- The two maps for times and sizes by route are one.
Both were only ever written for the same answer, so an answer takes one lock of them where it took three.
- The candidates of both choices are made from one list of upstreams with their records, not from two lists side by side; one allocation less a choice.
- What a failure shows of an upstream is policy::health::Sample::of_failure, with a test of its own.

Ruled out: handing each stage its parts in the place of the hub. entry needs nine of them, and a struct of references for each stage would only name the hub's fields again.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -6,7 +6,10 @@
 use model::time::Time;
 use std::time::Duration;
 
-use crate::retry::Kind;
+use crate::{
+    outcome::{Cause, Doubt, Outcome},
+    retry::Kind,
+};
 
 /// Share of a new sample in the moving average of latencies.
 const SAMPLE_SHARE: f64 = 0.2;
@@ -55,6 +58,29 @@
     Unreachable,
 }
 
+impl Sample {
+    /// Returns what a call without an answer shows, which ended with `outcome` after `time`.
+    ///
+    /// ```
+    /// use policy::{health::Sample, outcome::Cause};
+    /// use std::time::Duration;
+    /// let full = Cause::Overloaded.outcome();
+    /// assert_eq!(Sample::of_failure(full, Duration::ZERO), Sample::Refused);
+    /// ```
+    pub fn of_failure(outcome: Outcome, time: Duration) -> Sample {
+        match outcome {
+            // A node that says it leaves, or that another life has replaced, is as good as absent
+            // until the view says the same.
+            Outcome::NotRun(Cause::Unreachable | Cause::Leaving | Cause::Replaced, _) => {
+                Sample::Unreachable
+            }
+            Outcome::NotRun(..) => Sample::Refused,
+            Outcome::Unknown(Doubt::Timeout) => Sample::Silent(time),
+            Outcome::Unknown(_) => Sample::Failed,
+        }
+    }
+}
+
 /// Own observations of one upstream.
 #[derive(Clone, Debug)]
 pub struct Record {
--- a/crates/traffic/src/entry/attempt.rs
+++ b/crates/traffic/src/entry/attempt.rs
@@ -4,7 +4,7 @@
 use model::time::Time;
 use policy::{
     health::{Change, Sample},
-    outcome::{Cause, Doubt, Outcome},
+    outcome::Outcome,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -37,43 +37,49 @@
     let sample = match &result {
         Ok(answer) if answer.head.status().is_server_error() => Sample::Erred(elapsed),
         Ok(_) => Sample::Answered(elapsed),
-        Err(outcome) => sample_of(*outcome, elapsed),
+        Err(outcome) => Sample::of_failure(*outcome, elapsed),
     };
     watch.end(sample);
-    if let (Ok(answer), Sample::Answered(_)) = (&result, sample) {
-        hub.note_answer_bytes(call.service, &call.terms.route, answer.body.len());
+    match (&result, sample) {
+        (Ok(answer), Sample::Answered(time)) => {
+            note_answered(hub, call, upstream, time, answer.body.len());
+        }
+        (_, Sample::Silent(time)) => note_silent(hub, call, upstream, time),
+        // A failure may come sooner or later than an answer; its time tells nothing.
+        _ => {}
     }
-    compare(hub, call, upstream, sample);
     result
 }
 
-/// Notes how the time of an attempt compares with that of other calls of the route.
-fn compare(hub: &Hub, call: &Call<'_>, upstream: &Upstream, sample: Sample) {
-    let route = &call.terms.route;
-    let latency = hub.latency(call.service, route);
-    let ratio = match sample {
-        Sample::Answered(time) => {
-            hub.note_latency(call.service, route, time);
-            latency.map_or(1.0, |latency| latency.ratio(time))
-        }
-        Sample::Silent(time) => latency.map_or(1.0, |latency| latency.ratio(time)).max(1.0),
-        // A failure may come sooner or later than an answer; its time tells nothing.
-        Sample::Refused | Sample::Erred(_) | Sample::Failed | Sample::Unreachable => return,
-    };
+/// Notes an answer of `bytes` after `time`, and how that compares with other calls of the route.
+fn note_answered(hub: &Hub, call: &Call<'_>, upstream: &Upstream, time: Duration, bytes: usize) {
+    let before = hub.estimates.note(call.service, &call.terms.route, time, bytes);
+    compare(hub, call, upstream, before.map_or(1.0, |latency| latency.ratio(time)));
+}
+
+/// Notes that there was no answer within `time`, and how that compares with other calls.
+fn note_silent(hub: &Hub, call: &Call<'_>, upstream: &Upstream, time: Duration) {
+    let latency = hub.estimates.latency(call.service, &call.terms.route);
+    let ratio = latency.map_or(1.0, |latency| latency.ratio(time));
+    compare(hub, call, upstream, ratio.max(1.0));
+}
+
+/// Notes that a call took `ratio` times as long as those of its route usually do.
+fn compare(hub: &Hub, call: &Call<'_>, upstream: &Upstream, ratio: f64) {
     let now = hub.clock.now();
-    hub.with_service(call.service, |s| s.record(upstream, now).compare(ratio, now));
+    hub.services.with(call.service, |s| s.record(upstream, now).compare(ratio, now));
 }
 
 /// Notes that a call to `first` was answered by another upstream after `waited`.
 pub(super) fn note_overtaken(hub: &Hub, call: &Call<'_>, first: &Upstream, waited: Duration) {
     let now = hub.clock.now();
-    hub.with_service(call.service, |s| s.record(first, now).overtaken(waited, now));
-    compare(hub, call, first, Sample::Silent(waited));
+    hub.services.with(call.service, |s| s.record(first, now).overtaken(waited, now));
+    note_silent(hub, call, first, waited);
 }
 
 fn note_offer(hub: &Hub, call: &Call<'_>, upstream: &Upstream, attempt: u64, now: Time) {
     let candidates = hub.view().upstreams(call.service).len();
-    let step = hub.with_service(call.service, |service| {
+    let step = hub.services.with(call.service, |service| {
         let record = service.record(upstream, now);
         trail::Step::Offered {
             attempt,
@@ -113,19 +119,6 @@
     );
 }
 
-fn sample_of(outcome: Outcome, elapsed: Duration) -> Sample {
-    match outcome {
-        // A node that says it leaves, or that another life has replaced, is as good as absent
-        // until the view says the same.
-        Outcome::NotRun(Cause::Unreachable | Cause::Leaving | Cause::Replaced, _) => {
-            Sample::Unreachable
-        }
-        Outcome::NotRun(..) => Sample::Refused,
-        Outcome::Unknown(Doubt::Timeout) => Sample::Silent(elapsed),
-        Outcome::Unknown(_) => Sample::Failed,
-    }
-}
-
 /// Notes a call to an upstream, also if the call is dropped before it ends.
 struct Watch<'a> {
     hub: &'a Hub,
@@ -136,7 +129,7 @@
 
 impl<'a> Watch<'a> {
     fn new(hub: &'a Hub, service: &'a str, upstream: &'a Upstream, now: Time) -> Self {
-        hub.with_service(service, |s| s.record(upstream, now).begin());
+        hub.services.with(service, |s| s.record(upstream, now).begin());
         Watch { hub, service, upstream, ended: false }
     }
 
@@ -144,7 +137,7 @@
         self.ended = true;
         let now = self.hub.clock.now();
         let change =
-            self.hub.with_service(self.service, |s| s.record(self.upstream, now).end(now, sample));
+            self.hub.services.with(self.service, |s| s.record(self.upstream, now).end(now, sample));
         if change == Change::Ejected {
             self.hub.meter.ejection(self.service);
             self.hub.tally.add(Count::Ejected(self.service.to_owned(), self.upstream.address));
@@ -156,7 +149,7 @@
     fn drop(&mut self) {
         if !self.ended {
             let now = self.hub.clock.now();
-            self.hub.with_service(self.service, |s| s.record(self.upstream, now).abandon());
+            self.hub.services.with(self.service, |s| s.record(self.upstream, now).abandon());
         }
     }
 }
--- a/crates/traffic/src/entry/choice.rs
+++ b/crates/traffic/src/entry/choice.rs
@@ -13,42 +13,39 @@
 
 use crate::{
     call::Call,
-    hub::{self, Hub},
+    hub::{Hub, services::is_same_life},
 };
 
+/// An upstream that may take work, and what was seen of it.
+type Seen<'a> = (&'a Upstream, &'a Record);
+
 /// Chooses an upstream that the call was not offered to so far.
 pub(super) fn choose(hub: &Hub, call: &Call<'_>, tried: &[Upstream]) -> Option<Upstream> {
     let view = hub.view();
     let now = hub.clock.now();
     let able: Vec<&Upstream> =
         view.upstreams(call.service).iter().filter(|u| u.state.takes_work()).collect();
-    hub.with_service(call.service, |service| {
+    hub.services.with(call.service, |service| {
         for upstream in &able {
             service.record(upstream, now);
         }
-        let records: Vec<&Record> = able.iter().map(|u| service.seen(u)).collect::<Option<_>>()?;
+        let seen = |upstream| Some((upstream, service.seen(upstream)?));
+        let able: Vec<Seen<'_>> = able.into_iter().map(seen).collect::<Option<_>>()?;
         let chosen = match hub.settings.incarnation {
-            Some(_) => choose_near(call, &able, &records, tried, now),
-            None => choose_room(hub, call, &able, &records, tried, now),
+            Some(_) => choose_near(call, &able, tried, now),
+            None => choose_room(hub, call, &able, tried, now),
         };
-        chosen.map(|index| able[index].clone())
+        chosen.map(|index| able[index].0.clone())
     })
 }
 
 /// Chooses by what this node has seen alone.
-fn choose_near(
-    call: &Call<'_>,
-    able: &[&Upstream],
-    records: &[&Record],
-    tried: &[Upstream],
-    now: Time,
-) -> Option<usize> {
+fn choose_near(call: &Call<'_>, able: &[Seen<'_>], tried: &[Upstream], now: Time) -> Option<usize> {
     let reach = if call.profile.spill { Reach::Spill } else { Reach::OwnOnly };
     let slow_start = Duration::from_millis(call.profile.slow_start_ms);
     let candidates: Vec<choice::Candidate<'_>> = able
         .iter()
-        .zip(records)
-        .map(|(u, record)| choice::Candidate { record, near: u.near, tried: is_tried(tried, u) })
+        .map(|&(u, record)| choice::Candidate { record, near: u.near, tried: is_tried(tried, u) })
         .collect();
     choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())
 }
@@ -57,16 +54,14 @@
 fn choose_room(
     hub: &Hub,
     call: &Call<'_>,
-    able: &[&Upstream],
-    records: &[&Record],
+    able: &[Seen<'_>],
     tried: &[Upstream],
     now: Time,
 ) -> Option<usize> {
-    let returning = hub.answer_bytes(call.service, &call.terms.route);
+    let returning = hub.estimates.bytes(call.service, &call.terms.route);
     let candidates: Vec<placement::Candidate<'_>> = able
         .iter()
-        .zip(records)
-        .map(|(u, record)| placement::Candidate {
+        .map(|&(u, record)| placement::Candidate {
             record,
             slots: u.slots,
             way: way(hub, u),
@@ -91,7 +86,7 @@
 /// Tells whether the call was offered to this life of `upstream`. What else its entry says may have
 /// changed since.
 fn is_tried(tried: &[Upstream], upstream: &Upstream) -> bool {
-    tried.iter().any(|earlier| hub::is_same_life(earlier, upstream))
+    tried.iter().any(|earlier| is_same_life(earlier, upstream))
 }
 
 fn way(hub: &Hub, upstream: &Upstream) -> placement::Way {
--- a/crates/traffic/src/entry/repeat.rs
+++ b/crates/traffic/src/entry/repeat.rs
@@ -21,7 +21,7 @@
 pub(super) fn note_call(hub: &Hub, call: &Call<'_>) {
     let now = hub.clock.now();
     let budget = hub.tuning().budget;
-    hub.with_service(call.service, |service| match &budget {
+    hub.services.with(call.service, |service| match &budget {
         Some(settings) => service.window.call(settings, now),
         None => service.budget.earn(call.profile.retry_budget_percent),
     });
@@ -39,7 +39,7 @@
     let kind = call.kind();
     let Some(settings) = hub.tuning().budget else {
         let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
-        return hub.with_service(call.service, |s| retry::decide(attempt, &mut s.budget));
+        return hub.services.with(call.service, |s| retry::decide(attempt, &mut s.budget));
     };
     if offers >= OFFER_LIMIT {
         return retry::Step::GiveUp;
@@ -48,7 +48,7 @@
     let nodes = hub.fleet_size();
     let now = hub.clock.now();
     retry::decide_arrivals(attempt, || {
-        hub.with_service(call.service, |s| s.window.repeat(&settings, nodes, now))
+        hub.services.with(call.service, |s| s.window.repeat(&settings, nodes, now))
     })
 }
 
@@ -68,9 +68,9 @@
     let now = hub.clock.now();
     let remaining = call.deadline.since(now);
     let due = call.due.map_or(remaining, |due| due.since(now));
-    let latency = hub.latency(call.service, &call.terms.route);
+    let latency = hub.estimates.latency(call.service, &call.terms.route);
     let latency = latency.unwrap_or_else(|| Estimate::new(due / 3));
-    let (slowness, failure_share) = hub.with_service(call.service, |s| {
+    let (slowness, failure_share) = hub.services.with(call.service, |s| {
         let record = s.record(first, now);
         (record.slowness(now), record.failure_share(now))
     });
--- a/crates/traffic/src/gate/running.rs
+++ b/crates/traffic/src/gate/running.rs
@@ -8,9 +8,11 @@
 use policy::{admission::Rank, urgency::Work};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 
+use crate::lock::lock;
+
 /// What stands between the id of a request and that of a call made for it.
 const SEPARATOR: char = '.';
 
@@ -58,7 +60,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<String, Run>> {
-        self.ids.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.ids)
     }
 }
 
--- a/crates/traffic/src/gate/transfer.rs
+++ b/crates/traffic/src/gate/transfer.rs
@@ -10,13 +10,14 @@
 use policy::{admission::Rank, outcome::Outcome, transfer};
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
 use crate::{
     clock::Clock,
     gate::turnstile::{Pass, Turnstile},
+    lock::lock,
 };
 
 /// Most bodies that wait for their turn.
@@ -85,6 +86,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Turn>> {
-        self.granted.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.granted)
     }
 }
--- a/crates/traffic/src/gate/turnstile.rs
+++ b/crates/traffic/src/gate/turnstile.rs
@@ -9,14 +9,14 @@
 use std::{
     collections::HashMap,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, Mutex, MutexGuard,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 use tokio::{sync::oneshot, time::timeout};
 
-use crate::clock::Clock;
+use crate::{clock::Clock, lock::lock};
 
 /// Slots, and the tasks that wait for one.
 #[derive(Debug)]
@@ -147,7 +147,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Queue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.queue)
     }
 }
 
--- a/crates/traffic/src/hub/explain.rs
+++ b/crates/traffic/src/hub/explain.rs
@@ -14,7 +14,7 @@
         let near_able = upstreams.iter().any(|u| u.near && u.state.takes_work());
         let mut all = Vec::new();
         for upstream in upstreams {
-            let record = self.with_service(service, |s| s.record(upstream, now).clone());
+            let record = self.services.with(service, |s| s.record(upstream, now).clone());
             let (eligible, reason) = match upstream.state {
                 State::Leaving => (false, "it is leaving".to_owned()),
                 State::Unreachable => (false, "its node is out of reach".to_owned()),
--- a/crates/traffic/src/hub/room.rs
+++ b/crates/traffic/src/hub/room.rs
@@ -2,28 +2,51 @@
 //!
 //! Without a bound, a service whose upstreams hang fills the node until nothing else finds room.
 
-use std::sync::atomic::Ordering;
+use policy::share::Room;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::hub::Hub;
+use crate::hub::services::Services;
+
+/// Counts of what is in hand.
+#[derive(Debug, Default)]
+pub(crate) struct Held {
+    /// Calls as entry node.
+    calls: AtomicUsize,
+    /// Calls as serving node.
+    offers: AtomicUsize,
+    /// Bytes of bodies.
+    bytes: AtomicUsize,
+}
+
+impl Held {
+    /// Returns the number of calls in hand as entry node.
+    pub(crate) fn calls(&self) -> usize {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of calls in hand, in either role.
+    pub(crate) fn in_hand(&self) -> usize {
+        self.calls() + self.offers.load(Ordering::SeqCst)
+    }
+}
 
 /// Bytes of bodies reserved in the node's room; given back when dropped.
 pub(crate) struct Reservation<'a> {
-    hub: &'a Hub,
+    held: &'a Held,
     bytes: usize,
 }
 
 impl<'a> Reservation<'a> {
-    pub(crate) fn new(hub: &'a Hub) -> Self {
-        Reservation { hub, bytes: 0 }
+    pub(crate) fn new(held: &'a Held) -> Self {
+        Reservation { held, bytes: 0 }
     }
 
-    /// Reserves `more` bytes; returns whether there was room.
-    pub(crate) fn extend(&mut self, more: usize) -> bool {
-        let held = self.hub.bytes.load(Ordering::SeqCst);
-        if !self.hub.tuning().room.fits(held, more) {
+    /// Reserves `more` bytes of `room`; returns whether they fit.
+    pub(crate) fn extend(&mut self, more: usize, room: Room) -> bool {
+        if !room.fits(self.held.bytes.load(Ordering::SeqCst), more) {
             return false;
         }
-        self.hub.bytes.fetch_add(more, Ordering::SeqCst);
+        self.held.bytes.fetch_add(more, Ordering::SeqCst);
         self.bytes += more;
         true
     }
@@ -31,53 +54,60 @@
 
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
-        self.hub.bytes.fetch_sub(self.bytes, Ordering::SeqCst);
+        self.held.bytes.fetch_sub(self.bytes, Ordering::SeqCst);
     }
 }
 
-/// A call in hand; given back when dropped.
+/// A call to a service in hand; given back when dropped.
 pub(crate) struct Hand<'a> {
-    hub: &'a Hub,
+    held: &'a Held,
+    services: &'a Services,
     service: &'a str,
 }
 
 impl<'a> Hand<'a> {
-    pub(crate) fn take(hub: &'a Hub, service: &'a str) -> Option<Self> {
-        let total = hub.calls.load(Ordering::SeqCst);
-        let admitted = hub.with_service(service, |s| {
-            let admits = hub.tuning().room.admits(s.in_hand, total);
+    /// Takes a call to `service` into `room`; none where it is full.
+    pub(crate) fn take(
+        held: &'a Held,
+        services: &'a Services,
+        service: &'a str,
+        room: Room,
+    ) -> Option<Self> {
+        let total = held.calls();
+        let admitted = services.with(service, |s| {
+            let admits = room.admits(s.in_hand, total);
             s.in_hand += usize::from(admits);
             admits
         });
         if !admitted {
             return None;
         }
-        hub.calls.fetch_add(1, Ordering::SeqCst);
-        Some(Hand { hub, service })
+        held.calls.fetch_add(1, Ordering::SeqCst);
+        Some(Hand { held, services, service })
     }
 }
 
 impl Drop for Hand<'_> {
     fn drop(&mut self) {
-        self.hub.calls.fetch_sub(1, Ordering::SeqCst);
-        self.hub.with_service(self.service, |s| s.in_hand -= 1);
+        self.held.calls.fetch_sub(1, Ordering::SeqCst);
+        self.services.with(self.service, |s| s.in_hand -= 1);
     }
 }
 
 /// A call that is offered to the own upstream, counted as in hand until this is dropped.
 pub(crate) struct Offered<'a> {
-    hub: &'a Hub,
+    held: &'a Held,
 }
 
 impl<'a> Offered<'a> {
-    pub(crate) fn new(hub: &'a Hub) -> Self {
-        hub.offers.fetch_add(1, Ordering::SeqCst);
-        Offered { hub }
+    pub(crate) fn new(held: &'a Held) -> Self {
+        held.offers.fetch_add(1, Ordering::SeqCst);
+        Offered { held }
     }
 }
 
 impl Drop for Offered<'_> {
     fn drop(&mut self) {
-        self.hub.offers.fetch_sub(1, Ordering::SeqCst);
+        self.held.offers.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- /dev/null
+++ b/crates/traffic/src/hub/state.rs
@@ -0,0 +1,51 @@
+//! What the node takes at this time of its life.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+
+/// Which work the node takes.
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Whether callers may send new work here.
+    open: AtomicBool,
+    opened: AtomicBool,
+    leaving: AtomicBool,
+    closed: AtomicBool,
+}
+
+impl State {
+    /// Tells callers from now on whether they may send new work here.
+    pub(crate) fn set_open(&self, open: bool) {
+        self.open.store(open, Ordering::SeqCst);
+        self.opened.fetch_or(open, Ordering::SeqCst);
+    }
+
+    /// Tells whether callers may send new work here.
+    pub(crate) fn is_open(&self) -> bool {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Tells whether callers were ever told that they may send new work here.
+    pub(crate) fn was_open(&self) -> bool {
+        self.opened.load(Ordering::SeqCst)
+    }
+
+    /// Takes no more work for the own upstream.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the node takes no more work for the own upstream.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Takes no more calls of callers either.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the node takes no more calls of callers.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+}
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -56,7 +56,7 @@
     // A refused caller comes back on a new connection; keeping the old one open would only fill
     // the table of connections while there are too many callers.
     let refused = door == Door::Callers && response.status() == StatusCode::SERVICE_UNAVAILABLE;
-    if refused || hub.is_leaving() || (hub.was_open() && !hub.is_open()) {
+    if refused || hub.state.is_leaving() || (hub.state.was_open() && !hub.state.is_open()) {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     response
--- a/crates/traffic/src/intake/ahead.rs
+++ b/crates/traffic/src/intake/ahead.rs
@@ -17,13 +17,14 @@
 use policy::outcome::Cause;
 use std::{
     collections::VecDeque,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
 };
 use tokio::{select, task::JoinHandle};
 
 use crate::{
     hub::Hub,
     intake::{self, Door},
+    lock::lock,
     net::{
         body::Inflow,
         stream::{Probe, Reader},
@@ -153,7 +154,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.state)
     }
 }
 
--- a/crates/traffic/src/intake/ready.rs
+++ b/crates/traffic/src/intake/ready.rs
@@ -7,7 +7,7 @@
 /// Answers 200 while callers may send new work here and 503 otherwise, whatever the path.
 pub(crate) fn answer(hub: &Hub) -> Response<wire::Body> {
     let mut response = Response::new(wire::Body::default());
-    if !hub.is_open() {
+    if !hub.state.is_open() {
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
     }
     response
--- a/crates/traffic/src/intake/upload.rs
+++ b/crates/traffic/src/intake/upload.rs
@@ -30,19 +30,20 @@
     incoming: Inflow,
     left: Duration,
 ) -> Result<Upload<'a>, Refusal> {
-    let hand = Hand::take(hub, target.service).ok_or(Refusal::of(Cause::Saturated))?;
+    let hand = Hand::take(&hub.held, &hub.services, target.service, hub.tuning().room)
+        .ok_or(Refusal::of(Cause::Saturated))?;
     let declared = body::declared(headers).unwrap_or(0);
     if declared > target.body_limit {
         return Err(Refusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let mut reserved = Reservation::new(hub);
-    if !reserved.extend(declared) {
+    let mut reserved = Reservation::new(&hub.held);
+    if !reserved.extend(declared, hub.tuning().room) {
         return Err(Refusal::of(Cause::Saturated));
     }
     let time = Duration::from_millis(target.profile.upload_ms).min(left);
     let body = body::receive(incoming, target.body_limit, time).await;
     let body = body.map_err(|fault| Refusal::bad_request(status_of(fault)))?;
-    if !reserved.extend(body.len().saturating_sub(declared)) {
+    if !reserved.extend(body.len().saturating_sub(declared), hub.tuning().room) {
         return Err(Refusal::of(Cause::Saturated));
     }
     Ok(Upload { body, hand, reserved })
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -12,6 +12,7 @@
 mod hub;
 mod intake;
 mod link;
+mod lock;
 mod net;
 mod record;
 mod routing;
@@ -21,7 +22,10 @@
 
 pub use crate::{
     clock::Clock,
-    hub::{Hub, Settings, Tuning},
+    hub::{
+        Hub,
+        settings::{Settings, Tuning},
+    },
     intake::{
         Door,
         server::{Error, Listener},
--- a/crates/traffic/src/link/arrival.rs
+++ b/crates/traffic/src/link/arrival.rs
@@ -68,8 +68,8 @@
         _ => None,
     };
     let reserves = head.headers.contains_key(wire::RESERVE);
-    let mut reserved = Reservation::new(hub);
-    if !reserved.extend(body::declared(&head.headers).unwrap_or(0)) {
+    let mut reserved = Reservation::new(&hub.held);
+    if !reserved.extend(body::declared(&head.headers).unwrap_or(0), hub.tuning().room) {
         return Err(Cause::Overloaded.outcome());
     }
     let body = body::receive(incoming, limit, stated.deadline.since(received)).await;
--- a/crates/traffic/src/link/offer.rs
+++ b/crates/traffic/src/link/offer.rs
@@ -49,7 +49,7 @@
         let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
         let result = work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
         let (load, now) = (hub.load(), hub.clock.now());
-        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+        hub.services.with(call.service, |s| s.record(upstream, now).hear_load(load, now));
         return result;
     }
     let mut ticket = None;
@@ -162,7 +162,7 @@
     }
     if let Some(load) = wire::read_load(&parts.headers) {
         let now = hub.clock.now();
-        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+        hub.services.with(call.service, |s| s.record(upstream, now).hear_load(load, now));
     }
     let body = body::receive(incoming, call.profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -14,13 +14,14 @@
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 use tokio::task::AbortHandle;
 
 use crate::{
     clock::Clock,
+    lock::lock,
     net::stream::{Look, Probe, Stream},
     wire::Body,
 };
@@ -134,7 +135,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Idle>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.idle)
     }
 }
 
--- a/crates/traffic/src/record.rs
+++ b/crates/traffic/src/record.rs
@@ -10,7 +10,7 @@
 use model::time::Time;
 use std::{
     sync::{
-        Mutex, OnceLock, PoisonError,
+        Mutex, OnceLock,
         atomic::{AtomicU64, Ordering},
     },
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -18,7 +18,7 @@
 use trail::{Line, Step};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, lock::lock};
 
 /// Of so many requests that went well, one is logged: enough to see what is usual, at about 1 % of
 /// the processor time that a request costs.
@@ -96,7 +96,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Vec<(Time, Step)>> {
-        self.steps.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.steps)
     }
 }
 
@@ -137,7 +137,7 @@
             Interest::Usual if !xxh3_64(id.as_bytes()).is_multiple_of(SAMPLE) => return false,
             Interest::Usual => (&self.usual, USUAL_LINES),
         };
-        let mut allowance = allowance.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut allowance = lock(allowance);
         let admitted = allowance.take(lines as u32, limit, self.clock.now());
         if !admitted {
             self.left_out.fetch_add(lines as u64, Ordering::Relaxed);
--- a/crates/traffic/src/record/tally.rs
+++ b/crates/traffic/src/record/tally.rs
@@ -5,11 +5,9 @@
 
 use fleet::timeline::Kind;
 use policy::outcome::{Cause, Doubt};
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::{Mutex, PoisonError},
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Mutex};
+
+use crate::lock::lock;
 
 /// Most different counts between two collections.
 const KINDS_LIMIT: usize = 256;
@@ -37,7 +35,7 @@
 
 impl Tally {
     pub(crate) fn add(&self, count: Count) {
-        let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut counts = lock(&self.counts);
         if counts.len() < KINDS_LIMIT || counts.contains_key(&count) {
             *counts.entry(count).or_default() += 1;
         }
@@ -45,8 +43,7 @@
 
     /// Returns the counts since the last call as events.
     pub(crate) fn take(&self) -> Vec<Kind> {
-        let counts =
-            std::mem::take(&mut *self.counts.lock().unwrap_or_else(PoisonError::into_inner));
+        let counts = std::mem::take(&mut *lock(&self.counts));
         counts.into_iter().map(|(what, count)| event(what, count)).collect()
     }
 }
--- a/crates/traffic/src/routing/schedule.rs
+++ b/crates/traffic/src/routing/schedule.rs
@@ -67,7 +67,7 @@
     deadline: Time,
 ) -> Option<urgency::Clock> {
     let objective = Duration::from_millis(target.terms.objective_ms?);
-    let latency = hub.latency(target.service, &target.terms.route);
+    let latency = hub.estimates.latency(target.service, &target.terms.route);
     Some(urgency::Clock {
         received,
         deadline,
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -18,7 +18,7 @@
     config: &'a Snapshot,
     request: &Request<Inflow>,
 ) -> Result<Target<'a>, Cause> {
-    if hub.is_closed() {
+    if hub.state.is_closed() {
         // A call taken now could not be finished before the process ends.
         return Err(Cause::Leaving);
     }
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -48,7 +48,7 @@
     offer: &Offer,
     trail: &Trail,
 ) -> Result<Answer, Outcome> {
-    let _in_hand = Offered::new(hub);
+    let _in_hand = Offered::new(&hub.held);
     check_claim(hub, offer)?;
     let mut slot = hub.slots.enter(offer.rank, offer.deadline, profile.queue_limit).await?;
     let kept = hub.pool.take(hub.settings.upstream, idle_limit(profile), offer.kind);
@@ -155,7 +155,7 @@
         deadline: offer.deadline,
         paused: hub.in_doubt(offer.received, now),
         wanted: offer.origin.look() != Look::Closed,
-        leaving: hub.is_leaving() || hub.has_left(offer.identity.as_deref()),
+        leaving: hub.state.is_leaving() || hub.has_left(offer.identity.as_deref()),
         own: hub.settings.incarnation.is_none_or(|own| own == offer.incarnation)
             && !hub.has_restarted(offer.identity.as_deref(), offer.started_ms),
     };
