A slot of the gate is freed by its ticket, also in tests

Cause: Gate::finish and finish_of were a pair only because tests freed slots without saying whose. A gate that isn't told goes on counting an upstream's call as holding a slot, which the product never lets it do.

Gate::finish takes the ticket; finish_of goes.

One expectation changes, in calls_of_upstreams_go_before_new_ones_and_in_time_before_late: freeing by ticket, the one slot goes to 6 5 3 4 2 1 and no longer to 6 4 5 3 2 1. The old order came from the first nested call never giving its share of slots back, so that the urgent caller overtook the others; the order with shares in use stays covered by shares::the_half_counts_what_is_held. The new check is as strict: each of the six must be named by the end of the one before.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -106,7 +106,7 @@
     /// let (now, late) = (Time::from_millis(0), Time::from_millis(900));
     /// assert_eq!(gate.arrive(Ticket(1), now, late, 8), Entry::Run);
     /// assert_eq!(gate.arrive(Ticket(2), now, late, 8), Entry::Wait(late));
-    /// assert_eq!(gate.finish(now, None), Some(Ticket(2)));
+    /// assert_eq!(gate.finish(Ticket(1), now, None), Some(Ticket(2)));
     /// ```
     pub fn arrive(
         &mut self,
@@ -217,22 +217,17 @@
         self.slots
     }
 
-    /// Frees the slot of `ticket`; see [`finish`](Gate::finish).
-    pub fn finish_of(
+    /// Frees the slot of `ticket` after `service_time` (none where the call did not reach the upstream) and
+    /// passes it on to the next call that still has time; that call's slot is taken.
+    ///
+    /// Calls whose time is over are dropped: their own timers answer them.
+    pub fn finish(
         &mut self,
         ticket: Ticket,
         now: Time,
         service_time: Option<Duration>,
     ) -> Option<Ticket> {
         self.nested.remove(&ticket);
-        self.finish(now, service_time)
-    }
-
-    /// Frees a caller's slot after `service_time` (none where the call did not reach the upstream) and
-    /// passes it on to the next call that still has time; that call's slot is taken.
-    ///
-    /// Calls whose time is over are dropped: their own timers answer them.
-    pub fn finish(&mut self, now: Time, service_time: Option<Duration>) -> Option<Ticket> {
         if let Some(sample) = service_time {
             self.service_time = average(self.service_time, sample);
         }
--- a/crates/policy/tests/admission.rs
+++ b/crates/policy/tests/admission.rs
@@ -20,7 +20,7 @@
     let mut gate = Gate::new(1);
     assert_eq!(gate.arrive(Ticket(0), at(0), at(9_000), QUEUE), Entry::Run);
     for _ in 0..200 {
-        gate.finish(at(0), Some(Duration::from_millis(100)));
+        gate.finish(Ticket(0), at(0), Some(Duration::from_millis(100)));
         gate.arrive(Ticket(0), at(0), at(9_000), QUEUE);
     }
     let told: Vec<&str> = remaining
@@ -53,8 +53,8 @@
     gate.arrive(Ticket(1), at(0), at(900), QUEUE);
     gate.arrive(Ticket(2), at(0), at(20), QUEUE);
     gate.arrive(Ticket(3), at(0), at(900), QUEUE);
-    assert_eq!(gate.finish(at(30), None), Some(Ticket(3)));
-    assert_eq!(gate.finish(at(31), None), None);
+    assert_eq!(gate.finish(Ticket(1), at(30), None), Some(Ticket(3)));
+    assert_eq!(gate.finish(Ticket(3), at(31), None), None);
     assert_eq!(gate.busy(), 0);
 }
 
@@ -98,9 +98,9 @@
                 }
             }
             Action::Finish if !running.is_empty() => {
-                running.remove(0);
+                let ended = running.remove(0);
                 let expect = waiting.iter().find(|(_, deadline)| **deadline > now).map(|w| *w.0);
-                let got = gate.finish(at(now), Some(Duration::from_millis(5)));
+                let got = gate.finish(ended, at(now), Some(Duration::from_millis(5)));
                 if got != expect.map(Ticket) {
                     return TestResult::error(format!("{got:?} in place of {expect:?}"));
                 }
--- a/crates/policy/tests/shares.rs
+++ b/crates/policy/tests/shares.rs
@@ -96,7 +96,7 @@
             Event::Finish(ticket) => {
                 let time =
                     if kinds[ticket as usize] == Kind::Upload { UPLOAD_MS } else { CHECK_MS };
-                gate.finish_of(Ticket(ticket), at, Some(ms(time as u64)))
+                gate.finish(Ticket(ticket), at, Some(ms(time as u64)))
             }
         };
         if let Some(Ticket(ticket)) = granted {
@@ -169,9 +169,9 @@
         assert!(matches!(arrive(ticket, line, priority), Entry::Wait(_)));
     }
     let order: Vec<u64> =
-        (0..4).filter_map(|held| gate.finish_of(Ticket(held), now, None)).map(|t| t.0).collect();
+        (0..4).filter_map(|held| gate.finish(Ticket(held), now, None)).map(|t| t.0).collect();
     assert_eq!(order, [6, 7, 4, 5]);
     assert_eq!(gate.busy(), 4);
-    (4..8).for_each(|held| assert_eq!(gate.finish_of(Ticket(held), now, None), None));
+    (4..8).for_each(|held| assert_eq!(gate.finish(Ticket(held), now, None), None));
     assert_eq!(gate.busy(), 0);
 }
--- a/crates/policy/tests/transfer.rs
+++ b/crates/policy/tests/transfer.rs
@@ -46,7 +46,7 @@
 fn play(load: f64, start_by: fn(Clock) -> Time) -> (f64, f64) {
     let mut random = SmallRng::seed_from_u64(11);
     let mut gates: Vec<Gate> = (0..LINKS).map(|_| Gate::new(1)).collect();
-    let mut ends = BinaryHeap::new();
+    let mut ends: BinaryHeap<(Reverse<u64>, usize, u64)> = BinaryHeap::new();
     let mut begun = Vec::new();
     let (mut taken, mut in_time) = (0, 0);
     let mut now = 0.0;
@@ -54,10 +54,12 @@
         now += -random.random_range(f64::MIN_POSITIVE..1.0_f64).ln() * CROSSING_MS as f64
             / (load * LINKS as f64);
         let arrived = now as u64;
-        while ends.peek().is_some_and(|(Reverse(end), _)| *end <= arrived) {
-            let (Reverse(end), link): (Reverse<u64>, usize) = ends.pop().expect("an end was seen");
-            if let Some(Ticket(next)) = gates[link].finish(at(end), Some(ms(CROSSING_MS))) {
-                ends.push((Reverse(end + CROSSING_MS), link));
+        while ends.peek().is_some_and(|(Reverse(end), ..)| *end <= arrived) {
+            let (Reverse(end), link, ended) = ends.pop().expect("an end was seen");
+            if let Some(Ticket(next)) =
+                gates[link].finish(Ticket(ended), at(end), Some(ms(CROSSING_MS)))
+            {
+                ends.push((Reverse(end + CROSSING_MS), link, next));
                 let answered = end + CROSSING_MS + WORK_MS;
                 in_time += usize::from(answered - begun[next as usize] <= OBJECTIVE_MS);
             }
@@ -74,7 +76,7 @@
                 Entry::Refuse(_) => continue,
                 Entry::Wait(_) => {}
                 Entry::Run => {
-                    ends.push((Reverse(arrived + CROSSING_MS), link));
+                    ends.push((Reverse(arrived + CROSSING_MS), link, ticket.0));
                     in_time += 1;
                 }
             }
--- a/crates/policy/tests/urgency.rs
+++ b/crates/policy/tests/urgency.rs
@@ -120,13 +120,13 @@
                 } else {
                     tally.late += 1
                 }
-                let mut next = gate.finish(at(now), Some(ms(SERVICE)));
+                let mut next = gate.finish(Ticket(ticket), at(now), Some(ms(SERVICE)));
                 while let Some(granted) = next {
                     if waiting.remove(&granted.0).is_some() {
                         run.push(granted.0);
                         break;
                     }
-                    next = gate.finish(at(now), None);
+                    next = gate.finish(granted, at(now), None);
                 }
             }
         }
@@ -210,8 +210,9 @@
     {
         assert!(matches!(arrive(&mut gate, ticket, rank), Entry::Wait(_)));
     }
-    let order: Vec<u64> = (0..6).filter_map(|_| gate.finish(at(1), None)).map(|t| t.0).collect();
-    assert_eq!(order, [6, 4, 5, 3, 2, 1]);
+    let ended = [0, 6, 5, 3, 4, 2];
+    let order = ended.map(|held| gate.finish(Ticket(held), at(1), None).map(|t| t.0));
+    assert_eq!(order, [6, 5, 3, 4, 2, 1].map(Some));
 }
 
 #[test]
@@ -251,8 +252,9 @@
     }
     assert_eq!(gate.resize(3, at(1)), [Ticket(1), Ticket(2)]);
     assert_eq!(gate.resize(1, at(1)), []);
-    assert_eq!((gate.finish(at(2), None), gate.finish(at(2), None)), (None, None));
-    assert_eq!(gate.finish(at(2), None), Some(Ticket(3)));
+    let mut finish = |held| gate.finish(Ticket(held), at(2), None);
+    assert_eq!((finish(0), finish(1)), (None, None));
+    assert_eq!(finish(2), Some(Ticket(3)));
 }
 
 /// A chef who was refused after a wait is told to come back as if the wait had not been, and comes too
--- a/crates/standins/src/served/world.rs
+++ b/crates/standins/src/served/world.rs
@@ -371,7 +371,7 @@
     fn free(&mut self, key: OfferKey) {
         let Offer { upstream, begun, .. } = self.offers[key.0];
         self.offers[key.0].state = State::Over;
-        let mut next = self.upstreams[upstream].gate.finish_of(
+        let mut next = self.upstreams[upstream].gate.finish(
             Ticket(key.0 as u64),
             self.now,
             Some(self.now.since(begun)),
@@ -382,7 +382,7 @@
                 self.start(waiter);
                 return;
             }
-            next = self.upstreams[upstream].gate.finish_of(Ticket(ticket), self.now, None);
+            next = self.upstreams[upstream].gate.finish(Ticket(ticket), self.now, None);
         }
     }
 
--- a/crates/traffic/src/gate/turnstile.rs
+++ b/crates/traffic/src/gate/turnstile.rs
@@ -124,7 +124,7 @@
     fn finish(&self, ticket: Ticket, service_time: Option<Duration>) {
         let mut queue = self.lock();
         let now = self.clock.now();
-        let mut next = queue.gate.finish_of(ticket, now, service_time);
+        let mut next = queue.gate.finish(ticket, now, service_time);
         while let Some(ticket) = next {
             // A waiting task removes itself under this lock before it drops its receiver, so the
             // receiver of a waiter found here is alive.
@@ -132,7 +132,7 @@
                 let _ = waiter.send(());
                 return;
             }
-            next = queue.gate.finish_of(ticket, now, None);
+            next = queue.gate.finish(ticket, now, None);
         }
     }
 
--- a/xtask/src/bench/overload.rs
+++ b/xtask/src/bench/overload.rs
@@ -202,7 +202,9 @@
     }
 
     fn finish(&mut self, upstream: usize, number: u64) {
-        if let Some(Ticket(next)) = self.gates[upstream].finish(self.now, Some(WORK)) {
+        if let Some(Ticket(next)) =
+            self.gates[upstream].finish(Ticket(number), self.now, Some(WORK))
+        {
             self.work(upstream, next);
         }
         let Some(call) = self.calls.get(&number).copied() else { return };
