What the entry stage decided itself is decided in policy

Cause: three decisions stood in traffic without a test: how many nodes a call is offered to, what a call is thought to take before any of its route was answered, and what ends a call between two attempts.

retry::may_offer, latency::Estimate::guess and retry::hindrance take them over with the same values and order; each has an example, the last one a test. The claim is not used for it: it looks for a pause before it looks at the time, and the callers' word would change.

--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -34,6 +34,21 @@
         Estimate { mean: sample, deviation: sample / 2 }
     }
 
+    /// Begins without any answer, for a call that is late after `due`.
+    ///
+    /// A third of that time is taken for usual, so that all of it is unusual.
+    ///
+    /// ```
+    /// use policy::latency::Estimate;
+    /// use std::time::Duration;
+    /// let guess = Estimate::guess(Duration::from_millis(300));
+    /// assert_eq!(guess.usual(), Duration::from_millis(100));
+    /// assert_eq!(guess.unusual(), Duration::from_millis(300));
+    /// ```
+    pub fn guess(due: Duration) -> Self {
+        Estimate::new(due / 3)
+    }
+
     /// Notes a call that was answered after `sample`.
     pub fn note(&mut self, sample: Duration) {
         let off = sample.abs_diff(self.mean);
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -3,6 +3,7 @@
 //! Only the entry node retries, so each call is retried at one place per hop. A budget bounds the
 //! retries that add load, so that a failing service does not get a multiple of its usual calls.
 
+use model::time::Time;
 use std::time::Duration;
 
 use crate::{
@@ -50,6 +51,42 @@
     }
 }
 
+/// What the entry node knows of a call before an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Moment {
+    /// The moment of the decision.
+    pub now: Time,
+    /// When the time for the call is over.
+    pub deadline: Time,
+    /// Whether the node was stopped since the call arrived, as far as it can tell.
+    pub paused: bool,
+    /// Whether the caller's connection is still open.
+    pub wanted: bool,
+}
+
+/// Returns why no attempt makes sense any more, or nothing where one does.
+///
+/// Unlike the claim, which asks the same at the upstream, it names a call late that is both late and
+/// in doubt: it was not run, and all of its time has passed here.
+///
+/// ```
+/// use model::time::Time;
+/// use policy::{outcome::Cause, retry::{Moment, hindrance}};
+/// let at = Time::from_millis;
+/// let moment = Moment { now: at(9), deadline: at(10), paused: false, wanted: true };
+/// assert_eq!(hindrance(moment), None);
+/// assert_eq!(hindrance(Moment { now: at(10), ..moment }), Some(Cause::Late));
+/// ```
+pub fn hindrance(moment: Moment) -> Option<Cause> {
+    if moment.now >= moment.deadline {
+        return Some(Cause::Late);
+    }
+    if moment.paused {
+        return Some(Cause::Paused);
+    }
+    (!moment.wanted).then_some(Cause::Cancelled)
+}
+
 /// What to do after a failed attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -123,6 +160,23 @@
     Step::Again
 }
 
+/// Most nodes that one call is offered to under such a budget, whether its upstream sees it or not.
+///
+/// Each refusal costs a round trip of about 2 ms; four of them stay within an eighth of the
+/// shortest objectives, 100 ms.
+const OFFERS_MOST: usize = 4;
+
+/// Tells whether a call that was offered to so many nodes may be offered to one more.
+///
+/// ```
+/// use policy::retry::may_offer;
+/// assert!(may_offer(3));
+/// assert!(!may_offer(4));
+/// ```
+pub fn may_offer(offers: usize) -> bool {
+    offers < OFFERS_MOST
+}
+
 /// Tells whether the upstream itself may have seen the call.
 pub fn is_arrival(outcome: Outcome) -> bool {
     match outcome {
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -1,8 +1,9 @@
 //! Which calls are offered again, and how much load retries may add.
 
+use model::time::Time;
 use policy::{
     outcome::{Cause, Doubt, Outcome},
-    retry::{Attempt, Budget, Kind, Step, decide},
+    retry::{Attempt, Budget, Kind, Moment, Step, decide, hindrance},
     share::Room,
 };
 use std::time::Duration;
@@ -91,3 +92,24 @@
     assert_eq!(other, 25);
     assert!(room.admits(0, hanging + other));
 }
+
+#[track_caller]
+fn check_moment(moment: Moment, expect: Option<Cause>) {
+    assert_eq!(hindrance(moment), expect, "{moment:?}");
+}
+
+/// A caller gives up while its call is tried at one upstream after the other, and the last one runs
+/// a payment that nobody waits for.
+#[test]
+fn nothing_is_tried_for_who_has_gone_or_has_no_time_left() {
+    let at = Time::from_millis;
+    let good = Moment { now: at(99), deadline: at(100), paused: false, wanted: true };
+    let late = Moment { now: at(100), ..good };
+    let paused = Moment { paused: true, ..good };
+    check_moment(good, None);
+    check_moment(late, Some(Cause::Late));
+    check_moment(paused, Some(Cause::Paused));
+    check_moment(Moment { wanted: false, ..good }, Some(Cause::Cancelled));
+    check_moment(Moment { paused: true, wanted: false, ..late }, Some(Cause::Late));
+    check_moment(Moment { wanted: false, ..paused }, Some(Cause::Paused));
+}
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -58,11 +58,11 @@
 /// Returns why no further attempt makes sense, if time is over or the caller has gone.
 fn lost_meanwhile(hub: &Hub, call: &Call<'_>) -> Option<Outcome> {
     let now = hub.clock.now();
-    if now >= call.deadline {
-        return Some(Cause::Late.outcome());
-    }
-    if hub.in_doubt(call.received, now) {
-        return Some(Cause::Paused.outcome());
-    }
-    (call.origin.look() == Look::Closed).then(|| Cause::Cancelled.outcome())
+    let moment = retry::Moment {
+        now,
+        deadline: call.deadline,
+        paused: hub.in_doubt(call.received, now),
+        wanted: call.origin.look() != Look::Closed,
+    };
+    retry::hindrance(moment).map(Cause::outcome)
 }
--- a/crates/traffic/src/entry/repeat.rs
+++ b/crates/traffic/src/entry/repeat.rs
@@ -11,12 +11,6 @@
 
 use crate::{call::Call, hub::Hub};
 
-/// Most nodes that one call is offered to, whether its upstream sees it or not.
-///
-/// Each refusal costs a round trip of about 2 ms; four of them stay within an eighth of the
-/// shortest objectives, 100 ms.
-const OFFER_LIMIT: usize = 4;
-
 /// Counts a call towards the budget for repeats.
 pub(super) fn note_call(hub: &Hub, call: &Call<'_>) {
     let now = hub.clock.now();
@@ -41,7 +35,7 @@
         let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
         return hub.services.with(call.service, |s| retry::decide(attempt, &mut s.budget));
     };
-    if offers >= OFFER_LIMIT {
+    if !retry::may_offer(offers) {
         return retry::Step::GiveUp;
     }
     let attempt = retry::Attempt { outcome, kind, made: arrivals, limit };
@@ -69,7 +63,7 @@
     let remaining = call.deadline.since(now);
     let due = call.due.map_or(remaining, |due| due.since(now));
     let latency = hub.estimates.latency(call.service, &call.terms.route);
-    let latency = latency.unwrap_or_else(|| Estimate::new(due / 3));
+    let latency = latency.unwrap_or_else(|| Estimate::guess(due));
     let (slowness, failure_share) = hub.services.with(call.service, |s| {
         let record = s.record(first, now);
         (record.slowness(now), record.failure_share(now))
