--- /dev/null
+++ b/crates/traffic/src/hub.rs
@@ -0,0 +1,258 @@
+//! What all calls of a node share.
+
+mod estimates;
+mod explain;
+mod own;
+pub(crate) mod room;
+pub(crate) mod services;
+pub(crate) mod settings;
+mod state;
+
+use arc_swap::ArcSwap;
+use fleet::{
+    timeline::Kind,
+    view::{Upstream, View},
+};
+use model::{config::Snapshot, time::Time};
+use policy::{comeback, health, pause, split::Split};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use telemetry::metric::Meter;
+
+use crate::{
+    clock::Clock,
+    gate::{running::Running, transfer::Transfers, turnstile::Turnstile},
+    hub::{
+        estimates::Estimates,
+        room::Held,
+        services::Services,
+        settings::{Settings, Tuning},
+        state::State,
+    },
+    lock::lock,
+    net::pool::Pool,
+    record::{Log, tally::Tally},
+};
+
+/// What all calls of a node share.
+pub struct Hub {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) meter: Arc<Meter>,
+    pub(crate) pool: Pool,
+    pub(crate) tally: Tally,
+    pub(crate) log: Log,
+    pub(crate) running: Running,
+    tuning: ArcSwap<Tuning>,
+    config: ArcSwap<Snapshot>,
+    /// Highest revision of the configuration that this node holds or is going to.
+    expected: AtomicU64,
+    view: ArcSwap<View>,
+    watch: Mutex<pause::Watch>,
+    ids: AtomicU64,
+    pub(crate) state: State,
+    pub(crate) services: Services,
+    pub(crate) estimates: Estimates,
+    /// The slots of the own upstream.
+    pub(crate) slots: Arc<Turnstile>,
+    /// Turns of large bodies on the own link.
+    pub(crate) transfers: Transfers,
+    splits: Mutex<HashMap<String, Split>>,
+    /// Callers that were refused and may come back.
+    refused: Mutex<comeback::Register>,
+    pub(crate) held: Held,
+}
+
+impl Hub {
+    /// Creates the shared state; nothing is in force and no upstream is known yet.
+    pub fn new(settings: Settings, clock: Clock, meter: Arc<Meter>) -> Arc<Self> {
+        let tuning = settings.tuning;
+        let slots = Turnstile::new(clock, settings.slots);
+        let transfers = Transfers::new(clock, settings.link_mbps);
+        let log = Log::new(clock);
+        let log = if settings.log { log.keep(&settings.instance) } else { log };
+        let watch = pause::Watch::new(settings.pause, clock.now());
+        Arc::new(Hub {
+            settings,
+            clock,
+            meter,
+            pool: Pool::default(),
+            tally: Tally::default(),
+            log,
+            running: Running::default(),
+            tuning: ArcSwap::from_pointee(tuning),
+            config: ArcSwap::default(),
+            expected: AtomicU64::new(0),
+            view: ArcSwap::default(),
+            watch: Mutex::new(watch),
+            ids: AtomicU64::new(1),
+            slots,
+            transfers,
+            services: Services::default(),
+            estimates: Estimates::default(),
+            state: State::default(),
+            splits: Mutex::default(),
+            refused: Mutex::default(),
+            held: Held::default(),
+        })
+    }
+
+    /// Works under `tuning` from now on.
+    pub fn set_tuning(&self, tuning: Tuning) {
+        self.tuning.store(Arc::new(tuning));
+    }
+
+    /// Returns the settings that may change.
+    pub(crate) fn tuning(&self) -> Tuning {
+        **self.tuning.load()
+    }
+
+    /// Routes by `snapshot` from now on.
+    pub fn set_config(&self, snapshot: Arc<Snapshot>) {
+        self.config.store(snapshot);
+    }
+
+    /// Takes note that `revision` is the highest that this node holds or is going to.
+    pub fn set_expected(&self, revision: u64) {
+        self.expected.store(revision, Ordering::Relaxed);
+    }
+
+    /// Tells whether a newer configuration than `held` is in force at another node.
+    pub(crate) fn is_outdated(&self, held: &Snapshot) -> bool {
+        self.expected.load(Ordering::Relaxed) > held.version.revision
+    }
+
+    /// Routes to the upstreams of `view` from now on, and forgets what was seen of others.
+    pub fn set_view(&self, view: Arc<View>) {
+        let before = self.view.swap(view.clone());
+        self.services.follow(&view, &before, self.clock.now());
+        if let Some(slots) = own::slots(&view, &self.settings) {
+            self.slots.resize(slots);
+        }
+        if !own::is_same(&before, &view, &self.settings) {
+            // Connections to a process that has ended carry nothing: a payment sent on one would
+            // be lost, and nobody could say whether it was made.
+            self.pool.forget(self.settings.upstream);
+        }
+    }
+
+    /// Tells whether `upstream` is the one beside this node.
+    pub(crate) fn is_own(&self, upstream: &Upstream) -> bool {
+        upstream.address == self.settings.own
+    }
+
+    /// Tells whether the upstream `identity` beside this node is known to have started again after
+    /// `started_ms`.
+    pub(crate) fn has_restarted(&self, identity: Option<&str>, started_ms: Option<u64>) -> bool {
+        own::has_restarted(&self.view.load(), &self.settings, identity, started_ms)
+    }
+
+    /// Tells callers from now on whether they may send new work here.
+    pub fn set_open(&self, open: bool) {
+        self.state.set_open(open);
+    }
+
+    /// Tells whether callers may send new work here.
+    pub fn is_open(&self) -> bool {
+        self.state.is_open()
+    }
+
+    /// Tells whether the upstream `identity` beside this node is known to take no more work.
+    pub(crate) fn has_left(&self, identity: Option<&str>) -> bool {
+        own::has_left(&self.view.load(), &self.settings, identity)
+    }
+
+    /// Returns the part of the split of the route `name` that its next call goes to.
+    pub(crate) fn next_part(&self, name: &str, weights: &[u32]) -> Option<usize> {
+        if weights.len() == 1 {
+            return Some(0);
+        }
+        let mut splits = lock(&self.splits);
+        if !splits.contains_key(name) {
+            splits.insert(name.to_owned(), Split::default());
+        }
+        let offset = self.settings.offset;
+        splits.get_mut(name).expect("the split was just inserted").next(weights, offset)
+    }
+
+    /// Gives `work` the register of refused callers.
+    pub(crate) fn with_refused<T>(&self, work: impl FnOnce(&mut comeback::Register) -> T) -> T {
+        work(&mut lock(&self.refused))
+    }
+
+    /// Returns what this node holds for its upstream.
+    pub(crate) fn load(&self) -> health::Load {
+        health::Load { bodies: self.transfers.pending(), ..self.slots.load() }
+    }
+
+    /// Returns the number of nodes that share the fleet's budget for repeated calls.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.view().iter().count()
+    }
+
+    /// Takes no more work for the own upstream.
+    pub fn leave(&self) {
+        self.state.leave();
+    }
+
+    /// Takes no more calls of callers either: the process ends soon.
+    pub fn close(&self) {
+        self.state.close();
+    }
+
+    /// Tells whether the node takes no more work.
+    pub fn is_leaving(&self) -> bool {
+        self.state.is_leaving()
+    }
+
+    /// Returns the number of calls in hand, in either role.
+    pub fn in_hand(&self) -> usize {
+        self.held.in_hand()
+    }
+
+    /// Returns the longest time that the profile of the own service grants for a planned stop.
+    pub fn drain_limit(&self) -> Duration {
+        let config = self.config();
+        let profile = config.service(&self.settings.service).map(|s| config.profile(s));
+        Duration::from_millis(profile.map_or(0, |p| p.drain_ms))
+    }
+
+    /// Notes a beat of the thread that watches for pauses; returns the length of one that ended.
+    pub fn beat(&self) -> Option<Duration> {
+        lock(&self.watch).beat(self.clock.now())
+    }
+
+    /// Returns the counts of notable calls since the last time, and does small upkeep.
+    pub fn collect(&self) -> Vec<Kind> {
+        self.pool.sweep();
+        self.transfers.sweep(self.clock.now());
+        self.meter.in_hand(self.held.calls() as u64);
+        let mut events = self.tally.take();
+        events.extend(self.log.left_out());
+        events
+    }
+
+    /// Returns the configuration in force.
+    pub fn config(&self) -> Arc<Snapshot> {
+        self.config.load_full()
+    }
+
+    /// Returns the known upstreams.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    pub(crate) fn next_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    pub(crate) fn in_doubt(&self, received: Time, now: Time) -> bool {
+        lock(&self.watch).in_doubt(received, now)
+    }
+}
--- a/crates/traffic/src/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -11,7 +11,11 @@
     time::{sleep, timeout},
 };
 
-use crate::{ahead::Ahead, intake, ready, state::Hub, stream::Stream};
+use crate::{
+    hub::Hub,
+    intake::{self, Door, ahead::Ahead, ready},
+    net::stream::Stream,
+};
 
 /// Bound on waiting for a request's head, which also ends idle connections.
 ///
@@ -33,20 +37,6 @@
     source: std::io::Error,
 }
 
-/// Who may speak at an address.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Door {
-    /// Callers and other nodes, told apart by the header of an offer.
-    #[default]
-    All,
-    /// Callers only; what looks like an offer is a call.
-    Callers,
-    /// Other nodes only.
-    Nodes,
-    /// Whoever asks whether this node takes new work.
-    Ready,
-}
-
 /// A socket that callers or other nodes connect to.
 #[derive(Debug)]
 pub struct Listener {
--- /dev/null
+++ b/crates/traffic/src/link/arrival.rs
@@ -0,0 +1,147 @@
+//! Takes in offers of other nodes, and answers them.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Request, Response, header::HeaderValue, http::request::Parts};
+use model::time::Time;
+use policy::{
+    admission::{Line, Rank},
+    claim,
+    outcome::{Cause, Outcome},
+    retry::Kind,
+    transfer,
+};
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    call::{Answer, Offer, Payload},
+    hub::{Hub, room::Reservation},
+    net::{
+        body::{self, Inflow},
+        stream::Probe,
+    },
+    serving, wire,
+};
+
+/// Largest remaining time that a caller's header can name, in ms.
+const DEADLINE_LIMIT_MS: u64 = 600_000;
+
+/// Answers an offer of an entry node.
+pub(crate) async fn answer(
+    hub: &Arc<Hub>,
+    request: Request<Inflow>,
+    origin: Probe,
+    received: Time,
+) -> Response<wire::Body> {
+    let id = wire::read_number(request.headers(), wire::ID);
+    let result = take(hub, request, origin, received).await;
+    let mut response = match result {
+        Ok(answer) if answer.head.headers().contains_key(wire::TICKET) => given(answer),
+        Ok(answer) => answer.response(),
+        Err(outcome) => wire::response(outcome, wire::Precision::Seconds),
+    };
+    let headers = response.headers_mut();
+    if let Ok(Some(id)) = id {
+        headers.insert(wire::ID, wire::number(id));
+    }
+    headers.insert(wire::LOAD, wire::load(hub.load()));
+    response
+}
+
+/// Takes an offer in, and gives it a turn or runs it.
+async fn take(
+    hub: &Hub,
+    request: Request<Inflow>,
+    origin: Probe,
+    received: Time,
+) -> Result<Answer, Outcome> {
+    let (head, incoming) = request.into_parts();
+    let stated =
+        read(&head.headers, received).map_err(|wire::Malformed| Cause::BadRequest.outcome())?;
+    let config = hub.config();
+    // A node that holds no configuration yet cannot keep the profile's promises.
+    let service = config.service(&hub.settings.service);
+    let profile = service.map(|s| config.profile(s)).ok_or_else(|| Cause::Unreachable.outcome())?;
+    let limit =
+        if config.has_routes() { config.limits.body_bytes } else { profile.max_request_bytes };
+    let turn = match wire::read_number(&head.headers, wire::TICKET) {
+        Ok(Some(ticket)) => hub.transfers.redeem(ticket),
+        _ => None,
+    };
+    let reserves = head.headers.contains_key(wire::RESERVE);
+    let mut reserved = Reservation::new(&hub.held);
+    if !reserved.extend(body::declared(&head.headers).unwrap_or(0), hub.tuning().room) {
+        return Err(Cause::Overloaded.outcome());
+    }
+    let body = body::receive(incoming, limit, stated.deadline.since(received)).await;
+    let body = body.map_err(|_| Cause::BadRequest.outcome())?;
+    let mut offer = offer(head, stated, body, origin, received);
+    if let Some(turn) = turn {
+        let start_by = transfer::start_crossed(hub.clock.now(), offer.deadline);
+        offer.rank = Rank { start_by: Some(start_by), ..offer.rank };
+        hub.transfers.finish(turn);
+    }
+    if reserves {
+        let ticket = serving::reserve(hub, profile, &offer).await?;
+        return Ok(turn_given(ticket));
+    }
+    serving::run(hub, profile, offer).await
+}
+
+/// What an entry node states of a call that it offers.
+struct Stated {
+    id: u64,
+    incarnation: u64,
+    identity: Option<Arc<str>>,
+    started_ms: Option<u64>,
+    deadline: Time,
+    kind: Kind,
+    rank: Rank,
+}
+
+fn read(headers: &HeaderMap, received: Time) -> Result<Stated, wire::Malformed> {
+    let number = |name| wire::read_number(headers, name)?.ok_or(wire::Malformed);
+    let (incarnation, id) = (number(wire::OFFER)?, number(wire::ID)?);
+    let remaining = number(wire::DEADLINE)?;
+    let idempotent = number(wire::IDEMPOTENT)? == 1;
+    Ok(Stated {
+        id,
+        incarnation,
+        identity: wire::header_text(headers, wire::IDENTITY).map(Arc::from),
+        started_ms: wire::read_number(headers, wire::STARTED)?,
+        deadline: claim::deadline(received, Some(remaining), DEADLINE_LIMIT_MS),
+        kind: if idempotent { Kind::Idempotent } else { Kind::Once },
+        rank: read_rank(headers, received)?,
+    })
+}
+
+fn read_rank(headers: &HeaderMap, received: Time) -> Result<Rank, wire::Malformed> {
+    let priority = wire::read_number(headers, wire::PRIORITY)?;
+    let start = wire::read_number(headers, wire::START)?;
+    let nested = wire::read_number(headers, wire::NESTED)? == Some(1);
+    Ok(Rank {
+        priority: priority.unwrap_or(0).min(u8::MAX.into()) as u8,
+        start_by: start.map(|ms| received + Duration::from_millis(ms)),
+        line: if nested { Line::Upstreams } else { Line::Callers },
+    })
+}
+
+fn offer(head: Parts, stated: Stated, body: Bytes, origin: Probe, received: Time) -> Offer {
+    let Stated { id, incarnation, identity, started_ms, deadline, kind, rank } = stated;
+    let mut headers = head.headers;
+    wire::strip(&mut headers);
+    let payload = Payload { method: head.method, path: head.uri, headers, body };
+    Offer { payload, received, deadline, kind, rank, incarnation, identity, started_ms, origin, id }
+}
+
+fn turn_given(ticket: u64) -> Answer {
+    let mut head = Response::new(());
+    head.headers_mut().insert(wire::TICKET, wire::number(ticket));
+    Answer { head, body: Bytes::new() }
+}
+
+/// Passes on a turn that was given.
+fn given(answer: Answer) -> Response<wire::Body> {
+    let mut response = answer.head.map(|()| wire::Body::default());
+    response.headers_mut().insert(wire::OUTCOME, HeaderValue::from_static(wire::ANSWERED));
+    response
+}
--- a/crates/traffic/src/offer.rs
+++ b/crates/traffic/src/link/offer.rs
@@ -15,12 +15,13 @@
 use tokio::time::timeout;
 
 use crate::{
-    body,
-    entry::Call,
-    pool::{Connection, Failure},
-    serving::{self, Answer, Offer},
-    state::Hub,
-    wire,
+    call::{Answer, Call, Offer},
+    hub::Hub,
+    net::{
+        body,
+        pool::{Connection, Failure},
+    },
+    serving, wire,
 };
 
 /// Offers the call to one upstream and waits for its answer no longer than until `patience`.
@@ -44,11 +45,11 @@
         origin: call.origin.clone(),
         id,
     };
-    if serving::is_own(hub, upstream) {
+    if hub.is_own(upstream) {
         let work = timeout(patience.since(now), serving::run(hub, call.profile, offer));
         let result = work.await.unwrap_or_else(|_| Err(of_loss(Step::Run, Loss::Silent)));
         let (load, now) = (hub.load(), hub.clock.now());
-        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+        hub.services.with(call.service, |s| s.record(upstream, now).hear_load(load, now));
         return result;
     }
     let mut ticket = None;
@@ -161,7 +162,7 @@
     }
     if let Some(load) = wire::read_load(&parts.headers) {
         let now = hub.clock.now();
-        hub.with_service(call.service, |s| s.record(upstream, now).hear_load(load, now));
+        hub.services.with(call.service, |s| s.record(upstream, now).hear_load(load, now));
     }
     let body = body::receive(incoming, call.profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
--- a/crates/traffic/src/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -5,9 +5,9 @@
 use policy::{outcome::Cause, retry::Kind};
 
 use crate::{
-    body::Inflow,
-    entry::Terms,
-    state::Hub,
+    call::Terms,
+    hub::Hub,
+    net::body::Inflow,
     wire::{self, header_text},
 };
 
@@ -18,7 +18,7 @@
     config: &'a Snapshot,
     request: &Request<Inflow>,
 ) -> Result<Target<'a>, Cause> {
-    if hub.is_closed() {
+    if hub.state.is_closed() {
         // A call taken now could not be finished before the process ends.
         return Err(Cause::Leaving);
     }
