A request that leads nowhere is logged with the revision that decided and the one that was expected

Change: the step unrouted in the trail; baobabctl trace shows when that revision came into force. Test in baobabctl trace; tests of trail and traffic pass.

--- a/crates/baobabctl/src/trace.rs
+++ b/crates/baobabctl/src/trace.rs
@@ -52,7 +52,7 @@
     for line in lines {
         let at_node = |event: &&Event| event.node == line.node;
         let fits: Box<dyn Fn(&&Event) -> bool> = match &line.step {
-            Step::Routed { revision, .. } => {
+            Step::Routed { revision, .. } | Step::Unrouted { revision, .. } => {
                 let revision = *revision;
                 Box::new(move |event| match &event.kind {
                     Kind::InForce { version, .. } => version.revision == revision,
--- a/crates/baobabctl/tests/trace.rs
+++ b/crates/baobabctl/tests/trace.rs
@@ -10,6 +10,8 @@
 {"t":10000002,"node":"entry","id":"9c41","event":"offered","attempt":4,"upstream":"i-1","peer":"10.0.0.2:8000","near":true,"in_flight":0,"expected_load":9.0,"failure_share":0.0,"candidates":1}
 {"t":10000030,"node":"entry","id":"9c41","event":"attempted","attempt":4,"outcome":"not-run","reason":"overloaded","status":0,"ms":28}
 {"t":10000031,"node":"entry","id":"9c41","event":"ended","outcome":"not-run","reason":"overloaded","status":503,"retry_after_ms":60,"ms":30,"attempts":1}
+{"t":10000040,"node":"entry","id":"77a0","event":"unrouted","revision":7,"expected":9}
+{"t":10000040,"node":"entry","id":"77a0","event":"ended","outcome":"not-run","reason":"outdated","status":503,"retry_after_ms":500,"ms":0,"attempts":0}
 a line of somebody else
 "#;
 
@@ -61,6 +63,14 @@
     );
 }
 
+/// A caller is turned away from a route that the operators have published. Whoever asks why must see
+/// that the node was behind, and since when it held what it held.
+#[test]
+fn a_request_that_led_nowhere_is_told_with_the_revision_that_decided() {
+    let outdated = "no route led anywhere in the configuration of the node";
+    check(&["trace", "77a0"], 0, &["unrouted", "revision=7 expected=9", "in-force", outdated]);
+}
+
 #[test]
 fn unknown_requests_and_wrong_usage_are_told() {
     check(&["trace", "none"], 1, &["No line about this request"]);
--- a/crates/traffic/src/hub.rs
+++ b/crates/traffic/src/hub.rs
@@ -123,9 +123,9 @@
         self.expected.store(revision, Ordering::Relaxed);
     }
 
-    /// Tells whether a newer configuration than `held` is in force at another node.
-    pub(crate) fn is_outdated(&self, held: &Snapshot) -> bool {
-        self.expected.load(Ordering::Relaxed) > held.version.revision
+    /// Returns the highest revision of the configuration that this node holds or is going to.
+    pub(crate) fn expected(&self) -> u64 {
+        self.expected.load(Ordering::Relaxed)
     }
 
     /// Routes to the upstreams of `view` from now on, and forgets what was seen of others.
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -39,7 +39,11 @@
     let config = hub.config();
     let mut open = Open::new(hub, &request, received);
     let mut response = match target::find(hub, &config, &request) {
-        Err(cause) => Refusal::of(cause).tell(hub, ""),
+        Err(cause) => {
+            let (revision, expected) = (config.version.revision, hub.expected());
+            open.trail.note(&hub.log, Step::Unrouted { revision, expected });
+            Refusal::of(cause).tell(hub, "")
+        }
         Ok(target) => {
             let service = target.service;
             let taken = take(hub, request, target, origin, received, &open.trail).await;
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -40,7 +40,7 @@
 /// still lacks, it cannot know: what was added there is to be asked for again in a moment. Otherwise
 /// callers of new routes would be turned away for good, wherever a change comes late.
 fn unknown(hub: &Hub, config: &Snapshot) -> Cause {
-    if hub.is_outdated(config) { Cause::Outdated } else { Cause::UnknownService }
+    if hub.expected() > config.version.revision { Cause::Outdated } else { Cause::UnknownService }
 }
 
 /// Finds the service that a request names.
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -46,6 +46,13 @@
         /// Rank among the calls of the service; 0 is the most urgent.
         priority: u8,
     },
+    /// The entry node found nowhere for the request to go.
+    Unrouted {
+        /// Revision of the configuration that decided.
+        revision: u64,
+        /// Highest revision that the entry node was to hold then.
+        expected: u64,
+    },
     /// The entry node offered the request to an upstream's node.
     Offered {
         /// Number of the attempt, unique on the entry node.
@@ -136,7 +143,10 @@
             | Step::Claimed { attempt, .. }
             | Step::Ran { attempt, .. }
             | Step::Attempted { attempt, .. } => Some(*attempt),
-            Step::Routed { .. } | Step::Ended { .. } | Step::Abandoned { .. } => None,
+            Step::Routed { .. }
+            | Step::Unrouted { .. }
+            | Step::Ended { .. }
+            | Step::Abandoned { .. } => None,
         }
     }
 }
