Catching up holds against silence, pauses, refused versions and answers that are behind

A refused version kept out every good one below it, so that a node that starts while the newest version is bad never opened. Two fast nodes that fell silent together were asked by turns for a minute, and no other. One lost answer in four shrank pieces to an eighth. A version that ended with its only holder was expected for ever. Storms of changes to some routes were told as whole groups, so that slow links got none of them until the storm ended. Each pause left one more stream of questions. An answer of a node that holds less threw away what had come. A watch told again every version since the node's own last reading.

Ruled out by the review: a version in force that is not whole, and a way back. Not changed: a version that one node in gossip mode was heard to hold stays expected there; the list of upstreams is still pulled whole and unpacked (fails from some 5,400 upstreams at 5 Mbit/s, by reckoning).

Change: nodes that hold a refused version are not asked for it, others are; nodes that are silent or did not answer come last for five seconds; less is asked for after two losses in a row; what is known is what nodes told of in the last eight seconds; changes since a revision are asked for first in both modes; a wake-up keeps the question under way; answers are matched to it; a watch begins where configuration and list are held.

The in-memory links now carry one answer after the other, and a question to a node that ends is lost in place of never answered. One test of today, promises_without_documents_end, names a newer version now: an answer without one is stale.

--- a/crates/fleet/src/catchup.rs
+++ b/crates/fleet/src/catchup.rs
@@ -9,7 +9,10 @@
 //! Invariant *whole or nothing*: no document of a [`Draft`] is in force. The set leaves it only when it
 //! has the digest of an announced version.
 
-use model::document::{BUCKETS, Set};
+use model::{
+    config::Version,
+    document::{BUCKETS, Set},
+};
 
 use crate::{
     fence::Fence,
@@ -22,7 +25,7 @@
 /// Fewest bytes of documents in a piece; fewer would hardly be less than its smallest part, a bucket.
 const PIECE_LEAST: usize = 16 << 10;
 
-/// Most pieces of one draft. All buckets of two versions are far fewer; a node whose word about its own
+/// Most pieces on the way to one version. Its buckets are far fewer; a node whose word about its own
 /// documents is wrong would be asked for ever.
 const PIECES_MOST: u32 = 4 * BUCKETS as u32;
 
@@ -32,7 +35,12 @@
     set: Option<Set>,
     /// Whether it was begun from nothing instead of from the version in force.
     is_anew: bool,
+    /// The version that the last piece was of.
+    target: Version,
+    /// Pieces of it.
     pieces: u32,
+    /// Questions in a row that were not answered in time.
+    losses: u32,
     /// Bytes of documents to ask for; less than usual after answers that did not come in time.
     size: usize,
 }
@@ -44,13 +52,22 @@
     Whole(Box<Set>),
     /// More is to be asked for.
     Part,
+    /// The other node holds nothing newer than what is in force here; what was received is kept.
+    Stale,
     /// The answers do not lead to the announced version; the draft is dropped.
     Unusable,
 }
 
 impl Default for Draft {
     fn default() -> Self {
-        Draft { set: None, is_anew: false, pieces: 0, size: PIECE }
+        Draft {
+            set: None,
+            is_anew: false,
+            target: Version::default(),
+            pieces: 0,
+            losses: 0,
+            size: PIECE,
+        }
     }
 }
 
@@ -60,6 +77,18 @@
         self.set.is_none()
     }
 
+    /// Returns the next question.
+    ///
+    /// What changed since a revision is the least to send: of a storm of small changes whole buckets
+    /// would be most of the configuration each time. Once more than a piece of it is lacking, or it
+    /// does not lead to the other node's version, the contents tell what is held already.
+    pub fn pull(&self, fence: &Fence) -> Pull {
+        match (fence.held(), &self.set) {
+            (Some(_), None) => self.pull_changes(fence),
+            _ => self.pull_content(fence),
+        }
+    }
+
     /// Returns the question for what changed since the version in force.
     pub fn pull_changes(&self, fence: &Fence) -> Pull {
         Pull { have: fence.held(), buckets: Vec::new(), limit: Some(self.size) }
@@ -82,9 +111,15 @@
     /// Takes the answer to a question.
     pub fn take(&mut self, fence: &Fence, bundle: Bundle) -> Progress {
         let Bundle { version, delta, more } = bundle;
+        self.losses = 0;
+        if version.revision <= fence.version().revision {
+            return Progress::Stale;
+        }
         let is_whole = delta.full || self.is_anew;
-        let is_idle = more && delta.buckets.is_empty() && !self.is_empty();
-        self.pieces += 1;
+        let is_by_revision = delta.buckets.is_empty();
+        let is_idle = more && is_by_revision && !self.is_empty();
+        self.pieces = if version == self.target { self.pieces + 1 } else { 1 };
+        self.target = version;
         let set = self.set.as_ref().unwrap_or(fence.set()).with(delta);
         if !more && set.version() == version {
             *self = Draft::default();
@@ -100,16 +135,24 @@
         }
         // The deltas do not lead from what is held here to what the other node holds: they were made
         // for a version that has been replaced since, or a removal was forgotten. The digest shows it,
-        // and nothing of them is kept.
+        // and nothing of them is kept. Changes since a revision are replaced by a comparison of
+        // contents, and that by all documents.
         cov_mark::hit!(delta_mismatch);
-        self.is_anew = true;
-        self.set = Some(Set::default());
+        self.is_anew = !(is_by_revision && self.is_empty());
+        let base = if self.is_anew { Set::default() } else { fence.set().clone() };
+        self.set = Some(base);
         Progress::Part
     }
 
-    /// Notes that a question was not answered in time: the next one asks for less.
+    /// Notes that a question was not answered in time.
+    ///
+    /// After the second one in a row the next one asks for less: one may be lost for a reason that has
+    /// nothing to do with the link.
     pub fn lose(&mut self) {
-        self.size = (self.size / 2).max(PIECE_LEAST);
+        self.losses += 1;
+        if self.losses > 1 {
+            self.size = (self.size / 2).max(PIECE_LEAST);
+        }
     }
 
     /// Drops what was received.
--- a/crates/fleet/src/control/version.rs
+++ b/crates/fleet/src/control/version.rs
@@ -69,7 +69,8 @@
     /// version that its peers hold and not with that of the first to speak.
     pub(super) fn pull(&mut self, _now: Now) {
         let held = self.fence.held();
-        self.offers.retain(|_, version| Some(version.revision) > held);
+        let refused = |version: &Version| self.fence.rejected().any(|r| r.version == *version);
+        self.offers.retain(|_, version| Some(version.revision) > held && !refused(version));
         if !self.settled || self.pulling.is_some() {
             return;
         }
@@ -97,6 +98,9 @@
                 self.send_pull(peer);
                 return;
             }
+            Progress::Stale => {
+                self.offers.remove(&peer);
+            }
             Progress::Unusable => {
                 self.offers.remove(&peer);
                 let reason = "the documents do not have the announced digest".to_owned();
@@ -163,12 +167,7 @@
 
     fn send_pull(&mut self, peer: SocketAddr) {
         self.pulling = Some(peer);
-        // What changed since a revision is the least to send; once more than a piece of it is lacking,
-        // the contents tell what was received already.
-        let pull = match (self.fence.held(), self.draft.is_empty()) {
-            (Some(_), true) => self.draft.pull_changes(&self.fence),
-            _ => self.draft.pull_content(&self.fence),
-        };
+        let pull = self.draft.pull(&self.fence);
         self.effects.push(Effect::Send(peer, Request::Pull(pull), PULL_TIMEOUT));
     }
 
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -82,6 +82,19 @@
         self.heard = self.heard.max(revision);
     }
 
+    /// Replaces what was heard by the highest revision of the nodes that still tell of one.
+    ///
+    /// A version may end with the only node that held it; callers would be told to come back for it
+    /// for ever.
+    pub fn hear_anew(&mut self, revision: u64) {
+        self.heard = revision;
+    }
+
+    /// Tells whether a version of `revision` was refused.
+    pub fn has_refused(&self, revision: u64) -> bool {
+        self.rejected.iter().any(|r| r.version.revision == revision)
+    }
+
     /// Returns the highest revision that is in force here or at another node.
     ///
     /// ```
@@ -98,8 +111,7 @@
     /// was refused here.
     pub fn expected(&self) -> u64 {
         let known = self.known();
-        let refused = self.rejected.iter().any(|r| r.version.revision == known);
-        if refused { self.version().revision } else { known }
+        if self.has_refused(known) { self.version().revision } else { known }
     }
 
     /// Returns the snapshot in force.
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -204,6 +204,7 @@
             let changes = self.directory.expire(now.time);
             self.note_changes(changes, None, now);
             self.peers.prune(now.time);
+            self.fence.hear_anew(self.peers.known_config(now.time));
             // Silence has no event of its own.
             self.view_stale |= self.peers.look(now.time);
         }
@@ -216,18 +217,24 @@
         let readers = self.watch.readers(self.peers.data_centres());
         if self.fence.held().is_none() || self.watch.is_due(rank, readers, now.time) {
             let wait = self.watch.begin(self.peers.is_empty());
-            // A watch continues where this node's own reading ended. What others told it since
-            // comes once more, which costs bytes and no mistake; their word for one of the two
-            // things says nothing about how far the other is held.
-            self.effects.push(Effect::Read(Query::News { after: self.read_to, wait }));
+            let after = self.read_to.map(|read| read.max(self.held()));
+            self.effects.push(Effect::Read(Query::News { after, wait }));
         }
     }
 
+    /// Returns the revision up to which configuration and list are held, whoever told them.
+    ///
+    /// A watch need not tell again what came from others since this node's own last reading: after a
+    /// storm of changes that would be every version of the configuration, a megabyte each. The word
+    /// of others for one of the two things says nothing about how far the other is held.
+    fn held(&self) -> u64 {
+        self.directory.revision().min(self.fence.version().revision)
+    }
+
     fn wake(&mut self, pause: Duration, now: Now) {
         self.note(Kind::Paused { ms: pause.as_millis() as u64 }, now);
         self.peers.wake(now.time);
         self.watch.hurry(now.time);
-        self.pulls.clear();
     }
 
     fn hear(&mut self, digest: Digest, now: Now) {
@@ -254,7 +261,7 @@
         match response {
             Response::Pull(bundle) => self.take_bundle(peer, bundle, now),
             Response::Fetch(update) => {
-                self.pulls.list.end();
+                self.pulls.list.end(peer);
                 self.merge(update, Some(peer), Duration::ZERO, now);
             }
             Response::Beat(_) | Response::Sync(_) => {}
@@ -262,12 +269,15 @@
     }
 
     fn take_bundle(&mut self, peer: SocketAddr, bundle: Bundle, now: Now) {
-        self.pulls.config.end();
+        if !self.pulls.config.end(peer) {
+            return;
+        }
         match self.draft.take(&self.fence, bundle) {
             Progress::Whole(set) => {
                 self.offer(*set, Some(peer), now);
             }
             Progress::Part => self.pulls.config.go_on_with(peer),
+            Progress::Stale => self.pulls.config.avoid(peer, now.time),
             Progress::Unusable => {
                 let reason = "the documents do not have the announced digest".to_owned();
                 self.note(Kind::BadMessage { peer, reason }, now);
@@ -278,13 +288,10 @@
 
     /// Pulls what another node is ahead with, unless a pull is under way.
     fn pull(&mut self, now: Now) {
-        let held = self.fence.version().revision;
-        let refused = self.fence.rejected().map(|r| r.version.revision).max().unwrap_or(0);
         if !self.awaits_platform(now) {
-            let held = held.max(refused);
-            let peer = self.pulls.next_config(&self.peers, held, now.time, &mut self.random);
-            let pull = || Request::Pull(self.draft.pull_content(&self.fence));
-            let next = peer.map(|peer| (peer, pull()));
+            let (peers, fence) = (&self.peers, &self.fence);
+            let peer = self.pulls.next_config(peers, fence, now.time, &mut self.random);
+            let next = peer.map(|peer| (peer, Request::Pull(self.draft.pull(fence))));
             self.send_pull(next);
         }
         let held = self.directory.revision();
--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -37,6 +37,30 @@
 /// others from their summaries.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
+/// For how long what a node holds counts as known after its last word. Four times the longest round, in
+/// which every node that goes on working speaks.
+const KNOWN: Duration = Duration::from_secs(8);
+
+/// How much an answer of another node can be counted on.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Trust {
+    /// It is not to be asked now.
+    None,
+    /// It is silent, or did not answer lately.
+    Low,
+    /// Nothing speaks against it.
+    Usual,
+}
+
+/// How well a node is placed to be asked; what comes first weighs most.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Place {
+    trust: Trust,
+    /// Whether it is in the own data centre.
+    near: bool,
+    link_mbps: u32,
+}
+
 /// What is known of another node.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
@@ -224,29 +248,44 @@
     }
 
     /// Draws one of the nodes that hold more than `held` by `measure`, the best placed first: those
-    /// of the own data centre, and those with the fastest links.
+    /// that can be counted on, those of the own data centre, and those with the fastest links.
     ///
     /// A random one, since after a herd restart everybody asks at the same moment.
     pub(super) fn ahead(
         &self,
         held: u64,
         measure: impl Fn(&Digest) -> u64,
-        skip: impl Fn(SocketAddr) -> bool,
+        trust: impl Fn(SocketAddr) -> Trust,
+        now: Time,
         random: &mut SmallRng,
     ) -> Option<SocketAddr> {
-        let place = |digest: &Digest| (digest.data_centre == self.data_centre, digest.link_mbps);
+        let trust = |address| match self.reach(address, now) {
+            Reach::Silent => trust(address).min(Trust::Low),
+            Reach::Heard | Reach::Leaving => trust(address),
+        };
+        let place = |address, digest: &Digest| Place {
+            trust: trust(address),
+            near: digest.data_centre == self.data_centre,
+            link_mbps: digest.link_mbps,
+        };
         let ahead = self.peers.iter().filter_map(|(address, peer)| {
-            let digest = peer.digest.as_ref()?;
-            let fits = measure(digest) > held && !skip(*address);
-            fits.then_some((place(digest), *address))
+            let digest = peer.digest.as_ref().filter(|digest| measure(digest) > held)?;
+            Some((place(*address, digest), *address))
         });
-        let ahead: Vec<((bool, u32), SocketAddr)> = ahead.collect();
+        let ahead: Vec<(Place, SocketAddr)> =
+            ahead.filter(|(place, _)| place.trust > Trust::None).collect();
         let best = ahead.iter().map(|(place, _)| *place).max()?;
         let best: Vec<SocketAddr> =
             ahead.iter().filter(|(place, _)| *place == best).map(|(_, peer)| *peer).collect();
         best.choose(random).copied()
     }
 
+    /// Returns the highest revision of the configuration that a node told of lately; 0 for none.
+    pub(super) fn known_config(&self, now: Time) -> u64 {
+        let lately = self.peers.values().filter(|peer| now.since(peer.heard) < KNOWN);
+        lately.filter_map(|peer| Some(peer.digest.as_ref()?.config)).max().unwrap_or(0)
+    }
+
     /// Tells whether `peer` holds more than `held` by `measure`.
     pub(super) fn is_ahead(
         &self,
--- a/crates/fleet/src/listed/pull.rs
+++ b/crates/fleet/src/listed/pull.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     control::Asked,
-    listed::peers::Peers,
+    fence::Fence,
+    listed::peers::{Peers, Trust},
     message::{Digest, Fetch, Request},
 };
 
@@ -18,11 +19,18 @@
 /// For how long a node that did not answer is not asked again.
 const AVOIDED: Duration = Duration::from_secs(1);
 
+/// For how long any other node is asked before one that did not answer.
+///
+/// Two fast nodes that fell silent together are each given a second and avoided for a second; with no
+/// more than that one of them would always be due, and nodes elsewhere never asked.
+const DOUBTED: Duration = Duration::from_secs(5);
+
 /// The pull of one thing.
 #[derive(Debug, Default)]
 pub(super) struct Line {
     asked: Option<SocketAddr>,
-    avoided: Vec<(SocketAddr, Time)>,
+    /// Nodes that did not answer, and when.
+    failed: Vec<(SocketAddr, Time)>,
     /// The node that holds more of what the last pull brought.
     unfinished: Option<SocketAddr>,
     /// Pulls in a row that brought no answer.
@@ -39,10 +47,14 @@
 }
 
 impl Line {
-    /// Notes an answer.
-    pub(super) fn end(&mut self) {
+    /// Notes an answer of `peer`; returns whether it is one to the pull under way.
+    pub(super) fn end(&mut self, peer: SocketAddr) -> bool {
+        if self.asked != Some(peer) {
+            return false;
+        }
         self.asked = None;
         self.failures = 0;
+        true
     }
 
     /// Has the next pull ask `peer`, which has not told everything yet.
@@ -52,11 +64,22 @@
 
     /// Asks `peer` nothing more for a while.
     pub(super) fn avoid(&mut self, peer: SocketAddr, now: Time) {
-        self.avoided.push((peer, now + AVOIDED));
+        self.failed.push((peer, now));
+    }
+
+    fn trust(&self, peer: SocketAddr, now: Time) -> Trust {
+        let failures = self.failed.iter().filter(|(address, _)| *address == peer);
+        match failures.map(|(_, at)| now.since(*at)).min() {
+            Some(age) if age < AVOIDED => Trust::None,
+            Some(_) => Trust::Low,
+            None => Trust::Usual,
+        }
     }
 
     fn fail(&mut self, peer: SocketAddr, now: Time) -> u32 {
-        self.asked = None;
+        if self.asked == Some(peer) {
+            self.asked = None;
+        }
         self.failures += 1;
         self.avoid(peer, now);
         self.failures
@@ -70,14 +93,14 @@
         random: &mut SmallRng,
         measure: impl Fn(&Digest) -> u64,
     ) -> Option<SocketAddr> {
-        self.avoided.retain(|(_, until)| *until > now);
+        self.failed.retain(|(_, at)| now.since(*at) < DOUBTED);
         if self.asked.is_some() {
             return None;
         }
         let unfinished = self.unfinished.take();
-        let avoided = |peer| self.avoided.iter().any(|(address, _)| *address == peer);
-        self.asked = unfinished.filter(|peer| peers.is_ahead(*peer, held, &measure));
-        self.asked = self.asked.or_else(|| peers.ahead(held, measure, avoided, random));
+        let trust = |peer| self.trust(peer, now);
+        let next = unfinished.filter(|peer| peers.is_ahead(*peer, held, &measure));
+        self.asked = next.or_else(|| peers.ahead(held, measure, trust, now, random));
         self.asked
     }
 }
@@ -86,11 +109,16 @@
     pub(super) fn next_config(
         &mut self,
         peers: &Peers,
-        held: u64,
+        fence: &Fence,
         now: Time,
         random: &mut SmallRng,
     ) -> Option<SocketAddr> {
-        self.config.begin(peers, held, now, random, |digest| digest.config)
+        // What was refused here must not keep out what lies between it and the version in force.
+        let measure = |digest: &Digest| match digest.config {
+            refused if fence.has_refused(refused) => 0,
+            config => config,
+        };
+        self.config.begin(peers, fence.version().revision, now, random, measure)
     }
 
     pub(super) fn next_list(
@@ -114,9 +142,4 @@
             Asked::Beat | Asked::Sync => 0,
         }
     }
-
-    pub(super) fn clear(&mut self) {
-        self.config.end();
-        self.list.end();
-    }
 }
--- a/crates/fleet/tests/catchup.rs
+++ b/crates/fleet/tests/catchup.rs
@@ -41,6 +41,7 @@
         match draft.take(own, other.answer(&draft.pull_content(own))) {
             Progress::Whole(set) => return (set.version(), answers),
             Progress::Part => {}
+            Progress::Stale => panic!("stale after {answers} answers"),
             Progress::Unusable => panic!("unusable after {answers} answers"),
         }
     }
@@ -100,7 +101,8 @@
     let own = holder(set(1, 100, "1"));
     let mut draft = Draft::default();
     let delta = Delta { revision: 2, ..Delta::default() };
-    let empty = || Bundle { version: Version::default(), delta: delta.clone(), more: true };
+    let version = Version { revision: 2, ..Version::default() };
+    let empty = || Bundle { version, delta: delta.clone(), more: true };
     assert!(matches!(draft.take(&own, empty()), Progress::Part));
     assert!(matches!(draft.take(&own, empty()), Progress::Unusable));
 }
@@ -141,3 +143,36 @@
     let much = holder(much).answer(&draft.pull_changes(&own));
     assert_eq!((much.delta.documents.len(), much.more), (0, true));
 }
+
+/// A node that was ahead has restarted and answers with less than the asker holds, or with nothing. What
+/// has come from others counts.
+#[test]
+fn an_answer_that_is_behind_keeps_what_has_come() {
+    for behind in [Set::default(), set(1, 50, "1")] {
+        let own = holder(set(2, 100, "1"));
+        let other = holder(set(3, 3_000, "1"));
+        let mut draft = Draft::default();
+        for _ in 0..3 {
+            draft.take(&own, other.answer(&draft.pull_content(&own)));
+        }
+        let before = draft.pull_content(&own);
+        let stale = draft.take(&own, holder(behind).answer(&before));
+        assert!(matches!(stale, Progress::Stale));
+        assert_eq!(draft.pull_content(&own).buckets, before.buckets);
+    }
+}
+
+/// One answer that is lost says nothing about the link; two in a row do.
+#[test]
+fn less_is_asked_for_after_two_losses_in_a_row() {
+    let fence = Fence::default();
+    let mut draft = Draft::default();
+    let size = |draft: &Draft| draft.pull(&fence).limit.expect("pieces are bounded");
+    let usual = size(&draft);
+    draft.lose();
+    assert_eq!(size(&draft), usual);
+    draft.lose();
+    assert_eq!(size(&draft), usual / 2);
+    (0..20).for_each(|_| draft.lose());
+    assert!(size(&draft) >= 1 << 10);
+}
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -54,6 +54,8 @@
     Gone,
     Nonsense,
     Config(u64),
+    /// A configuration that no node accepts.
+    Bad(u64),
 }
 
 pub(crate) struct Node {
@@ -72,17 +74,25 @@
     zones: Vec<&'static str>,
     /// Speeds of the nodes' links, in Mbit/s.
     pub(crate) links: Vec<u32>,
+    /// When each link has carried all that is on its way; answers follow one after the other.
+    busy: Vec<u64>,
     queue: VecDeque<(u64, u64, Due)>,
     order: u64,
     revision: u64,
     store: BTreeMap<String, (u64, Value)>,
     /// Routes that the configuration holds.
     pub(crate) routes: usize,
+    /// How many of them each version changes.
+    pub(crate) touched: usize,
     /// Writes in order, as far as the store remembers them.
     history: Vec<(u64, String)>,
     treatment: Vec<Treatment>,
     cut: BTreeSet<(usize, usize)>,
     pub(crate) reads: u64,
+    /// Every how many questions for the configuration one is lost; 0 for none.
+    pub(crate) lossy: u64,
+    /// Questions for the configuration that a node sent.
+    pub(crate) pulls: Vec<u64>,
     /// Revisions that a node put into force after a higher one.
     pub(crate) regressions: Vec<(usize, u64, u64)>,
 }
@@ -111,15 +121,19 @@
             nodes: zones.iter().map(|_| node()).collect(),
             zones: zones.to_vec(),
             links: vec![1_000; zones.len()],
+            busy: vec![0; zones.len()],
             queue: VecDeque::new(),
             order: 0,
             revision: 1,
             store: BTreeMap::new(),
             routes: 0,
+            touched: 0,
             history: Vec::new(),
             treatment: vec![Treatment::Serve; zones.len()],
             cut: BTreeSet::new(),
             reads: 0,
+            lossy: 0,
+            pulls: vec![0; zones.len()],
             regressions: Vec::new(),
         };
         net.publish();
@@ -188,6 +202,12 @@
         self.write("config", Value::Config(next))
     }
 
+    /// Publishes a configuration that no node accepts; returns its revision.
+    pub(crate) fn publish_bad(&mut self) -> u64 {
+        let next = self.revision + 1;
+        self.write("config", Value::Bad(next))
+    }
+
     pub(crate) fn register(&mut self, node: usize, id: &str, standing: Standing) -> u64 {
         let entry = self.entry(node, id, standing);
         self.write(&format!("servers/{id}"), Value::Entry(entry))
@@ -240,6 +260,18 @@
         self.revision
     }
 
+    /// Returns the documents of the next version.
+    pub(crate) fn newest(&self) -> Delta {
+        documents(self.revision + 1, self.revision + 1, self.routes, self.touched)
+    }
+
+    /// Returns the size of the whole list as a message, in bytes.
+    pub(crate) fn whole_list(&self, node: usize) -> usize {
+        let control = self.nodes[node].control.as_ref().expect("it runs");
+        let update = control.directory().since(None, self.moment().time);
+        serde_json::to_vec(&update).expect("messages have a JSON form").len()
+    }
+
     pub(crate) fn node(&self, node: usize) -> &Node {
         &self.nodes[node]
     }
@@ -304,8 +336,18 @@
             }
             Due::Ask { from, life, to, request, until } => {
                 let asked = asked(&request);
-                let Some(response) = self.ask(to, request) else { return };
-                let arrival = self.now + DELAY + self.crossing(from, to, &response);
+                let Some(response) = self.ask(to, request) else {
+                    let lost = Event::Lost(address(to), Lost { asked, malformed: None });
+                    return self.put(DELAY, Due::Event(from, life, lost));
+                };
+                let free = self.now.max(self.busy[from]).max(self.busy[to]);
+                let own = |net: &Net, node: usize| net.crossing(node, node, &response);
+                let arrival = free.max(self.now) + DELAY + self.crossing(from, to, &response);
+                // The faster of two links carries other answers beside this one.
+                let (sent, received) = (own(self, to), own(self, from));
+                self.busy[to] = (self.now.max(self.busy[to]) + sent).min(until.max(self.busy[to]));
+                self.busy[from] =
+                    (self.now.max(self.busy[from]) + received).min(until.max(self.busy[from]));
                 let event = if arrival <= until {
                     Event::Answered(address(to), response)
                 } else {
@@ -392,9 +434,12 @@
         timeout: Duration,
     ) {
         let asked = asked(&request);
+        self.pulls[node] += u64::from(asked == Asked::Pull);
         let until = self.now + timeout.as_millis() as u64;
+        let is_lost = self.lossy > 0 && self.pulls[node].is_multiple_of(self.lossy);
         let reachable = self
             .index(peer)
+            .filter(|_| !(is_lost && asked == Asked::Pull))
             .filter(|&to| !self.cut.contains(&(node, to)) && self.nodes[to].control.is_some());
         match reachable {
             Some(to) => self.put(DELAY, Due::Ask { from: node, life, to, request, until }),
@@ -471,8 +516,13 @@
                     reason: Reason::Unusable,
                     ..Removal::default()
                 }),
+                Value::Bad(number) => {
+                    let mut delta = documents(*revision, *number, self.routes, self.touched);
+                    delta.documents[0].text = "{\"deadline_ms\": -1}".into();
+                    config = Some(delta);
+                }
                 Value::Config(number) => {
-                    config = Some(documents(*revision, *number, self.routes));
+                    config = Some(documents(*revision, *number, self.routes, self.touched));
                 }
             }
         }
@@ -487,7 +537,7 @@
     }
 }
 
-fn documents(revision: u64, number: u64, routes: usize) -> Delta {
+fn documents(revision: u64, number: u64, routes: usize, touched: usize) -> Delta {
     let document = |key: &str, text: String| Document {
         key: key.to_owned(),
         modified: revision,
@@ -498,9 +548,10 @@
         document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
     ];
     documents.extend((0..routes).map(|route| {
+        let time = if route < touched { 3_000 + number } else { 3_000 };
         let text = format!(
             "{{\"host\": \"shop.example\", \"prefix\": \"/p{route}/\", \"kind\": \"idempotent\", \
-             \"attempts\": 2, \"timeout_ms\": 3000, \"objective_ms\": 1000, \"priority\": 2, \
+             \"attempts\": 2, \"timeout_ms\": {time}, \"objective_ms\": 1000, \"priority\": 2, \
              \"targets\": [{{\"service\": \"shelfview\"}}]}}"
         );
         document(&format!("routes/r-{route}"), text)
--- a/crates/peer/src/packed.rs
+++ b/crates/peer/src/packed.rs
@@ -103,8 +103,8 @@
     last: Mutex<VecDeque<(Content, Message)>>,
 }
 
-/// Most bundles that are kept, some 30 KB each: the pieces of one large change.
-const KEPT: usize = 16;
+/// Most bundles that are kept, some 30 KB each: the pieces of the largest configuration.
+const KEPT: usize = 32;
 
 /// What a bundle holds, as far as that follows from its version.
 #[derive(Debug, PartialEq)]
--- /dev/null
+++ b/crates/peer/tests/pulls.rs
@@ -0,0 +1,57 @@
+//! Pulls between two nodes on sockets.
+
+use fleet::{
+    clock::Stamp,
+    message::{Bundle, Pull, Request, Response},
+    status, timeline,
+};
+use model::{
+    config::Version,
+    document::{Delta, Document},
+};
+use peer::{Handler, Reply};
+use std::{sync::Arc, time::Duration};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Answers each pull with the buckets that the asker's first digest names.
+struct Node;
+
+fn bundle(bucket: usize) -> Bundle {
+    let document = Document { key: format!("profiles/p{bucket}"), modified: 7, text: "{}".into() };
+    let delta =
+        Delta { revision: 7, documents: vec![document], buckets: vec![bucket], ..Delta::default() };
+    Bundle { version: Version { revision: 7, ..Version::default() }, delta, more: true }
+}
+
+impl Handler for Node {
+    fn ask(&self, request: Request) -> Reply<Response> {
+        let Request::Pull(pull) = request else { return Box::pin(async { None }) };
+        let answer = bundle(pull.buckets[0] as usize);
+        Box::pin(async move { Some(Response::Pull(answer)) })
+    }
+
+    fn status(&self) -> Reply<status::Node> {
+        Box::pin(async { None })
+    }
+
+    fn events(&self, _: Stamp) -> Reply<Vec<timeline::Event>> {
+        Box::pin(async { None })
+    }
+}
+
+/// A node gets a piece that it has and never the one it lacks: pieces are kept packed for the next who
+/// asks, and that one lacks others of the same version.
+#[test]
+fn each_asker_gets_the_buckets_that_it_lacks() {
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime starts");
+    runtime.block_on(async {
+        let nowhere = "127.0.0.1:0".parse().expect("an address");
+        let (address, _server) = peer::serve(nowhere, Arc::new(Node)).await.expect("it listens");
+        for bucket in [3, 5, 3, 7, 5] {
+            let pull = Pull { have: Some(1), buckets: vec![bucket], limit: Some(1) };
+            let answer = peer::ask(address, &Request::Pull(pull), TIMEOUT).await;
+            assert_eq!(answer.expect("an answer"), Response::Pull(bundle(bucket as usize)));
+        }
+    });
+}
