A planned stop is logged as begun and as ended; a test that it ends by itself

Cause: a stop left no line of its own, so that a process which was gone, killed or cut off with its machine in the middle of a stop all looked the same, and it could not be read from the logs whether a stop hangs.

The change: `Node::stop` moves into a module of its own, unchanged but for two log lines (`begun`, `ended`, with the time and the calls in hand). The new test stops a node whose call is never answered, whose platform hangs and whose caller keeps its connection, with two signals.

--- a/crates/baobabrelayd/tests/process.rs
+++ b/crates/baobabrelayd/tests/process.rs
@@ -7,9 +7,11 @@
 use standins::{
     caller::{Answer, Call, Caller},
     mesh::{Mesh, Settings, places},
+    platform,
     upstream::{self, Mode},
 };
 use std::{
+    fs,
     io::{Read, Write},
     net::TcpStream,
     path::PathBuf,
@@ -160,6 +162,39 @@
     }
 }
 
+/// A rolling update stands still: an upstream never answers a payment, the platform hangs, a
+/// terminal keeps its connection open, and the operator asks twice. The stop waits for the payment as
+/// long as the profile grants. Then the process ends by itself; without that bound it would stay
+/// until the payment's own time is up, and the payment would be answered "unknown".
+#[test]
+fn a_planned_stop_ends_although_nothing_it_waits_for_does() {
+    let mut mesh = mesh(1, Duration::ZERO);
+    let profile = r#"{"deadline_ms": 20000, "drain_ms": 1000}"#;
+    let revision = mesh.platform.publish(&[("profiles/p", Some(profile))]);
+    mesh.wait_in_force(revision, PATIENCE).expect("the bound comes into force");
+    let entry = mesh.spots[0].traffic;
+    let mut idle = Caller::new(entry);
+    let kept = mesh.runtime().block_on(idle.call(&Call::get("/paydesk/till")));
+    assert_eq!(kept.expect("the entry node answers").outcome(), "answered");
+    mesh.spots[1].upstream.set_mode(Mode::Silent);
+    mesh.platform.set_mode(platform::Mode::Slow(PATIENCE));
+    let told = mesh
+        .runtime()
+        .spawn(async move { Caller::new(entry).call(&Call::post("/paydesk/pay", "w")).await });
+    mesh.wait(PATIENCE, |mesh| runs(mesh, "w") == 1).expect("the payment is begun");
+    mesh.signal_node(0, Signal::TERM).expect("the process can be stopped");
+    assert_eq!(mesh.stop_node(0).expect("the process can be stopped"), Some(0));
+    let told = mesh.runtime().block_on(told).expect("the task ends");
+    assert!(told.is_err(), "the stop outlived its bound: {told:?}");
+    let log = fs::read_to_string(mesh.folder().join(format!("{}.log", mesh.spots[0].instance)));
+    let log = log.expect("the node has a log");
+    let steps: Vec<&str> = log.lines().filter(|line| line.contains(r#""event":"stop""#)).collect();
+    assert_eq!(steps.len(), 2, "{steps:?}");
+    assert!(steps[0].contains(r#""step":"begun""#), "{steps:?}");
+    assert!(steps[1].contains(r#""step":"ended""#), "{steps:?}");
+    assert!(steps[1].contains(r#""in_hand":1"#), "the call that was cut is not told: {steps:?}");
+}
+
 /// Every node of the mesh is restarted at once, with the platform serving an old revision to make
 /// things worse. Whoever was restarted first must not start the others on the old one.
 #[test]
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod process;
 pub mod reload;
 pub mod settings;
+mod stop;
 
 use fleet::{
     clock::Now,
@@ -32,7 +33,7 @@
     net::SocketAddr,
     sync::Arc,
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use telemetry::metric;
 use tokio::runtime::{Builder, Runtime};
@@ -46,21 +47,6 @@
 /// Version of the product.
 pub const VERSION: &str = env!("CARGO_PKG_VERSION");
 
-/// Shortest time between the announcement that a node leaves and its end.
-///
-/// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
-/// run"; after the end, an offer already written could only be answered "unknown".
-const LEAVE_LEAST: Duration = Duration::from_secs(1);
-
-/// A leaving node ends only after no offer has come for this long.
-const QUIET: Duration = Duration::from_millis(300);
-
-/// Time for the last messages to others.
-const FLUSH: Duration = Duration::from_millis(200);
-
-/// Interval at which the progress of a planned stop is looked at.
-const POLL: Duration = Duration::from_millis(10);
-
 /// Time between two beats of the pulse thread.
 const PULSE: Duration = Duration::from_millis(50);
 
@@ -182,39 +168,6 @@
     pub fn refuse_reload(&self, faults: &[String]) {
         self.link.send(Event::Note(Kind::ReloadRefused { faults: faults.to_vec() }));
     }
-
-    /// Takes no more work, finishes what is in hand, tells other nodes and returns.
-    ///
-    /// Calls still in hand after the profile's `drain_ms` are cut; without that bound, one caller
-    /// that never reads its answer could keep an instance alive for ever.
-    pub fn stop(self) {
-        self.hub.set_open(false);
-        // Callers find out by asking, so they still come for a while; until they have left, this
-        // node and its upstream are of use to everybody.
-        thread::sleep(self.settings.stop.linger);
-        let begun = Instant::now();
-        self.hub.leave();
-        self.link.send(Event::Leave);
-        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
-        let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
-        let close = limit.saturating_sub(self.settings.stop.finish);
-        let mut busy = Instant::now();
-        while begun.elapsed() < limit {
-            if begun.elapsed() >= close {
-                self.hub.close();
-            }
-            if self.hub.in_hand() > 0 {
-                busy = Instant::now();
-            }
-            if begun.elapsed() >= LEAVE_LEAST && busy.elapsed() >= QUIET {
-                break;
-            }
-            thread::sleep(POLL);
-        }
-        self.link.send(Event::Stop);
-        thread::sleep(FLUSH);
-        telemetry::log::flush();
-    }
 }
 
 /// Opens every address at which calls are taken.
--- /dev/null
+++ b/crates/node/src/stop.rs
@@ -0,0 +1,78 @@
+//! The planned stop of a node.
+//!
+//! Its steps: callers are told that they should leave (`linger`), no offer is taken any more, then no
+//! call either (`finish`), then the process ends, whatever is still in hand (`limit`).
+
+use fleet::control::Event;
+use serde_json::json;
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::Node;
+
+/// Shortest time between the announcement that a node leaves and its end.
+///
+/// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
+/// run"; after the end, an offer already written could only be answered "unknown".
+const LEAVE_LEAST: Duration = Duration::from_secs(1);
+
+/// A leaving node ends only after no offer has come for this long.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Time for the last messages to others.
+const FLUSH: Duration = Duration::from_millis(200);
+
+/// Interval at which the progress of a planned stop is looked at.
+const POLL: Duration = Duration::from_millis(10);
+
+impl Node {
+    /// Takes no more work, finishes what is in hand, tells other nodes and returns.
+    ///
+    /// Calls still in hand after the profile's `drain_ms` are cut; without that bound, one caller
+    /// that never reads its answer could keep an instance alive for ever.
+    pub fn stop(self) {
+        let signalled = Instant::now();
+        self.tell("begun", signalled);
+        self.hub.set_open(false);
+        // Callers find out by asking, so they still come for a while; until they have left, this
+        // node and its upstream are of use to everybody.
+        thread::sleep(self.settings.stop.linger);
+        let begun = Instant::now();
+        self.hub.leave();
+        self.link.send(Event::Leave);
+        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
+        let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
+        let close = limit.saturating_sub(self.settings.stop.finish);
+        let mut busy = Instant::now();
+        while begun.elapsed() < limit {
+            if begun.elapsed() >= close {
+                self.hub.close();
+            }
+            if self.hub.in_hand() > 0 {
+                busy = Instant::now();
+            }
+            if begun.elapsed() >= LEAVE_LEAST && busy.elapsed() >= QUIET {
+                break;
+            }
+            thread::sleep(POLL);
+        }
+        self.tell("ended", signalled);
+        self.link.send(Event::Stop);
+        thread::sleep(FLUSH);
+        telemetry::log::flush();
+    }
+
+    /// Logs a step of a planned stop. A stop that begins and does not end was cut short: by its
+    /// machine, by a kill, or by a thread that waits for ever.
+    fn tell(&self, step: &str, signalled: Instant) {
+        telemetry::log::line(&json!({
+            "node": self.settings.instance,
+            "event": "stop",
+            "step": step,
+            "ms": signalled.elapsed().as_millis() as u64,
+            "in_hand": self.hub.in_hand(),
+        }));
+    }
+}
