Soak: leaving upstreams, planned stops to their end, upstreams that start again

Cause: the soak did not check two promises. An upstream that leaves was replaced within 2.5 s, mostly before the two seconds were over; a planned stop takes up to 4 s and was always ended by a kill before that, so that no stop ever came to its own end. Upstreams never started again under their own names.

Change: each instance and the platform have a history of what was out of order and when, and the checks judge calls and works by it once the run has ended. - Nothing new to an upstream from 2 s after the platform acknowledged that it leaves on. Allowed only while the platform is out or the node beside the upstream was paused, within the last 3 s: that node refuses whatever others offer, and its way to other nodes is never cut here. - A planned stop cuts nothing: a call that was sent 0.1 s before the stop, or that ran at an upstream, or whose answer had begun, gets a whole answer; an offer that ran at a serving node which stops is told to its entry node. Excused by a kill or pause of the node, its upstream's trouble, a bad network to it, or the deadline. A stop ends within 5 s; a node ends only if asked to. - A node that was stopped or killed once is held to answering every call outside those times; before, it was left out for the rest of the run. So nothing is excused that was not. - An upstream's process ends without a word and starts again with the same identity and a later start time. Entries therefore tell start times from the beginning. - The proxies run on the soak's runtime instead of two threads a connection: hundreds of nodes have thousands of connections.

--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -19,6 +19,8 @@
     pub method: Method,
     /// Path, which names the service.
     pub path: String,
+    /// Host that is called; the node's address if none is given.
+    pub host: Option<String>,
     /// Time for the call, in ms.
     pub deadline_ms: Option<u64>,
     /// Name of the work in the upstream's ledger.
@@ -33,6 +35,7 @@
         Call {
             method: Method::GET,
             path: path.to_owned(),
+            host: None,
             deadline_ms: None,
             work: None,
             body: Bytes::new(),
@@ -82,6 +85,10 @@
     }
 
     /// Makes a call. After an error, the next call uses a new connection.
+    ///
+    /// The kind of an error tells how far the call came: `Other` where the connection ended before
+    /// an answer began, `UnexpectedEof` where it ended within one, anything else where no connection
+    /// could be opened.
     pub async fn call(&mut self, call: &Call) -> io::Result<Answer> {
         let mut sender = match self.sender.take() {
             Some(sender) if !sender.is_closed() => sender,
@@ -125,7 +132,7 @@
     let mut request = Request::builder()
         .method(call.method.clone())
         .uri(&call.path)
-        .header("host", address.to_string());
+        .header("host", call.host.clone().unwrap_or_else(|| address.to_string()));
     if let Some(ms) = call.deadline_ms {
         request = request.header("baobab-deadline-ms", ms);
     }
@@ -135,6 +142,7 @@
     let request = request.body(Full::new(call.body.clone())).map_err(io::Error::other)?;
     let response = sender.send_request(request).await.map_err(io::Error::other)?;
     let (parts, body) = response.into_parts();
-    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let cut = |error| io::Error::new(io::ErrorKind::UnexpectedEof, error);
+    let body = body.collect().await.map_err(cut)?.to_bytes();
     Ok(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
 }
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -7,7 +7,7 @@
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -95,6 +95,8 @@
 pub struct Ledger {
     /// How often each named piece of work was begun.
     pub begun: HashMap<String, u32>,
+    /// When each named piece of work was begun, oldest first.
+    pub starts: Vec<(Instant, String)>,
     /// Requests begun.
     pub runs: u64,
     /// Requests that were finished.
@@ -272,6 +274,7 @@
         state.ledger.runs += 1;
         if let Some(work) = &request.work {
             *state.ledger.begun.entry(work.clone()).or_default() += 1;
+            state.ledger.starts.push((Instant::now(), work.clone()));
         }
         drop(state);
         Some(Busy { upstream })
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -3,13 +3,20 @@
 //!
 //! Faults come in series and overlap: processes are killed, paused, stopped and restarted,
 //! connections between nodes and to the platform are delayed, reset, cut one way or silenced by
-//! loopback proxies, the platform fails, upstreams lose and spoil answers, leave and are replaced.
+//! loopback proxies, the platform fails, upstreams lose and spoil answers, leave, are replaced and
+//! start again under their own names.
 
+mod book;
 mod check;
+mod content;
+mod cut;
 mod fault;
+mod history;
+mod leaving;
 mod load;
 mod proxy;
 mod site;
+mod spot;
 
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -23,7 +30,7 @@
 };
 
 use crate::{
-    soak::{check::Book, fault::Faults, site::Site},
+    soak::{book::Book, fault::Faults, site::Site},
     tools::{self, Failure},
 };
 
@@ -33,6 +40,9 @@
 /// Data centres of the mesh; instances are spread evenly.
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 
+/// Nodes for each of which a fault begins at a time.
+const NODES_PER_FAULT: usize = 30;
+
 /// Time for everything to be as it should once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
@@ -82,7 +92,7 @@
 /// Plays one seed and returns every broken promise.
 fn play(plan: Plan, daemon: &std::path::Path) -> Result<Vec<String>, Failure> {
     let mut random = SmallRng::seed_from_u64(plan.seed);
-    let mut site = Site::start(daemon, plan.nodes, &DATA_CENTRES)?;
+    let mut site = Site::start(daemon, plan.seed, plan.nodes, &DATA_CENTRES)?;
     let ready = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_ready(n)));
     tools::require(ready, "the nodes did not become ready")?;
     let book = Arc::new(Book::default());
@@ -91,25 +101,25 @@
     let mut faults = Faults::default();
     let end = Instant::now() + plan.time;
     while Instant::now() < end {
-        faults.begin_one(&mut site, &mut random)?;
+        for _ in 0..plan.nodes.div_ceil(NODES_PER_FAULT) {
+            faults.begin_one(&mut site, &mut random)?;
+        }
         thread::sleep(Duration::from_millis(random.random_range(50..700)));
         faults.end_due(&mut site)?;
-        check::versions(&site, &book);
+        check::nodes(&mut site, &book, &mut random)?;
     }
     faults.end_all(&mut site)?;
-    let recovered = site.wait(RECOVERY, |site| {
-        (0..plan.nodes).all(|n| site.is_ready(n) && site.revision(n) == Some(site.published()))
-    });
+    let recovered = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_recovered(n)));
     going.store(false, Ordering::SeqCst);
     load::finish(callers);
     let mut findings = check::promises(&site, &book);
-    if recovered.is_none() {
-        findings
-            .push(format!("not all nodes were ready with the newest version: {}", site.states()));
+    match recovered {
+        Some(time) => println!("seed {}: in order after {} ms", plan.seed, time.as_millis()),
+        None => findings.push(format!("not all nodes are ready and current: {}", site.states())),
     }
     println!("seed {}: {}, {}", plan.seed, book.summary(), faults.summary());
     if !findings.is_empty() {
-        println!("logs are kept in {}", site.keep_logs()?.display());
+        println!("logs are kept in {}", site.keep_logs().display());
     }
     Ok(findings)
 }
--- a/xtask/src/soak/check.rs
+++ b/xtask/src/soak/check.rs
@@ -1,104 +1,82 @@
-//! The promises, as callers and upstreams see them.
+//! The promises, as callers, upstreams and operators see them.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::{Mutex, MutexGuard, PoisonError},
-};
-
-use crate::soak::site::{Site, Spot};
+use rand::{RngExt, rngs::SmallRng};
+use std::{collections::HashMap, io, time::Instant};
 
-/// Whether a call may run more than once.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum Kind {
-    Read,
-    Post,
-}
-
-/// How a call ended for its caller.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub(crate) enum End {
-    Answered,
-    /// An upstream's own failure.
-    Failed,
-    NotRun,
-    Unknown,
-    /// The connection broke or could not be opened.
-    Broken,
-    /// The answer is not whole, or another call's.
-    Mixed,
-}
+use crate::soak::{
+    book::{Book, End, Ended, Kind},
+    cut,
+    history::Trouble,
+    leaving,
+    site::Site,
+};
 
-/// A call that has ended.
-#[derive(Clone, Debug)]
-pub(crate) struct Ended {
-    /// Number of the instance that it was made to.
-    pub(crate) node: usize,
-    pub(crate) work: String,
-    pub(crate) kind: Kind,
-    pub(crate) end: End,
-}
+/// Most nodes that are asked for their state in one look, so that a look at many takes no longer.
+const LOOKS: usize = 20;
 
-/// What callers have seen.
-#[derive(Debug, Default)]
-pub(crate) struct Book {
-    ends: Mutex<Vec<Ended>>,
-    versions: Mutex<HashMap<(usize, u64), u64>>,
-    regressions: Mutex<Vec<String>>,
-}
+/// What may keep a node from an answer.
+const HINDRANCES: [Trouble; 7] = [
+    Trouble::Killed,
+    Trouble::Paused,
+    Trouble::Stopping,
+    Trouble::Stopped,
+    Trouble::Crashed,
+    Trouble::Nodes,
+    Trouble::Platform,
+];
 
-impl Book {
-    pub(crate) fn note(&self, call: Ended) {
-        lock(&self.ends).push(call);
+/// Looks at nodes that nothing hinders: in one life the version may only rise.
+pub(crate) fn nodes(site: &mut Site, book: &Book, random: &mut SmallRng) -> io::Result<()> {
+    for spot in &mut site.spots {
+        spot.look()?;
     }
-
-    pub(crate) fn summary(&self) -> String {
-        let mut counts: BTreeMap<End, usize> = BTreeMap::new();
-        for call in lock(&self.ends).iter() {
-            *counts.entry(call.end).or_default() += 1;
-        }
-        let counts: Vec<String> =
-            counts.iter().map(|(end, count)| format!("{end:?} {count}")).collect();
-        counts.join(", ")
+    let count = site.spots.len();
+    let first = random.random_range(0..count);
+    for number in (first..first + count.min(LOOKS)).map(|number| number % count) {
+        look(site, number, book);
     }
+    Ok(())
 }
 
-/// Looks at the version of every node; in one life it may only rise.
-pub(crate) fn versions(site: &Site, book: &Book) {
-    // One that a fault touches may be paused and would keep the question waiting.
-    let calm = (0..site.spots.len()).filter(|&number| site.spots[number].is_calm());
-    for number in calm {
-        let Some(status) = site.status(number) else { continue };
-        let revision = status.version.revision;
-        let mut versions = lock(&book.versions);
-        let known = versions.entry((number, status.incarnation)).or_default();
-        if revision < *known {
-            let text = format!("node {number} went back from {known} to {revision}");
-            lock(&book.regressions).push(text);
-        }
-        *known = revision.max(*known);
+fn look(site: &Site, number: usize, book: &Book) {
+    let (spot, asked) = (&site.spots[number], Instant::now());
+    if spot.history.had(&HINDRANCES, asked, asked) {
+        // One that is paused would keep the question waiting.
+        return;
+    }
+    let Some(status) = spot.status() else { return };
+    let revision = status.version.revision;
+    let former = book.see(number, status.incarnation, revision);
+    if revision < former {
+        book.find(format!("node {number} went back from {former} to {revision}"));
     }
 }
 
 /// Returns every broken promise.
 pub(crate) fn promises(site: &Site, book: &Book) -> Vec<String> {
-    let mut begun: HashMap<String, u32> = HashMap::new();
-    for spot in &site.spots {
-        for (work, count) in spot.upstream.ledger().begun {
-            *begun.entry(work).or_default() += count;
-        }
-    }
-    let mut findings = lock(&book.regressions).clone();
-    for call in lock(&book.ends).iter() {
-        let Ended { node, work, kind, end } = call;
-        let ran = begun.get(work).copied().unwrap_or(0);
-        let promise = broken(*kind, *end, ran).or_else(|| cut(*end, &site.spots[*node]));
-        findings.extend(promise.map(|promise| {
-            format!("{work}: {promise}; {kind:?} ended as {end:?} and ran {ran} times")
-        }));
+    let begun: Vec<HashMap<String, u32>> = site.spots.iter().map(|spot| spot.begun()).collect();
+    let mut findings = book.findings();
+    for call in book.ends() {
+        let places: Vec<usize> =
+            (0..begun.len()).filter(|&number| begun[number].contains_key(&call.work)).collect();
+        let ran = places.iter().map(|&number| begun[number][&call.work]).sum();
+        let promise =
+            broken(call.kind, call.end, ran).or_else(|| cut::broken(&call, &places, site));
+        findings.extend(promise.map(|promise| report(&call, ran, &places, promise)));
     }
+    findings.extend(cut::late_stops(site));
+    findings.extend(leaving::findings(site));
     findings
 }
 
+fn report(call: &Ended, ran: u32, places: &[usize], promise: &str) -> String {
+    let Ended { node, work, kind, end, .. } = call;
+    let ms = (call.ended - call.begun).as_millis();
+    format!(
+        "{work}: {promise}; {kind:?} at node {node} ended as {end:?} after {ms} ms and ran {ran} times, at {places:?}"
+    )
+}
+
 fn broken(kind: Kind, end: End, ran: u32) -> Option<&'static str> {
     match (kind, end) {
         (Kind::Post, _) if ran > 1 => Some("a call that is not idempotent runs at most once"),
@@ -108,12 +86,3 @@
         _ => None,
     }
 }
-
-fn cut(end: End, spot: &Spot) -> Option<&'static str> {
-    let cut = end == End::Broken && spot.is_steady;
-    cut.then_some("a node that was never stopped answers every call")
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/xtask/src/soak/load.rs
+++ b/xtask/src/soak/load.rs
@@ -1,19 +1,21 @@
 //! Callers that keep their connections until the process at the other end is gone.
 
 use bytes::Bytes;
-use standins::caller::{Call, Caller};
+use standins::caller::{Answer, Call, Caller};
 use std::{
+    io,
     net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{task::JoinHandle, time::sleep};
 
 use crate::soak::{
-    check::{Book, End, Ended, Kind},
+    book::{Book, End, Ended, Kind},
+    content::{HOST, POSTS, READS},
     site::Site,
 };
 
@@ -23,6 +25,13 @@
 /// Pause of a caller between two calls.
 const PAUSE: Duration = Duration::from_millis(15);
 
+/// Most nodes with so many callers; of more, each has one, which pauses longer, so that the calls of
+/// all are as many as this machine carries besides its work on the nodes.
+const FEW: usize = 30;
+
+/// Pause of such a caller, for each node.
+const PAUSE_PER_NODE: Duration = Duration::from_micros(1_300);
+
 /// Time that a caller grants a call, in ms.
 const DEADLINE_MS: u64 = 1_200;
 
@@ -34,10 +43,14 @@
 ) -> (tokio::runtime::Handle, Vec<JoinHandle<()>>) {
     let handle = site.runtime.handle().clone();
     let mut tasks = Vec::new();
-    for (number, spot) in site.spots.iter().enumerate() {
-        for caller in 0..CALLERS {
-            let name = format!("{number}-{caller}");
-            tasks.push(handle.spawn(call(spot.callers, number, name, book.clone(), going.clone())));
+    let nodes = site.spots.len();
+    let (callers, pause) =
+        if nodes <= FEW { (CALLERS, PAUSE) } else { (1, PAUSE_PER_NODE * nodes as u32) };
+    for (node, spot) in site.spots.iter().enumerate() {
+        for caller in 0..callers {
+            let customer =
+                Customer { name: format!("{node}-{caller}"), node, address: spot.callers, pause };
+            tasks.push(handle.spawn(customer.call(book.clone(), going.clone())));
         }
     }
     (handle, tasks)
@@ -51,39 +64,66 @@
     }
 }
 
-async fn call(
-    address: SocketAddr,
-    node: usize,
+/// One caller.
+struct Customer {
     name: String,
-    book: Arc<Book>,
-    going: Arc<AtomicBool>,
-) {
-    let mut caller = Caller::new(address);
-    let mut number = 0;
-    while going.load(Ordering::SeqCst) {
-        number += 1;
-        let work = format!("{name}-{number}");
-        let kind = if number % 2 == 0 { Kind::Read } else { Kind::Post };
-        let path = if number % 3 == 0 { "/stock/a" } else { "/pay/a" };
-        let call = match kind {
-            Kind::Read => Call { work: Some(work.clone()), ..Call::get(path) },
-            Kind::Post => Call { body: Bytes::from(vec![b'x'; 300]), ..Call::post(path, &work) },
-        };
-        let call = Call { deadline_ms: Some(DEADLINE_MS), ..call };
-        let end = match caller.call(&call).await {
-            Err(_) => End::Broken,
-            Ok(answer) => match answer.outcome() {
-                "answered" if answer.status == 200 => {
-                    let own = answer.header(standins::upstream::WORK) == work;
-                    let whole = answer.body.len() == 64;
-                    if own && whole { End::Answered } else { End::Mixed }
-                }
-                "answered" => End::Failed,
-                "not-run" => End::NotRun,
-                _ => End::Unknown,
-            },
-        };
-        book.note(Ended { node, work, kind, end });
-        sleep(PAUSE).await;
+    node: usize,
+    address: SocketAddr,
+    pause: Duration,
+}
+
+impl Customer {
+    /// Makes one call after the other.
+    async fn call(self, book: Arc<Book>, going: Arc<AtomicBool>) {
+        let mut caller = Caller::new(self.address);
+        let mut number = 0_usize;
+        while going.load(Ordering::SeqCst) {
+            number += 1;
+            let work = format!("{}-{number}", self.name);
+            let kind = if number.is_multiple_of(2) { Kind::Read } else { Kind::Post };
+            let begun = Instant::now();
+            let answer = caller.call(&call(number, kind, &work)).await;
+            let end = match answer {
+                Err(error) => broken(&error),
+                Ok(answer) => ended(&answer, &work),
+            };
+            book.note(Ended { node: self.node, work, kind, end, begun, ended: Instant::now() });
+            sleep(self.pause).await;
+        }
+    }
+}
+
+fn call(number: usize, kind: Kind, work: &str) -> Call {
+    let service = if number.is_multiple_of(3) { "stock" } else { "pay" };
+    let call = match kind {
+        Kind::Read => {
+            Call { work: Some(work.to_owned()), ..Call::get(&format!("/{service}/{READS}/a")) }
+        }
+        Kind::Post => Call {
+            body: Bytes::from(vec![b'x'; 300]),
+            ..Call::post(&format!("/{service}/{POSTS}/a"), work)
+        },
+    };
+    Call { host: Some(HOST.to_owned()), deadline_ms: Some(DEADLINE_MS), ..call }
+}
+
+fn broken(error: &io::Error) -> End {
+    match error.kind() {
+        io::ErrorKind::Other => End::Broken,
+        io::ErrorKind::UnexpectedEof => End::Cut,
+        _ => End::Refused,
+    }
+}
+
+fn ended(answer: &Answer, work: &str) -> End {
+    match answer.outcome() {
+        "answered" if answer.status == 200 => {
+            let own = answer.header(standins::upstream::WORK) == work;
+            let whole = answer.body.len() == 64;
+            if own && whole { End::Answered } else { End::Mixed }
+        }
+        "answered" => End::Failed,
+        "not-run" => End::NotRun,
+        _ => End::Unknown,
     }
 }
--- a/xtask/src/soak/proxy.rs
+++ b/xtask/src/soak/proxy.rs
@@ -1,19 +1,19 @@
 //! A loopback proxy that treats connections as a bad network does.
 
-use std::{
-    io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicU8, Ordering},
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
     },
-    thread,
-    time::Duration,
+    runtime::Handle,
+    sync::watch,
+    time::sleep,
 };
 
 /// How connections are treated, those that exist and new ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-#[repr(u8)]
 pub(crate) enum Mode {
     /// Bytes pass.
     Pass,
@@ -27,88 +27,81 @@
     OneWay,
 }
 
-const MODES: [Mode; 5] = [Mode::Pass, Mode::Delay, Mode::Reset, Mode::Silent, Mode::OneWay];
-
 /// Delay of each piece of bytes under [`Mode::Delay`].
 const DELAY: Duration = Duration::from_millis(80);
 
-/// Time between two looks at the mode while no bytes come.
-const POLL: Duration = Duration::from_millis(50);
+/// Bytes of one piece, at most.
+const PIECE: usize = 16 * 1024;
 
 /// A running proxy; clones share it.
 #[derive(Clone, Debug)]
 pub(crate) struct Proxy {
-    mode: Arc<AtomicU8>,
+    mode: Arc<watch::Sender<Mode>>,
 }
 
 impl Proxy {
     /// Passes connections to `listen` on to `target`.
-    pub(crate) fn start(listen: SocketAddr, target: SocketAddr) -> io::Result<(Self, SocketAddr)> {
-        let listener = TcpListener::bind(listen)?;
+    pub(crate) fn start(
+        listen: SocketAddr,
+        target: SocketAddr,
+        handle: &Handle,
+    ) -> io::Result<(Self, SocketAddr)> {
+        let _guard = handle.enter();
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
         let address = listener.local_addr()?;
-        let proxy = Proxy { mode: Arc::new(AtomicU8::new(Mode::Pass as u8)) };
-        let served = proxy.clone();
-        thread::spawn(move || {
-            for near in listener.incoming().flatten() {
-                let served = served.clone();
-                thread::spawn(move || served.serve(near, target));
-            }
-        });
+        let listener = TcpListener::from_std(listener)?;
+        let mode = Arc::new(watch::Sender::new(Mode::Pass));
+        let proxy = Proxy { mode };
+        handle.spawn(proxy.clone().accept(listener, target));
         Ok((proxy, address))
     }
 
     pub(crate) fn set(&self, mode: Mode) {
-        self.mode.store(mode as u8, Ordering::SeqCst);
+        self.mode.send_replace(mode);
     }
 
-    fn mode(&self) -> Mode {
-        MODES[usize::from(self.mode.load(Ordering::SeqCst))]
+    async fn accept(self, listener: TcpListener, target: SocketAddr) {
+        while let Ok((near, _)) = listener.accept().await {
+            let served = self.clone();
+            tokio::spawn(async move {
+                let mut mode = served.mode.subscribe();
+                // Dropped connections are closed at once; with bytes unread the system resets them.
+                tokio::select! {
+                    _ = mode.wait_for(|mode| *mode == Mode::Reset) => {}
+                    () = served.serve(near, target) => {}
+                }
+            });
+        }
     }
 
-    fn serve(&self, near: TcpStream, target: SocketAddr) {
-        if self.mode() == Mode::Reset {
-            return reset(&near);
-        }
-        let Ok(far) = TcpStream::connect(target) else { return reset(&near) };
-        let (Ok(near_again), Ok(far_again)) = (near.try_clone(), far.try_clone()) else { return };
-        let back = self.clone();
-        thread::spawn(move || back.relay(far_again, near_again, Way::Answers));
-        self.relay(near, far, Way::Requests);
+    async fn serve(&self, near: TcpStream, target: SocketAddr) {
+        let Ok(far) = TcpStream::connect(target).await else { return };
+        // A connection that is gone already shows when it is used.
+        let _ = (near.set_nodelay(true), far.set_nodelay(true));
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        tokio::join!(
+            self.relay(near_read, far_write, Way::Requests),
+            self.relay(far_read, near_write, Way::Answers),
+        );
     }
 
-    fn relay(&self, mut from: TcpStream, mut to: TcpStream, way: Way) {
-        if from.set_read_timeout(Some(POLL)).is_err() {
-            return;
-        }
-        let mut chunk = [0; 16 * 1024];
-        loop {
-            let read = from.read(&mut chunk);
-            let mode = self.mode();
-            let count = match read {
-                _ if mode == Mode::Reset => {
-                    reset(&from);
-                    return reset(&to);
-                }
-                Ok(0) => break,
-                Ok(count) => count,
-                Err(e)
-                    if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) =>
-                {
-                    continue;
-                }
-                Err(_) => break,
-            };
+    async fn relay(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf, way: Way) {
+        let mut piece = vec![0; PIECE];
+        while let Ok(count @ 1..) = from.read(&mut piece).await {
+            let mode = *self.mode.borrow();
             match (mode, way) {
                 (Mode::Silent, _) | (Mode::OneWay, Way::Answers) => continue,
-                (Mode::Delay, _) => thread::sleep(DELAY),
+                (Mode::Delay, _) => sleep(DELAY).await,
                 _ => {}
             }
-            if to.write_all(&chunk[..count]).is_err() {
+            if to.write_all(&piece[..count]).await.is_err() {
                 break;
             }
         }
         // The other side may have closed already.
-        let _ = to.shutdown(Shutdown::Write);
+        let _ = to.shutdown().await;
     }
 }
 
@@ -117,9 +110,3 @@
     Requests,
     Answers,
 }
-
-/// Closes a connection at once; with bytes unread the system resets it.
-fn reset(stream: &TcpStream) {
-    // It may be closed already.
-    let _ = stream.shutdown(Shutdown::Both);
-}
