Soak: a stop's end that is noticed late is no late stop; regressions and findings of sixty seeds

Cause: seed 1041 told that a node was still there 12 s after a planned stop. The soak had waited for the state of a silent node meanwhile (up to 10 s) and saw the end only afterwards; two calls that the stop cut are a finding of their own.

Change: a stop is late if the node was seen there more than 5 s after it, not if its end was noticed then. The limit is the same. A node that stops is looked at in each round (0.7 s apart at most where the soak is not held up) and killed only after 8 s, when it is looked at once more; a stop that ends between 5 s and the next look is no longer told, which the former rule told together with ends before 5 s that were noticed late. Seen to fail with 2 s in the place of 5: all four stops of seeds 102 and 103 were late then (2.7 to 3.3 s).

Seeds 1000 to 1049, 6 s, with the code before this commit: 47 without a finding; 1002, 1033 (documents beyond 4,096) and 1041.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -58,8 +58,12 @@
 
 /// What failed once, with the cause of each; every run by hand plays them first.
 ///
-/// - 104: the fourth growth leads beyond the documents that a node takes.
-const REGRESSIONS: [Plan; 1] = [Plan { seed: 104, time: Duration::from_secs(6), nodes: 9 }];
+/// - 104, 1002, 1033: the fourth growth leads beyond the documents that a node takes; in 104 a node
+///   starts after it.
+/// - 1041: a stopping node that is held up until its limit is over never closes, and ends with calls in
+///   flight. What holds it up is not drawn by the seed.
+const REGRESSIONS: [Plan; 4] =
+    [regression(104), regression(1_002), regression(1_033), regression(1_041)];
 
 /// What CI plays: between them, most kinds of faults.
 const SHORT: [Plan; 2] = [
@@ -67,6 +71,10 @@
     Plan { seed: 3, time: Duration::from_secs(5), nodes: 6 },
 ];
 
+const fn regression(seed: u64) -> Plan {
+    Plan { seed, time: Duration::from_secs(6), nodes: 9 }
+}
+
 /// Plays one seed, or a number of them.
 pub(crate) fn run(mut arguments: Arguments) -> Result<(), Failure> {
     let usage = |e: pico_args::Error| Failure::Usage(e.to_string());
--- a/xtask/src/soak/cut.rs
+++ b/xtask/src/soak/cut.rs
@@ -78,10 +78,10 @@
     let mut findings = Vec::new();
     for (number, spot) in site.spots.iter().enumerate() {
         for stop in spot.history.all(Trouble::Stopping) {
-            let until = stop.until.unwrap_or_else(Instant::now);
-            let paused = spot.history.had(&[Trouble::Paused], stop.from, until);
-            if until - stop.from > STOP && !paused {
-                let ms = (until - stop.from).as_millis();
+            // A soak that is held up itself notices the end late.
+            let paused = spot.history.had(&[Trouble::Paused], stop.from, stop.seen);
+            if stop.seen - stop.from > STOP && !paused {
+                let ms = (stop.seen - stop.from).as_millis();
                 findings
                     .push(format!("node {number} was still there {ms} ms after a planned stop"));
             }
--- a/xtask/src/soak/history.rs
+++ b/xtask/src/soak/history.rs
@@ -35,6 +35,8 @@
     pub(crate) trouble: Trouble,
     pub(crate) from: Instant,
     pub(crate) until: Option<Instant>,
+    /// When it was seen to last, most recently; its end may be noticed late.
+    pub(crate) seen: Instant,
 }
 
 impl Span {
@@ -53,7 +55,8 @@
     /// Notes that something is out of order from now on; it is noted once.
     pub(crate) fn begin(&mut self, trouble: Trouble) {
         if !self.is_open(trouble) {
-            self.spans.push(Span { trouble, from: Instant::now(), until: None });
+            let from = Instant::now();
+            self.spans.push(Span { trouble, from, until: None, seen: from });
         }
     }
 
@@ -65,6 +68,14 @@
         }
     }
 
+    /// Notes that something is still out of order, if it is.
+    pub(crate) fn see(&mut self, trouble: Trouble) {
+        let open = |span: &&mut Span| span.trouble == trouble && span.until.is_none();
+        if let Some(span) = self.spans.iter_mut().find(open) {
+            span.seen = Instant::now();
+        }
+    }
+
     pub(crate) fn is_open(&self, trouble: Trouble) -> bool {
         self.spans.iter().any(|span| span.trouble == trouble && span.until.is_none())
     }
--- a/xtask/src/soak/spot.rs
+++ b/xtask/src/soak/spot.rs
@@ -227,6 +227,7 @@
     pub(crate) fn look(&mut self) -> io::Result<bool> {
         let Some(process) = &mut self.process else { return Ok(false) };
         if process.try_wait()?.is_none() {
+            self.history.see(Trouble::Stopping);
             return Ok(true);
         }
         self.process = None;
