--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -3,17 +3,29 @@
 //!
 //! Faults come in series and overlap: processes are killed, paused, stopped and restarted,
 //! connections between nodes and to the platform are delayed, reset, cut one way or silenced by
-//! loopback proxies, the platform fails, upstreams lose and spoil answers, leave and are replaced.
+//! loopback proxies, the platform fails, upstreams lose and spoil answers, leave, are replaced and
+//! start again under their own names, and the configuration grows by many routes at once.
+//!
+//! Every fourth instance has a link of 5 Mbit/s for calls of other nodes and to the platform. Messages
+//! between nodes do not pass a proxy: a node knows itself and is known to the others by the address
+//! at which it takes them.
 
+mod book;
 mod check;
+mod content;
+mod cut;
 mod fault;
+mod history;
+mod leaving;
 mod load;
 mod proxy;
 mod site;
+mod spot;
 
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{
+    path::Path,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -23,16 +35,16 @@
 };
 
 use crate::{
-    soak::{check::Book, fault::Faults, site::Site},
+    soak::{book::Book, fault::Faults, site::Site},
     tools::{self, Failure},
 };
 
-/// Seeds that failed once, with the cause of each; every run of CI plays them.
-const REGRESSIONS: [u64; 0] = [];
-
 /// Data centres of the mesh; instances are spread evenly.
 const DATA_CENTRES: [&str; 3] = ["a", "b", "c"];
 
+/// Nodes for each of which a fault begins at a time.
+const NODES_PER_FAULT: usize = 30;
+
 /// Time for everything to be as it should once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
@@ -44,6 +56,25 @@
     nodes: usize,
 }
 
+/// What failed once, with the cause of each; every run by hand plays them first.
+///
+/// - 104, 1002, 1033: the fourth growth leads beyond the documents that a node takes; in 104 a node
+///   starts after it.
+/// - 1041: a stopping node that is held up until its limit is over never closes, and ends with calls in
+///   flight. What holds it up is not drawn by the seed.
+const REGRESSIONS: [Plan; 4] =
+    [regression(104), regression(1_002), regression(1_033), regression(1_041)];
+
+/// What CI plays: between them, most kinds of faults.
+const SHORT: [Plan; 2] = [
+    Plan { seed: 1, time: Duration::from_secs(5), nodes: 6 },
+    Plan { seed: 3, time: Duration::from_secs(5), nodes: 6 },
+];
+
+const fn regression(seed: u64) -> Plan {
+    Plan { seed, time: Duration::from_secs(6), nodes: 9 }
+}
+
 /// Plays one seed, or a number of them.
 pub(crate) fn run(mut arguments: Arguments) -> Result<(), Failure> {
     let usage = |e: pico_args::Error| Failure::Usage(e.to_string());
@@ -54,12 +85,25 @@
     tools::finish(arguments)?;
     let programs = tools::build()?;
     let time = Duration::from_secs(seconds);
+    let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes });
+    let plans: Vec<Plan> = REGRESSIONS.into_iter().chain(seeds).collect();
+    play_all(&plans, &programs.join("baobabrelayd"))
+}
+
+/// Plays fixed seeds for a few seconds, as CI does.
+pub(crate) fn short() -> Result<(), Failure> {
+    let programs = tools::build()?;
+    play_all(&SHORT, &programs.join("baobabrelayd"))
+}
+
+/// Plays everything, also after a finding.
+fn play_all(plans: &[Plan], daemon: &Path) -> Result<(), Failure> {
     let mut failed = Vec::new();
-    for seed in REGRESSIONS.into_iter().chain(seed..seed + seeds) {
-        let findings = play(Plan { seed, time, nodes }, &programs.join("baobabrelayd"))?;
+    for plan in plans {
+        let findings = play(*plan, daemon)?;
         if !findings.is_empty() {
-            findings.iter().for_each(|finding| println!("seed {seed}: {finding}"));
-            failed.push(seed);
+            findings.iter().for_each(|finding| println!("seed {}: {finding}", plan.seed));
+            failed.push(plan.seed);
         }
     }
     if failed.is_empty() {
@@ -68,21 +112,10 @@
     Err(Failure::Chore(format!("promises were broken under seeds {failed:?}")))
 }
 
-/// Plays a fixed seed for a few seconds, as CI does.
-pub(crate) fn short() -> Result<(), Failure> {
-    let programs = tools::build()?;
-    let plan = Plan { seed: 1, time: Duration::from_secs(5), nodes: 6 };
-    let findings = play(plan, &programs.join("baobabrelayd"))?;
-    match findings.first() {
-        None => Ok(()),
-        Some(finding) => Err(Failure::Chore(format!("the soak found: {finding}"))),
-    }
-}
-
 /// Plays one seed and returns every broken promise.
-fn play(plan: Plan, daemon: &std::path::Path) -> Result<Vec<String>, Failure> {
+fn play(plan: Plan, daemon: &Path) -> Result<Vec<String>, Failure> {
     let mut random = SmallRng::seed_from_u64(plan.seed);
-    let mut site = Site::start(daemon, plan.nodes, &DATA_CENTRES)?;
+    let mut site = Site::start(daemon, plan.seed, plan.nodes, &DATA_CENTRES)?;
     let ready = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_ready(n)));
     tools::require(ready, "the nodes did not become ready")?;
     let book = Arc::new(Book::default());
@@ -91,25 +124,25 @@
     let mut faults = Faults::default();
     let end = Instant::now() + plan.time;
     while Instant::now() < end {
-        faults.begin_one(&mut site, &mut random)?;
+        for _ in 0..plan.nodes.div_ceil(NODES_PER_FAULT) {
+            faults.begin_one(&mut site, &mut random)?;
+        }
         thread::sleep(Duration::from_millis(random.random_range(50..700)));
         faults.end_due(&mut site)?;
-        check::versions(&site, &book);
+        check::nodes(&mut site, &book, &mut random)?;
     }
     faults.end_all(&mut site)?;
-    let recovered = site.wait(RECOVERY, |site| {
-        (0..plan.nodes).all(|n| site.is_ready(n) && site.revision(n) == Some(site.published()))
-    });
+    let recovered = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_recovered(n)));
     going.store(false, Ordering::SeqCst);
     load::finish(callers);
     let mut findings = check::promises(&site, &book);
-    if recovered.is_none() {
-        findings
-            .push(format!("not all nodes were ready with the newest version: {}", site.states()));
+    match recovered {
+        Some(time) => println!("seed {}: in order after {} ms", plan.seed, time.as_millis()),
+        None => findings.push(format!("not all nodes are ready and current: {}", site.states())),
     }
     println!("seed {}: {}, {}", plan.seed, book.summary(), faults.summary());
     if !findings.is_empty() {
-        println!("logs are kept in {}", site.keep_logs()?.display());
+        println!("logs are kept in {}", site.keep_logs().display());
     }
     Ok(findings)
 }
