A node that stood still while it was to stop closes first and lets calls end

Cause: a planned stop closed in the loop that ends at its limit. A process that stood still until then left the loop as it woke, with calls in hand and still taking more, and ended 0.2 s later.

Ruled out: a longer limit (the process may stand still for longer).

Change: when a stopping node closes and ends is decided in policy::drain; it never ends before it has been closed for half a second, unless nothing is in hand. Times are as before where the process runs.

Tests of policy, node and baobabrelayd pass.

--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -4,6 +4,7 @@
 //! call either (`finish`), then the process ends, whatever is still in hand (`limit`).
 
 use fleet::control::Event;
+use policy::drain::{self, LEAVE_LEAST, Plan, Progress, Step};
 use serde_json::json;
 use std::{
     thread,
@@ -12,15 +13,6 @@
 
 use crate::Node;
 
-/// Shortest time between the announcement that a node leaves and its end.
-///
-/// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
-/// run"; after the end, an offer already written could only be answered "unknown".
-const LEAVE_LEAST: Duration = Duration::from_secs(1);
-
-/// A leaving node ends only after no offer has come for this long.
-const QUIET: Duration = Duration::from_millis(300);
-
 /// Time for the last messages to others.
 const FLUSH: Duration = Duration::from_millis(200);
 
@@ -39,29 +31,45 @@
         // Callers find out by asking, so they still come for a while; until they have left, this
         // node and its upstream are of use to everybody.
         thread::sleep(self.settings.stop.linger);
-        let begun = Instant::now();
         self.hub.leave();
         self.link.send(Event::Leave);
-        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
-        let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
-        let close = limit.saturating_sub(self.settings.stop.finish);
-        let mut busy = Instant::now();
-        while begun.elapsed() < limit {
-            if begun.elapsed() >= close {
-                self.hub.close();
-            }
+        self.drain();
+        self.tell("ended", signalled);
+        self.link.send(Event::Stop);
+        thread::sleep(FLUSH);
+        telemetry::log::flush();
+    }
+
+    /// Waits for what is in hand, as long as that may take.
+    fn drain(&self) {
+        let begun = Instant::now();
+        let plan = self.plan();
+        let mut busy = begun;
+        let mut closed: Option<Instant> = None;
+        loop {
             if self.hub.in_hand() > 0 {
                 busy = Instant::now();
             }
-            if begun.elapsed() >= LEAVE_LEAST && busy.elapsed() >= QUIET {
-                break;
+            let progress = Progress {
+                elapsed: begun.elapsed(),
+                closed: closed.map(|at| at.elapsed()),
+                idle: busy.elapsed(),
+            };
+            match drain::next(plan, progress) {
+                Step::Wait => thread::sleep(POLL),
+                Step::Close => {
+                    self.hub.close();
+                    closed = Some(Instant::now());
+                }
+                Step::End => return,
             }
-            thread::sleep(POLL);
         }
-        self.tell("ended", signalled);
-        self.link.send(Event::Stop);
-        thread::sleep(FLUSH);
-        telemetry::log::flush();
+    }
+
+    fn plan(&self) -> Plan {
+        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
+        let limit = self.hub.drain_limit().max(LEAVE_LEAST).min(left);
+        Plan { close: limit.saturating_sub(self.settings.stop.finish), limit }
     }
 
     /// Logs a step of a planned stop. A stop that begins and does not end was cut short: by its
--- /dev/null
+++ b/crates/policy/src/drain.rs
@@ -0,0 +1,73 @@
+//! When a node that stops takes no more calls, and when it ends.
+
+use std::time::Duration;
+
+/// Shortest time between the announcement that a node leaves and its end.
+///
+/// Entry nodes that have not heard of it yet still offer calls in this time and are told "not
+/// run"; after the end, an offer already written could only be answered "unknown".
+pub const LEAVE_LEAST: Duration = Duration::from_secs(1);
+
+/// A leaving node ends only after no offer has come for this long.
+const QUIET: Duration = Duration::from_millis(300);
+
+/// Time that calls in hand get in any case once no more are taken.
+///
+/// A process that stands still until its time is over wakes with calls in hand that upstreams work on,
+/// and takes more. Without this time it would end in the midst of them: a payment is told "unknown",
+/// and an answer that is ready is lost. Half a second is the time of most calls, and leaves a tenth of a
+/// grace time of five seconds.
+const CLOSED_LEAST: Duration = Duration::from_millis(500);
+
+/// Times of a planned stop from the announcement on.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// When calls of callers are no longer taken.
+    pub close: Duration,
+    /// When the process ends, whatever is in hand.
+    pub limit: Duration,
+}
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug)]
+pub struct Progress {
+    /// Time since the announcement.
+    pub elapsed: Duration,
+    /// Time since calls were taken last; none while they are.
+    pub closed: Option<Duration>,
+    /// Time since anything was in hand.
+    pub idle: Duration,
+}
+
+/// What a stopping node does next.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// It goes on.
+    Wait,
+    /// It takes no more calls of callers.
+    Close,
+    /// It ends.
+    End,
+}
+
+/// Returns what a stopping node does next.
+///
+/// ```
+/// use policy::drain::{Plan, Progress, Step, next};
+/// use std::time::Duration;
+/// let plan = Plan { close: Duration::from_secs(2), limit: Duration::from_secs(4) };
+/// let idle = Duration::from_secs(1);
+/// let progress = Progress { elapsed: Duration::from_secs(1), closed: None, idle };
+/// assert_eq!(next(plan, progress), Step::End);
+/// ```
+pub fn next(plan: Plan, progress: Progress) -> Step {
+    let Progress { elapsed, closed, idle } = progress;
+    if elapsed >= LEAVE_LEAST && idle >= QUIET {
+        return Step::End;
+    }
+    match closed {
+        None if elapsed >= plan.close.min(plan.limit) => Step::Close,
+        Some(closed) if elapsed >= plan.limit && closed >= CLOSED_LEAST => Step::End,
+        _ => Step::Wait,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod comeback;
 pub mod connection;
+pub mod drain;
 pub mod health;
 pub mod latency;
 pub mod outcome;
