--- a/crates/fleet/tests/growth.rs
+++ b/crates/fleet/tests/growth.rs
@@ -22,7 +22,7 @@
     let mut net = Net::new(&PLACES);
     net.links = vec![FAST, slow, slow, FAST, slow, FAST, slow];
     (0..PLACES.len()).for_each(|node| net.start(node));
-    net.routes = ROUTES;
+    net.store.routes = ROUTES;
     let revision = net.publish();
     net.until(10_000, |net| net.all(|n| n.open && n.in_force == revision));
     net.run(2_000);
@@ -37,7 +37,7 @@
 #[test]
 fn a_change_larger_than_one_pull_reaches_nodes_on_slow_links() {
     let mut net = calm(SLOW);
-    net.routes += ADDED;
+    net.store.routes += ADDED;
     let revision = net.publish();
     net.until(IN_FORCE, |net| net.all(|n| n.in_force == revision));
     assert!(net.regressions.is_empty());
@@ -47,7 +47,7 @@
 #[test]
 fn the_slowest_links_get_it_later() {
     let mut net = calm(2);
-    net.routes += ADDED;
+    net.store.routes += ADDED;
     let revision = net.publish();
     net.until(8_000, |net| net.all(|n| n.in_force == revision));
     assert!(net.regressions.is_empty());
@@ -63,7 +63,7 @@
     net.treat(6, Treatment::Refuse);
     net.start(6);
     for _ in 0..10 {
-        net.routes += 10;
+        net.store.routes += 10;
         net.publish();
         net.run(200);
     }
@@ -76,7 +76,7 @@
 #[test]
 fn another_node_tells_the_rest() {
     let mut net = calm(SLOW);
-    net.routes += ADDED;
+    net.store.routes += ADDED;
     let revision = net.publish();
     net.run(300);
     net.kill(0);
@@ -88,7 +88,7 @@
 #[test]
 fn a_node_knows_while_it_is_behind() {
     let mut net = calm(SLOW);
-    net.routes += ADDED;
+    net.store.routes += ADDED;
     let revision = net.publish();
     net.until(500, |net| net.all(|n| n.expected == revision));
     assert!(net.node(6).in_force < revision);
@@ -103,7 +103,7 @@
         let mut net = calm(2);
         net.links.iter_mut().filter(|link| **link == 2).for_each(|link| *link = slow);
         net.lossy = lossy;
-        net.routes += ADDED;
+        net.store.routes += ADDED;
         let revision = net.publish();
         net.until(15_000, |net| net.all(|n| n.in_force == revision));
     }
@@ -114,7 +114,7 @@
 #[test]
 fn small_changes_reach_slow_links_while_they_go_on() {
     let mut net = calm(SLOW);
-    net.touched = 20;
+    net.store.touched = 20;
     let mut seen = 0;
     for _ in 0..40 {
         let before = net.node(6).in_force;
@@ -134,10 +134,10 @@
     let mut net = Net::new(&["a", "a", "a", "a", "b", "c"]);
     net.links = vec![FAST, FAST, SLOW, SLOW, FAST, FAST];
     (0..6).for_each(|node| net.start(node));
-    net.routes = ROUTES;
+    net.store.routes = ROUTES;
     let before = net.publish();
     net.until(10_000, |net| net.all(|n| n.open && n.in_force == before));
-    net.routes += ADDED;
+    net.store.routes += ADDED;
     let revision = net.publish();
     net.until(1_000, |net| (2..4).all(|n| net.node(n).expected == revision));
     net.run(250);
@@ -153,7 +153,7 @@
 fn pauses_do_not_multiply_the_questions() {
     let questions = |pauses| {
         let mut net = calm(SLOW);
-        net.routes += ADDED;
+        net.store.routes += ADDED;
         let revision = net.publish();
         net.until(1_000, |net| net.node(6).expected == revision);
         let before = net.pulls[6];
@@ -207,7 +207,7 @@
     let mut net = calm(SLOW);
     let held = net.node(1).in_force;
     (1..PLACES.len()).for_each(|node| net.treat(node, Treatment::Silent));
-    net.routes = 12_000;
+    net.store.routes = 12_000;
     net.links = vec![1; PLACES.len()];
     let revision = net.publish();
     net.until(5_000, |net| net.node(1).expected == revision);
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -3,26 +3,27 @@
 // Each test file uses its own part of this module.
 #![allow(dead_code)]
 
+mod store;
+
 use fleet::{
     clock::Now,
     control::{Asked, Effect, Event, Lost},
-    directory::{Entry, Reason, Removal, Standing, Update},
+    directory::{Entry, Standing},
     listed::{Control, Reading, Settings},
     message::{Request, Response},
-    source::{Answer, Bulletin, Failure, Query, Topic},
+    source::{Answer, Failure, Query, Topic},
     view::View,
 };
-use model::{
-    document::{Delta, Document},
-    time::Time,
-};
+use model::time::Time;
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeSet, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
+use self::store::{Content, Store, Value};
+
 /// Delay of every message, in ms.
 const DELAY: u64 = 2;
 
@@ -47,17 +48,6 @@
     Read { node: usize, life: u64, query: Query, until: u64 },
 }
 
-/// What one key of the store holds.
-#[derive(Clone)]
-enum Value {
-    Entry(Entry),
-    Gone,
-    Nonsense,
-    Config(u64),
-    /// A configuration that no node accepts.
-    Bad(u64),
-}
-
 pub(crate) struct Node {
     control: Option<Control>,
     life: u64,
@@ -78,14 +68,7 @@
     busy: Vec<u64>,
     queue: VecDeque<(u64, u64, Due)>,
     order: u64,
-    revision: u64,
-    store: BTreeMap<String, (u64, Value)>,
-    /// Routes that the configuration holds.
-    pub(crate) routes: usize,
-    /// How many of them each version changes.
-    pub(crate) touched: usize,
-    /// Writes in order, as far as the store remembers them.
-    history: Vec<(u64, String)>,
+    pub(crate) store: Store,
     treatment: Vec<Treatment>,
     cut: BTreeSet<(usize, usize)>,
     pub(crate) reads: u64,
@@ -124,11 +107,7 @@
             busy: vec![0; zones.len()],
             queue: VecDeque::new(),
             order: 0,
-            revision: 1,
-            store: BTreeMap::new(),
-            routes: 0,
-            touched: 0,
-            history: Vec::new(),
+            store: Store::default(),
             treatment: vec![Treatment::Serve; zones.len()],
             cut: BTreeSet::new(),
             reads: 0,
@@ -198,19 +177,17 @@
 
     /// Publishes another configuration; returns its revision.
     pub(crate) fn publish(&mut self) -> u64 {
-        let next = self.revision + 1;
-        self.write("config", Value::Config(next))
+        self.store.publish(Content::Good)
     }
 
     /// Publishes a configuration that no node accepts; returns its revision.
     pub(crate) fn publish_bad(&mut self) -> u64 {
-        let next = self.revision + 1;
-        self.write("config", Value::Bad(next))
+        self.store.publish(Content::Bad)
     }
 
     pub(crate) fn register(&mut self, node: usize, id: &str, standing: Standing) -> u64 {
         let entry = self.entry(node, id, standing);
-        self.write(&format!("servers/{id}"), Value::Entry(entry))
+        self.store.write(id, Value::Entry(entry))
     }
 
     fn entry(&self, node: usize, id: &str, standing: Standing) -> Entry {
@@ -223,7 +200,7 @@
             standing,
             cold_ms: 0,
             started_ms: None,
-            revision: self.revision + 1,
+            revision: self.store.next(),
         }
     }
 
@@ -236,40 +213,21 @@
         started_ms: u64,
     ) -> u64 {
         let entry = Entry { started_ms: Some(started_ms), ..self.entry(node, id, standing) };
-        self.write(&format!("servers/{id}"), Value::Entry(entry))
+        self.store.write(id, Value::Entry(entry))
     }
 
     /// Writes a value that names no upstream.
     pub(crate) fn spoil(&mut self, id: &str) -> u64 {
-        self.write(&format!("servers/{id}"), Value::Nonsense)
+        self.store.write(id, Value::Nonsense)
     }
 
     pub(crate) fn unregister(&mut self, id: &str) -> u64 {
-        self.write(&format!("servers/{id}"), Value::Gone)
+        self.store.write(id, Value::Gone)
     }
 
     /// Drops the store's history, as a compaction does.
     pub(crate) fn forget(&mut self) {
-        self.history.clear();
-    }
-
-    fn write(&mut self, key: &str, value: Value) -> u64 {
-        self.revision += 1;
-        self.store.insert(key.to_owned(), (self.revision, value));
-        self.history.push((self.revision, key.to_owned()));
-        self.revision
-    }
-
-    /// Returns the documents of the next version.
-    pub(crate) fn newest(&self) -> Delta {
-        documents(self.revision + 1, self.revision + 1, self.routes, self.touched)
-    }
-
-    /// Returns the size of the whole list as a message, in bytes.
-    pub(crate) fn whole_list(&self, node: usize) -> usize {
-        let control = self.nodes[node].control.as_ref().expect("it runs");
-        let update = control.directory().since(None, self.moment().time);
-        serde_json::to_vec(&update).expect("messages have a JSON form").len()
+        self.store.forget();
     }
 
     pub(crate) fn node(&self, node: usize) -> &Node {
@@ -340,14 +298,7 @@
                     let lost = Event::Lost(address(to), Lost { asked, malformed: None });
                     return self.put(DELAY, Due::Event(from, life, lost));
                 };
-                let free = self.now.max(self.busy[from]).max(self.busy[to]);
-                let own = |net: &Net, node: usize| net.crossing(node, node, &response);
-                let arrival = free.max(self.now) + DELAY + self.crossing(from, to, &response);
-                // The faster of two links carries other answers beside this one.
-                let (sent, received) = (own(self, to), own(self, from));
-                self.busy[to] = (self.now.max(self.busy[to]) + sent).min(until.max(self.busy[to]));
-                self.busy[from] =
-                    (self.now.max(self.busy[from]) + received).min(until.max(self.busy[from]));
+                let arrival = self.carry(from, to, until, &response);
                 let event = if arrival <= until {
                     Event::Answered(address(to), response)
                 } else {
@@ -359,15 +310,19 @@
         }
     }
 
-    /// Returns how long an answer takes over the slower of two links, in ms, as plain JSON.
-    fn crossing(&self, a: usize, b: usize, response: &Response) -> u64 {
-        let bytes = match response {
-            Response::Pull(bundle) => serde_json::to_vec(bundle),
-            Response::Fetch(update) => serde_json::to_vec(update),
-            Response::Beat(_) | Response::Sync(_) => return 0,
-        };
-        let bits = 8 * bytes.expect("messages have a JSON form").len() as u64;
-        bits / (BITS_PER_MS * u64::from(self.links[a].min(self.links[b])))
+    /// Puts an answer on both links, one after the other answers on each; returns when it arrives.
+    ///
+    /// Whoever waits no longer than `until` closes the connection then, which frees the links.
+    fn carry(&mut self, from: usize, to: usize, until: u64, response: &Response) -> u64 {
+        let bits = bits(response);
+        let begin = self.now.max(self.busy[from]).max(self.busy[to]);
+        for node in [from, to] {
+            let free = self.now.max(self.busy[node]);
+            let end = free + bits / (BITS_PER_MS * u64::from(self.links[node]));
+            self.busy[node] = end.min(until.max(self.busy[node]));
+        }
+        let slower = self.links[from].min(self.links[to]);
+        begin + DELAY + bits / (BITS_PER_MS * u64::from(slower))
     }
 
     fn ask(&mut self, to: usize, request: Request) -> Option<Response> {
@@ -474,14 +429,11 @@
             return self.fail(node, life, SILENCE, failure);
         }
         let Query::News { after, .. } = query else { return };
-        let forgotten = after.is_some_and(|after| {
-            let known = self.history.first().map_or(self.revision, |(first, _)| first - 1);
-            after < known
-        });
+        let forgotten = after.is_some_and(|after| self.store.has_forgotten(after));
         if forgotten {
             return self.fail(node, life, 1, Failure::Forgotten);
         }
-        let bulletin = self.bulletin(after);
+        let bulletin = self.store.bulletin(after);
         let has_news = bulletin.config.is_some() || !bulletin.list.is_empty();
         if has_news || after.is_none() || self.now >= until {
             let event = Event::Source(Answer::News(bulletin));
@@ -490,44 +442,6 @@
             self.put(10, Due::Read { node, life, query, until });
         }
     }
-
-    fn bulletin(&self, after: Option<u64>) -> Bulletin {
-        let mut list = Update { revision: self.revision, base: after, ..Update::default() };
-        let mut config = None;
-        for (key, (revision, value)) in &self.store {
-            if after.is_some_and(|after| *revision <= after) {
-                continue;
-            }
-            match value {
-                Value::Entry(entry) => list.entries.push(entry.clone()),
-                Value::Gone => {
-                    let id = key.trim_start_matches("servers/").to_owned();
-                    if after.is_some() {
-                        list.removed.push(Removal {
-                            id,
-                            revision: *revision,
-                            ..Removal::default()
-                        });
-                    }
-                }
-                Value::Nonsense => list.removed.push(Removal {
-                    id: key.trim_start_matches("servers/").to_owned(),
-                    revision: *revision,
-                    reason: Reason::Unusable,
-                    ..Removal::default()
-                }),
-                Value::Bad(number) => {
-                    let mut delta = documents(*revision, *number, self.routes, self.touched);
-                    delta.documents[0].text = "{\"deadline_ms\": -1}".into();
-                    config = Some(delta);
-                }
-                Value::Config(number) => {
-                    config = Some(documents(*revision, *number, self.routes, self.touched));
-                }
-            }
-        }
-        Bulletin { revision: self.revision, config, list, faults: Vec::new() }
-    }
 }
 
 fn asked(request: &Request) -> Asked {
@@ -537,24 +451,12 @@
     }
 }
 
-fn documents(revision: u64, number: u64, routes: usize, touched: usize) -> Delta {
-    let document = |key: &str, text: String| Document {
-        key: key.to_owned(),
-        modified: revision,
-        text: text.into(),
+/// Returns the size of an answer as plain JSON.
+fn bits(response: &Response) -> u64 {
+    let bytes = match response {
+        Response::Pull(bundle) => serde_json::to_vec(bundle),
+        Response::Fetch(update) => serde_json::to_vec(update),
+        Response::Beat(_) | Response::Sync(_) => return 0,
     };
-    let mut documents = vec![
-        document("profiles/p", format!("{{\"deadline_ms\": {}}}", 1_000 + number)),
-        document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
-    ];
-    documents.extend((0..routes).map(|route| {
-        let time = if route < touched { 3_000 + number } else { 3_000 };
-        let text = format!(
-            "{{\"host\": \"shop.example\", \"prefix\": \"/p{route}/\", \"kind\": \"idempotent\", \
-             \"attempts\": 2, \"timeout_ms\": {time}, \"objective_ms\": 1000, \"priority\": 2, \
-             \"targets\": [{{\"service\": \"shelfview\"}}]}}"
-        );
-        document(&format!("routes/r-{route}"), text)
-    }));
-    Delta { revision, full: true, documents, ..Delta::default() }
+    8 * bytes.expect("messages have a JSON form").len() as u64
 }
--- /dev/null
+++ b/crates/fleet/tests/net/store.rs
@@ -0,0 +1,132 @@
+//! The platform's store: a configuration and entries of upstreams under one revision.
+
+use fleet::{
+    directory::{Entry, Reason, Removal, Update},
+    source::Bulletin,
+};
+use model::document::{Delta, Document};
+use std::collections::BTreeMap;
+
+const CONFIG: &str = "config";
+const SERVERS: &str = "servers/";
+
+/// Whether nodes accept a configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Content {
+    Good,
+    Bad,
+}
+
+/// What one key holds.
+#[derive(Clone)]
+pub(crate) enum Value {
+    Entry(Entry),
+    Gone,
+    Nonsense,
+    Config(Content),
+}
+
+pub(crate) struct Store {
+    revision: u64,
+    values: BTreeMap<String, (u64, Value)>,
+    /// Writes in order, as far as the store remembers them.
+    history: Vec<(u64, String)>,
+    /// Routes that the configuration holds.
+    pub(crate) routes: usize,
+    /// How many of them each version changes.
+    pub(crate) touched: usize,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Store { revision: 1, values: BTreeMap::new(), history: Vec::new(), routes: 0, touched: 0 }
+    }
+}
+
+impl Store {
+    /// Returns the revision of the next write.
+    pub(crate) fn next(&self) -> u64 {
+        self.revision + 1
+    }
+
+    /// Publishes another configuration; returns its revision.
+    pub(crate) fn publish(&mut self, content: Content) -> u64 {
+        self.put(CONFIG.to_owned(), Value::Config(content))
+    }
+
+    /// Writes what the upstream `id` holds; returns the revision.
+    pub(crate) fn write(&mut self, id: &str, value: Value) -> u64 {
+        self.put(format!("{SERVERS}{id}"), value)
+    }
+
+    fn put(&mut self, key: String, value: Value) -> u64 {
+        self.revision += 1;
+        self.values.insert(key.clone(), (self.revision, value));
+        self.history.push((self.revision, key));
+        self.revision
+    }
+
+    /// Drops the history.
+    pub(crate) fn forget(&mut self) {
+        self.history.clear();
+    }
+
+    /// Tells whether something that was written since `after` is no longer remembered.
+    pub(crate) fn has_forgotten(&self, after: u64) -> bool {
+        let known = self.history.first().map_or(self.revision, |(first, _)| first - 1);
+        after < known
+    }
+
+    /// Returns what was written since `after`, or everything.
+    pub(crate) fn bulletin(&self, after: Option<u64>) -> Bulletin {
+        let list = Update { revision: self.revision, base: after, ..Update::default() };
+        let mut news = Bulletin { revision: self.revision, list, ..Bulletin::default() };
+        let is_new = |revision: u64| after.is_none_or(|after| revision > after);
+        for (key, (revision, value)) in self.values.iter().filter(|(_, (at, _))| is_new(*at)) {
+            let id = key.trim_start_matches(SERVERS).to_owned();
+            let removal = Removal { id, revision: *revision, ..Removal::default() };
+            match value {
+                Value::Entry(entry) => news.list.entries.push(entry.clone()),
+                Value::Gone if after.is_some() => news.list.removed.push(removal),
+                Value::Gone => {}
+                Value::Nonsense => {
+                    news.list.removed.push(Removal { reason: Reason::Unusable, ..removal });
+                }
+                Value::Config(content) => news.config = Some(self.config(*revision, *content)),
+            }
+        }
+        news
+    }
+
+    fn config(&self, revision: u64, content: Content) -> Delta {
+        let mut delta = documents(revision, revision, self.routes, self.touched);
+        if content == Content::Bad {
+            delta.documents[0].text = "{\"deadline_ms\": -1}".into();
+        }
+        delta
+    }
+}
+
+/// Returns the documents of a configuration of `routes` routes; `number` tells the profile and the first
+/// `touched` routes from those of other versions.
+fn documents(revision: u64, number: u64, routes: usize, touched: usize) -> Delta {
+    let document = |key: &str, text: String| Document {
+        key: key.to_owned(),
+        modified: revision,
+        text: text.into(),
+    };
+    let mut documents = vec![
+        document("profiles/p", format!("{{\"deadline_ms\": {}}}", 1_000 + number)),
+        document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
+    ];
+    documents.extend((0..routes).map(|route| {
+        let time = if route < touched { 3_000 + number } else { 3_000 };
+        let text = format!(
+            "{{\"host\": \"shop.example\", \"prefix\": \"/p{route}/\", \"kind\": \"idempotent\", \
+             \"attempts\": 2, \"timeout_ms\": {time}, \"objective_ms\": 1000, \"priority\": 2, \
+             \"targets\": [{{\"service\": \"shelfview\"}}]}}"
+        );
+        document(&format!("routes/r-{route}"), text)
+    }));
+    Delta { revision, full: true, documents, ..Delta::default() }
+}
