--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -123,7 +123,10 @@
     let mut random = SmallRng::seed_from_u64(plan.seed);
     let mut site = Site::start(daemon, plan.seed, plan.nodes, &DATA_CENTRES)?;
     let ready = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_ready(n)));
-    tools::require(ready, "the nodes did not become ready")?;
+    if ready.is_none() {
+        println!("seed {}: logs are kept in {}", plan.seed, site.keep_logs().display());
+        return Err(Failure::Chore(format!("the nodes did not become ready: {}", site.states())));
+    }
     let book = Arc::new(Book::default());
     let going = Arc::new(AtomicBool::new(true));
     let callers = load::start(&site, &book, &going);
