Hundreds of nodes: a fixed number of summaries a second, with small changes in them

Cause: each node told every other one within two seconds, so at 295 nodes it sent and took 147 summaries a second, some 30 KB each way, on a tenth of a core; each change of the list was one call with a connection of its own for every node; a leaving whose summary was lost was not told again; a data centre that fell silent was noticed after 8.4 s, after the end of most cuts.

Change: beyond 80 other nodes 25 summaries a second, near ones first (rounds); leavings and new lives told on by those that heard them, believed when two say so (rumours); silence of whole data centres by the youngest age that any near node heard itself (places); changes that fit into a packet travel with the summary (news). Fleets of up to 81 nodes are told as before.

--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -3,16 +3,20 @@
 //! [`crate::control`] finds the other nodes by their own word: it suits a platform that knows no
 //! more than addresses. Where the platform lists every upstream with its service, address and
 //! standing, that list decides who gets calls, and nodes need to tell each other only how far they
-//! hold configuration and list. They do so with small datagrams, [`Digest`]s, to all others in
-//! turn; what a node lacks it pulls from one that is ahead. Silence of a node that spoke before
-//! shows that it is out of reach.
+//! hold configuration and list. They do so with small datagrams, [`Digest`]s, to others in turn, as many a
+//! second however many nodes there are. Small changes travel with them; what a node lacks besides it pulls
+//! from one that is ahead. Silence of a node that spoke before, or of a whole data centre, shows that it is
+//! out of reach.
 //!
 //! Invariant *one way in*: [`Control::apply`] is the only way to change the state.
 
 mod known;
 mod news;
 mod peers;
+mod places;
 mod pull;
+mod rounds;
+mod rumours;
 mod watch;
 
 pub use self::watch::Settings as Reading;
@@ -29,7 +33,7 @@
     fence::{Announced, Fence},
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
-    message::{Bundle, Digest, Request, Response, Sender},
+    message::{Bundle, Digest, News, Request, Response, Sender},
     source::Query,
     status,
     timeline::{Event as Note, Kind, Ring},
@@ -47,6 +51,13 @@
 /// Nodes that are told at once of news from another node.
 const PASSED_ON: usize = 3;
 
+/// Most changes of the list that travel with a summary. With five entries of some 170 bytes it is still one
+/// packet.
+const NEWS_CHANGES: usize = 5;
+
+/// Most bytes of documents that travel with a summary, for the same reason.
+const NEWS_BYTES: usize = 700;
+
 /// How long a node without configuration waits for the platform before it asks another node for
 /// the whole of it. Twice the time that the largest answers take on a slow link would be more; a
 /// platform that fails says so sooner, or is down.
@@ -118,7 +129,7 @@
     ready: bool,
     upkeep_due: Time,
     view_stale: bool,
-    shown: View,
+    shown: Arc<View>,
     announced: Announced,
     effects: Vec<Effect>,
 }
@@ -144,7 +155,7 @@
             ready: false,
             upkeep_due: now.time,
             view_stale: false,
-            shown: View::default(),
+            shown: Arc::default(),
             announced: Announced::default(),
             effects: Vec::new(),
             settings,
@@ -215,7 +226,8 @@
         }
         let rank = self.peers.rank(now.time);
         let readers = self.watch.readers(self.peers.data_centres());
-        if self.fence.held().is_none() || self.watch.is_due(rank, readers, now.time) {
+        let spread = self.peers.spread();
+        if self.fence.held().is_none() || self.watch.is_due(rank, readers, spread, now.time) {
             let wait = self.watch.begin(self.peers.is_empty());
             let after = self.read_to.map(|read| read.max(self.held()));
             self.effects.push(Effect::Read(Query::News { after, wait }));
@@ -237,14 +249,16 @@
         self.watch.hurry(now.time);
     }
 
-    fn hear(&mut self, digest: Digest, now: Now) {
+    fn hear(&mut self, mut digest: Digest, now: Now) {
         if let Some(age) = digest.contact_ms {
             self.watch.hear(Duration::from_millis(age), now.time);
         }
         self.fence.hear(digest.config);
+        let (from, news) = (digest.from.address, std::mem::take(&mut digest.news));
         if self.peers.hear(digest, now.time) {
             self.view_stale = true;
         }
+        self.hear_news(news, from, now);
     }
 
     fn answer(&mut self, request: Request, now: Now) {
@@ -346,9 +360,14 @@
     }
 
     fn tell(&mut self, targets: Vec<SocketAddr>, now: Now) {
+        self.tell_news(targets, News::default(), now);
+    }
+
+    fn tell_news(&mut self, targets: Vec<SocketAddr>, news: News, now: Now) {
         if targets.is_empty() {
             return;
         }
+        let (heard_ms, rumours) = self.peers.hearsay(now.time);
         let digest = Digest {
             from: Sender { address: self.settings.address, incarnation: self.settings.incarnation },
             data_centre: self.settings.data_centre.clone(),
@@ -358,6 +377,9 @@
             link_mbps: self.settings.link_mbps,
             failing: self.watch.is_failing(),
             leaving: self.leaving,
+            heard_ms,
+            rumours,
+            news,
         };
         self.effects.push(Effect::Tell(targets, digest));
     }
@@ -365,10 +387,10 @@
     /// Works out anew what depends on list and peers, if that has changed.
     fn refresh(&mut self, now: Now) {
         if std::mem::replace(&mut self.view_stale, false) {
-            let view = self.view(now);
+            let view = Arc::new(self.view(now));
             if view != self.shown {
                 self.shown = view.clone();
-                self.effects.push(Effect::View(Arc::new(view)));
+                self.effects.push(Effect::View(view));
             }
         }
         self.effects.extend(self.announced.update(&self.fence).map(Effect::Expected));
@@ -378,13 +400,14 @@
             self.effects.push(Effect::Open);
             self.note(Kind::Ready { ready }, now);
             // Starting nodes on slow links wait for a word of one that they can learn from.
-            self.tell_all(now);
+            let targets = self.peers.first_audience(FAR_AUDIENCE, &mut self.random);
+            self.tell(targets, now);
         }
     }
 
     fn note_changes(&mut self, changes: Vec<(Entry, Change)>, from: Option<SocketAddr>, now: Now) {
         for (entry, change) in changes {
-            self.peers.list(self.node_of(&entry), now.time);
+            self.peers.list(self.node_of(&entry), &entry.data_centre, now.time);
             self.view_stale = true;
             if change == Change::Revised {
                 continue;
--- a/crates/fleet/src/listed/known.rs
+++ b/crates/fleet/src/listed/known.rs
@@ -87,6 +87,7 @@
             return State::Live;
         }
         match self.peers.reach(self.node_of(entry), now.time) {
+            Reach::Heard if self.peers.is_silent(&entry.data_centre) => State::Unreachable,
             Reach::Heard => State::Live,
             Reach::Leaving | Reach::Silent => State::Unreachable,
         }
--- a/crates/fleet/src/listed/news.rs
+++ b/crates/fleet/src/listed/news.rs
@@ -7,11 +7,19 @@
     control::Effect,
     directory::Update,
     fence::Verdict,
-    listed::{Control, DOUBT, FAR_AUDIENCE, PASSED_ON},
+    listed::{Control, DOUBT, FAR_AUDIENCE, NEWS_BYTES, NEWS_CHANGES, PASSED_ON},
+    message::{News, Patch},
     source::{Answer, Bulletin, Failure, Query},
     timeline::Kind,
 };
 
+/// How far list and configuration were held.
+#[derive(Clone, Copy, Debug)]
+struct Holdings {
+    list: u64,
+    config: Option<u64>,
+}
+
 impl Control {
     pub(super) fn hear_source(&mut self, answer: Answer, now: Now) {
         match answer {
@@ -40,6 +48,7 @@
             self.note(Kind::SourceFault { fault }, now);
         }
         let doubt = self.watch.doubt(DOUBT, now.time);
+        let before = self.holdings();
         let mut is_new = self.merge(bulletin.list, None, doubt, now);
         if let Some(delta) = bulletin.config {
             self.note(Kind::Read { revision: delta.revision }, now);
@@ -49,8 +58,54 @@
         self.read_to = self.read_to.max(Some(bulletin.revision));
         if is_new {
             let targets = self.peers.audience(FAR_AUDIENCE, &mut self.random);
-            self.tell(targets, now);
+            self.tell_since(before, targets, now);
+        }
+    }
+
+    /// Takes in the changes that came with a summary of `from`, if they follow on what is held here. Where
+    /// they do not, the summary tells how far that node is, and what is lacking is pulled.
+    pub(super) fn hear_news(&mut self, news: News, from: SocketAddr, now: Now) {
+        let held = self.directory.revision();
+        let follows = |update: &Update| {
+            update.revision > held && update.base.is_some_and(|base| (1..=held).contains(&base))
+        };
+        if let Some(update) = news.list.filter(follows) {
+            self.merge(update, Some(from), Duration::ZERO, now);
+        }
+        let in_force = self.fence.held();
+        if let Some(patch) = news.config.filter(|patch| Some(patch.base) == in_force) {
+            let set = self.fence.with(patch.delta);
+            // What the digest does not prove is no more than a hint; it is pulled.
+            if set.version() == patch.version {
+                self.offer(set, Some(from), now);
+            }
+        }
+    }
+
+    fn holdings(&self) -> Holdings {
+        Holdings { list: self.directory.revision(), config: self.fence.held() }
+    }
+
+    /// Tells `targets` what has come in since `before`, if it is little, and that it has come.
+    fn tell_since(&mut self, before: Holdings, targets: Vec<SocketAddr>, now: Now) {
+        let news = News { list: self.list_since(before, now), config: self.config_since(before) };
+        self.tell_news(targets, news, now);
+    }
+
+    fn list_since(&self, before: Holdings, now: Now) -> Option<Update> {
+        if before.list == 0 || before.list == self.directory.revision() {
+            return None;
         }
+        let update = self.directory.since(Some(before.list), now.time);
+        let changes = update.entries.len() + update.removed.len();
+        (update.base.is_some() && changes <= NEWS_CHANGES).then_some(update)
+    }
+
+    fn config_since(&self, before: Holdings) -> Option<Patch> {
+        let base = before.config.filter(|_| before.config != self.fence.held())?;
+        let piece = self.fence.set().since_within(Some(base), NEWS_BYTES);
+        let patch = Patch { base, version: self.fence.version(), delta: piece.delta };
+        (!piece.more).then_some(patch)
     }
 
     fn succeed(&mut self, has_news: bool, now: Now) {
@@ -67,14 +122,14 @@
         doubt: Duration,
         now: Now,
     ) -> bool {
-        let before = self.directory.revision();
+        let before = self.holdings();
         match self.directory.apply(update, doubt, now.time) {
             Ok(changes) => {
                 let is_new = !changes.is_empty();
                 self.note_changes(changes, from, now);
-                if from.is_some() && self.directory.revision() > before {
+                if from.is_some() && self.directory.revision() > before.list {
                     let targets = self.peers.some(PASSED_ON, &mut self.random);
-                    self.tell(targets, now);
+                    self.tell_since(before, targets, now);
                 }
                 is_new
             }
@@ -92,6 +147,7 @@
         from: Option<SocketAddr>,
         now: Now,
     ) -> bool {
+        let before = self.holdings();
         match self.fence.offer(set) {
             Verdict::InForce(snapshot) => {
                 self.note(Kind::InForce { version: snapshot.version, from }, now);
@@ -99,7 +155,7 @@
                 self.effects.push(Effect::InForce(snapshot));
                 if from.is_some() {
                     let targets = self.peers.some(PASSED_ON, &mut self.random);
-                    self.tell(targets, now);
+                    self.tell_since(before, targets, now);
                 }
                 true
             }
--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -11,17 +11,15 @@
     time::Duration,
 };
 
-use crate::{message::Digest, source};
-
-/// Summaries that a node sends in a second. At 40, and about as many received, they take under
-/// 1 % of a core; with up to eight other nodes each is told five times a second.
-const DIGESTS_PER_SECOND: usize = 40;
-
-/// Shortest time between two rounds of summaries, however few the nodes are.
-const ROUND_LEAST: Duration = Duration::from_millis(200);
-
-/// Longest time in which every other node is told once.
-const ROUND_MOST: Duration = Duration::from_secs(2);
+use crate::{
+    listed::{
+        places::Places,
+        rounds::{self, Rounds, Target},
+        rumours::Rumours,
+    },
+    message::{Digest, News, Rumour},
+    source,
+};
 
 /// Rounds without a summary of another node after which it counts as out of reach.
 ///
@@ -31,6 +29,14 @@
 /// Added to [`SILENT_ROUNDS`] for the time that a slow node needs.
 const SILENT_EXTRA: Duration = Duration::from_millis(400);
 
+/// How long a node that said that it leaves counts as leaving without another word. A planned stop takes
+/// less; a later life of the node says so, but a node that stood still may have missed it.
+const LEAVING_KEPT: Duration = Duration::from_secs(10);
+
+/// Most nodes of the own data centre that are told at once of news. Beyond them those that were told pass
+/// the news on.
+const NEAR_AUDIENCE: usize = 64;
+
 /// How long a node that is no longer listed is still told.
 ///
 /// One that was killed while the platform was down knows nobody when it returns; it learns of the
@@ -64,16 +70,51 @@
 /// What is known of another node.
 #[derive(Clone, Debug)]
 pub(super) struct Peer {
+    /// Its last summary, without what that told of others.
     pub(super) digest: Option<Digest>,
     heard: Time,
     listed: Time,
+    /// Whether it is in the own data centre.
+    near: bool,
     /// Place in the rendezvous order.
     weight: u64,
+    rumour: Option<Heard>,
+}
+
+/// A rumour of a node that it did not contradict itself.
+#[derive(Clone, Copy, Debug)]
+struct Heard {
+    rumour: Rumour,
+    /// Who told it first.
+    by: SocketAddr,
+    /// Since when it is believed: another node has told it as well.
+    believed: Option<Time>,
+}
+
+impl Rumour {
+    /// Returns what `digest` says of its sender.
+    fn of(digest: &Digest) -> Rumour {
+        Rumour { of: digest.from, leaving: digest.leaving }
+    }
+
+    /// Tells whether this was said after `other`, by the same node: a later life follows on an earlier one,
+    /// and leaving is final within a life.
+    fn is_after(&self, other: &Rumour) -> bool {
+        (self.of.incarnation, self.leaving) > (other.of.incarnation, other.leaving)
+    }
 }
 
 impl Peer {
-    fn new(address: SocketAddr, now: Time) -> Self {
-        Peer { digest: None, heard: now, listed: now, weight: source::weight(address) }
+    fn new(address: SocketAddr, near: bool, now: Time) -> Self {
+        let weight = source::weight(address);
+        Peer { digest: None, heard: now, listed: now, near, weight, rumour: None }
+    }
+
+    /// Returns what the node last said of itself and when, directly or through others.
+    fn last_word(&self) -> Option<(Rumour, Time)> {
+        let heard = self.rumour.and_then(|heard| Some((heard.rumour, heard.believed?)));
+        let own = || Some((Rumour::of(self.digest.as_ref()?), self.heard));
+        heard.or_else(own)
     }
 }
 
@@ -96,9 +137,14 @@
     data_centre: String,
     /// Nodes that were not within reach when last looked at.
     missing: Vec<(SocketAddr, Reach)>,
+    /// Data centres that were silent when last looked at.
+    silent: Vec<String>,
+    /// Nodes of the own data centre when last looked at.
+    near: usize,
     peers: BTreeMap<SocketAddr, Peer>,
-    order: Vec<SocketAddr>,
-    due: Time,
+    places: Places,
+    rounds: Rounds,
+    rumours: Rumours,
 }
 
 impl Peers {
@@ -108,9 +154,12 @@
             link_mbps,
             data_centre,
             missing: Vec::new(),
+            silent: Vec::new(),
+            near: 0,
             peers: BTreeMap::new(),
-            order: Vec::new(),
-            due: Time::default(),
+            places: Places::default(),
+            rounds: Rounds::default(),
+            rumours: Rumours::default(),
         }
     }
 
@@ -120,14 +169,28 @@
 
     /// Looks at who is within reach; returns whether that has changed since the last look.
     pub(super) fn look(&mut self, now: Time) -> bool {
-        let reach = |address: &SocketAddr| (*address, self.reach(*address, now));
+        self.near = self.peers.values().filter(|peer| peer.near).count();
+        let reach = |(address, peer): (&SocketAddr, &Peer)| (*address, self.reach_of(peer, now));
         let missing: Vec<(SocketAddr, Reach)> =
-            self.peers.keys().map(reach).filter(|(_, reach)| *reach != Reach::Heard).collect();
-        let changed = missing != self.missing;
+            self.peers.iter().map(reach).filter(|(_, reach)| *reach != Reach::Heard).collect();
+        let silent =
+            if self.is_whole() { Vec::new() } else { self.places.silent(&self.data_centre, now) };
+        let changed = missing != self.missing || silent != self.silent;
         self.missing = missing;
+        self.silent = silent;
         changed
     }
 
+    /// Tells whether a data centre was silent as a whole when last looked at.
+    pub(super) fn is_silent(&self, data_centre: &str) -> bool {
+        self.silent.iter().any(|silent| silent == data_centre)
+    }
+
+    /// Tells whether every node tells every other one within seconds.
+    fn is_whole(&self) -> bool {
+        rounds::is_whole(self.peers.len())
+    }
+
     /// Returns the number of data centres with a node that was heard of, the own one included.
     pub(super) fn data_centres(&self) -> usize {
         let digests = self.peers.values().filter_map(|peer| peer.digest.as_ref());
@@ -136,36 +199,92 @@
         all.len()
     }
 
-    /// Takes note of a node beside a listed upstream.
-    pub(super) fn list(&mut self, address: SocketAddr, now: Time) {
-        if address != self.own {
-            let peer = self.peers.entry(address).or_insert_with(|| Peer::new(address, now));
-            peer.listed = now;
+    /// Takes note of a node beside an upstream that is listed in `data_centre`.
+    pub(super) fn list(&mut self, address: SocketAddr, data_centre: &str, now: Time) {
+        if address == self.own {
+            return;
         }
+        let near = data_centre == self.data_centre;
+        let peer = self.peers.entry(address).or_insert_with(|| Peer::new(address, near, now));
+        peer.listed = now;
+        peer.near = near;
     }
 
-    /// Takes a summary into account; returns whether the node's standing may have changed.
+    /// Takes a summary into account; returns whether the standing of a node may have changed.
     pub(super) fn hear(&mut self, digest: Digest, now: Time) -> bool {
         let address = digest.from.address;
         if address == self.own {
             return false;
         }
-        let before = (self.reach(address, now), self.incarnation(address));
-        let peer = self.peers.entry(address).or_insert_with(|| Peer::new(address, now));
+        let near = digest.data_centre == self.data_centre;
+        self.places.hear(&digest.data_centre, now);
+        self.places.hear_of(&digest.heard_ms, now);
+        let mut changed = false;
+        for rumour in &digest.rumours {
+            changed |= self.hear_rumour(*rumour, address, now);
+        }
+        let word = Rumour::of(&digest);
+        let digest = Digest {
+            heard_ms: BTreeMap::new(),
+            rumours: Vec::new(),
+            news: News::default(),
+            ..digest
+        };
+        let peer = self.peers.entry(address).or_insert_with(|| Peer::new(address, near, now));
+        let before = peer.last_word().map(|(word, _)| word);
+        let reach_before = peer.digest.as_ref().map(|_| peer.heard);
         peer.heard = now;
+        peer.near = near;
         peer.digest = Some(digest);
-        before != (self.reach(address, now), self.incarnation(address))
+        // Its own word goes before what others say of it.
+        peer.rumour = None;
+        if before.is_some_and(|before| before != word) && !self.is_whole() {
+            self.rumours.add(word);
+        }
+        let was_silent = reach_before.is_some_and(|heard| now.since(heard) > self.patience(near));
+        changed || before != Some(word) || was_silent
+    }
+
+    /// Takes into account what `by` tells of another node; returns whether it is news and believed.
+    fn hear_rumour(&mut self, rumour: Rumour, by: SocketAddr, now: Time) -> bool {
+        // Unknown names are not kept, whoever tells them: there is no bound on them.
+        let Some(peer) = self.peers.get_mut(&rumour.of.address) else { return false };
+        let known = peer.last_word().map(|(word, _)| word);
+        if rumour.of.address == by || known.is_some_and(|known| !rumour.is_after(&known)) {
+            return false;
+        }
+        match &mut peer.rumour {
+            Some(heard) if heard.rumour == rumour && heard.by != by => {
+                heard.believed = Some(now);
+                self.rumours.add(rumour);
+                true
+            }
+            Some(heard) if heard.rumour == rumour => false,
+            other => {
+                *other = Some(Heard { rumour, by, believed: None });
+                false
+            }
+        }
     }
 
     /// Returns the life of the node at `address`; 0 where it was never heard of.
     pub(super) fn incarnation(&self, address: SocketAddr) -> u64 {
-        let digest = self.peers.get(&address).and_then(|peer| peer.digest.as_ref());
-        digest.map_or(0, |digest| digest.from.incarnation)
+        let word = self.peers.get(&address).and_then(Peer::last_word);
+        word.map_or(0, |(word, _)| word.of.incarnation)
+    }
+
+    /// Returns what is told of others with the next summary.
+    pub(super) fn hearsay(&mut self, now: Time) -> (BTreeMap<String, u64>, Vec<Rumour>) {
+        if self.is_whole() {
+            return (BTreeMap::new(), Vec::new());
+        }
+        (self.places.ages_ms(&self.data_centre, now), self.rumours.next())
     }
 
     /// Forgets the silence so far: this process did not run, so it heard nobody.
     pub(super) fn wake(&mut self, now: Time) {
         self.peers.values_mut().for_each(|peer| peer.heard = now);
+        self.places.wake(now);
     }
 
     /// Drops nodes that are neither listed nor heard of.
@@ -175,17 +294,26 @@
     }
 
     /// Returns the standing of the node at `address`; nodes never heard of count as heard.
-    ///
-    /// A node that has heard nobody lately is itself cut off or was starved, and learns nothing
-    /// from the silence of one among them.
     pub(super) fn reach(&self, address: SocketAddr, now: Time) -> Reach {
-        let Some(peer) = self.peers.get(&address) else { return Reach::Heard };
-        let Some(digest) = &peer.digest else { return Reach::Heard };
-        let limit = self.round() * SILENT_ROUNDS + SILENT_EXTRA;
-        if now.since(peer.heard) > limit {
+        self.peers.get(&address).map_or(Reach::Heard, |peer| self.reach_of(peer, now))
+    }
+
+    fn reach_of(&self, peer: &Peer, now: Time) -> Reach {
+        let Some((word, at)) = peer.last_word() else { return Reach::Heard };
+        let age = now.since(at);
+        if peer.rumour.is_none_or(|heard| heard.believed.is_none())
+            && age > self.patience(peer.near)
+        {
             return Reach::Silent;
         }
-        if digest.leaving { Reach::Leaving } else { Reach::Heard }
+        if word.leaving && age < LEAVING_KEPT { Reach::Leaving } else { Reach::Heard }
+    }
+
+    /// Returns how long a node that was heard may be silent until it counts as out of reach.
+    fn patience(&self, near: bool) -> Duration {
+        let nodes = self.peers.len();
+        let group = if near { self.near } else { nodes.saturating_sub(self.near) };
+        rounds::length(nodes, group, near) * SILENT_ROUNDS + SILENT_EXTRA
     }
 
     /// Returns this node's place among the readers of its data centre.
@@ -203,40 +331,47 @@
         self.peers.iter().filter(|(address, peer)| before(address, peer)).count()
     }
 
+    /// Returns how much longer than in a small fleet word of a contact with the platform may take.
+    pub(super) fn spread(&self) -> Duration {
+        rounds::spread(self.peers.len())
+    }
+
     /// Returns the nodes whose turn it is to be told.
     pub(super) fn turn(&mut self, now: Time, random: &mut SmallRng) -> Vec<SocketAddr> {
-        if now < self.due || self.peers.is_empty() {
-            return Vec::new();
-        }
-        // A round is told in slices, so that hundreds of nodes cost no burst of messages.
-        let slices = self.round().div_duration_f64(ROUND_LEAST).max(1.0);
-        let count = (self.peers.len() as f64 / slices).ceil() as usize;
-        self.due = now + ROUND_LEAST;
-        if self.order.len() < count {
-            self.order = self.peers.keys().copied().collect();
-            self.order.shuffle(random);
-        }
-        self.order.split_off(self.order.len().saturating_sub(count))
+        let target =
+            |(address, peer): (&SocketAddr, &Peer)| Target { address: *address, near: peer.near };
+        self.rounds.turn(self.peers.iter().map(target), now, random)
     }
 
-    /// Returns the nodes to tell of news that this node was among the first to hear: all of the
+    /// Returns the nodes to tell of news that this node was among the first to hear: those of the
     /// own data centre, and some of each other one.
     pub(super) fn audience(&self, far: usize, random: &mut SmallRng) -> Vec<SocketAddr> {
-        let mut targets = Vec::new();
+        let mut near = Vec::new();
         let mut others: BTreeMap<&str, Vec<SocketAddr>> = BTreeMap::new();
         for (address, peer) in &self.peers {
             match peer.digest.as_ref().map(|d| d.data_centre.as_str()) {
                 Some(name) if name != self.data_centre => {
                     others.entry(name).or_default().push(*address);
                 }
-                _ => targets.push(*address),
+                _ => near.push(*address),
             }
         }
+        near.shuffle(random);
+        near.truncate(NEAR_AUDIENCE);
         for mut group in others.into_values() {
             group.shuffle(random);
-            targets.extend(group.into_iter().take(far));
+            near.extend(group.into_iter().take(far));
+        }
+        near
+    }
+
+    /// Returns the nodes to tell that this one can be learnt from.
+    pub(super) fn first_audience(&self, far: usize, random: &mut SmallRng) -> Vec<SocketAddr> {
+        if self.is_whole() {
+            self.peers.keys().copied().collect()
+        } else {
+            self.audience(far, random)
         }
-        targets
     }
 
     /// Returns some nodes drawn at random.
@@ -259,12 +394,13 @@
         now: Time,
         random: &mut SmallRng,
     ) -> Option<SocketAddr> {
-        let trust = |address| match self.reach(address, now) {
+        let trust = |address, place: &str| match self.reach(address, now) {
             Reach::Silent => trust(address).min(Trust::Low),
+            _ if self.is_silent(place) => trust(address).min(Trust::Low),
             Reach::Heard | Reach::Leaving => trust(address),
         };
         let place = |address, digest: &Digest| Place {
-            trust: trust(address),
+            trust: trust(address, &digest.data_centre),
             near: digest.data_centre == self.data_centre,
             link_mbps: digest.link_mbps,
         };
@@ -300,10 +436,4 @@
     pub(super) fn iter(&self) -> impl Iterator<Item = (&SocketAddr, &Peer)> {
         self.peers.iter()
     }
-
-    /// Returns the time in which every other node is told once.
-    fn round(&self) -> Duration {
-        let whole = Duration::from_secs(1) * self.peers.len() as u32 / DIGESTS_PER_SECOND as u32;
-        whole.clamp(ROUND_LEAST, ROUND_MOST)
-    }
 }
--- /dev/null
+++ b/crates/fleet/src/listed/rounds.rs
@@ -0,0 +1,119 @@
+//! Whose turn it is to be told a summary.
+//!
+//! Pattern: hundreds of nodes, each on a tenth of a core. In a small fleet everybody tells everybody
+//! within two seconds, so silence shows who is gone. To keep that up, a node of 295 would send and take 147
+//! summaries a second, 30 KB each way, more the more nodes there are. Beyond [`WHOLE_MOST`] nodes a node
+//! sends a fixed number, more of them within its data centre, each group in turn. News spread as fast,
+//! since whoever has learnt them tells them on; who is gone is told by other means, see
+//! [`super::places`] and [`super::rumours`].
+
+use model::time::Time;
+use rand::{rngs::SmallRng, seq::SliceRandom};
+use std::{net::SocketAddr, time::Duration};
+
+/// Summaries that a node sends in a second while it tells everybody. At 40, and about as many received,
+/// they take under 1 % of a core; with up to eight other nodes each is told five times a second.
+const PER_SECOND: usize = 40;
+
+/// Time between two slices of a round, and the shortest time of a round.
+///
+/// A round is told in slices, so that many nodes cost no burst of messages.
+const SLICE: Duration = Duration::from_millis(200);
+
+/// Longest time in which every other node is told once, while everybody is told.
+const ROUND_MOST: Duration = Duration::from_secs(2);
+
+/// Most other nodes of whom each is told within [`ROUND_MOST`] at [`PER_SECOND`].
+const WHOLE_MOST: usize = PER_SECOND * ROUND_MOST.as_secs() as usize;
+
+/// Nodes of the own data centre that are told in a slice where not everybody is.
+///
+/// With [`FAR_A_SLICE`] this makes 25 summaries a second each way, some 7 KB with the network's headers,
+/// under the 8 KB that a node may spend on control.
+const NEAR_A_SLICE: usize = 3;
+
+/// Nodes of other data centres that are told in a slice where not everybody is.
+const FAR_A_SLICE: usize = 2;
+
+/// Another node, as far as turns are concerned.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Target {
+    pub(super) address: SocketAddr,
+    /// Whether it is in the own data centre.
+    pub(super) near: bool,
+}
+
+/// The turns of all other nodes.
+#[derive(Debug, Default)]
+pub(super) struct Rounds {
+    all: Vec<SocketAddr>,
+    near: Vec<SocketAddr>,
+    far: Vec<SocketAddr>,
+    due: Time,
+}
+
+impl Rounds {
+    /// Returns the nodes whose turn it is.
+    pub(super) fn turn(
+        &mut self,
+        targets: impl ExactSizeIterator<Item = Target> + Clone,
+        now: Time,
+        random: &mut SmallRng,
+    ) -> Vec<SocketAddr> {
+        if now < self.due || targets.len() == 0 {
+            return Vec::new();
+        }
+        self.due = now + SLICE;
+        if is_whole(targets.len()) {
+            let slices = time(targets.len(), PER_SECOND).div_duration_f64(SLICE).max(1.0);
+            let count = (targets.len() as f64 / slices).ceil() as usize;
+            return draw(&mut self.all, count, targets.map(|t| t.address), random);
+        }
+        let near = targets.clone().filter(|t| t.near).map(|t| t.address);
+        let far = targets.filter(|t| !t.near).map(|t| t.address);
+        let mut drawn = draw(&mut self.near, NEAR_A_SLICE, near, random);
+        let lacking = NEAR_A_SLICE - drawn.len();
+        drawn.extend(draw(&mut self.far, FAR_A_SLICE + lacking, far, random));
+        drawn
+    }
+}
+
+/// Tells whether a node tells all of `nodes` others within [`ROUND_MOST`].
+pub(super) fn is_whole(nodes: usize) -> bool {
+    nodes <= WHOLE_MOST
+}
+
+/// Returns the time in which each of `nodes` others tells this one once, of whom `group` are in its own
+/// part, near or far.
+pub(super) fn length(nodes: usize, group: usize, near: bool) -> Duration {
+    if is_whole(nodes) {
+        return time(nodes, PER_SECOND);
+    }
+    let a_slice = if near { NEAR_A_SLICE } else { FAR_A_SLICE };
+    SLICE * group.div_ceil(a_slice) as u32
+}
+
+/// Returns how much longer word of a node takes to reach each of `nodes` others than where everybody is
+/// told: it passes over two more nodes, each of which waits for its next slice.
+pub(super) fn spread(nodes: usize) -> Duration {
+    if is_whole(nodes) { Duration::ZERO } else { SLICE * 2 }
+}
+
+fn time(nodes: usize, per_second: usize) -> Duration {
+    let whole = Duration::from_secs(1) * nodes as u32 / per_second as u32;
+    whole.max(SLICE)
+}
+
+/// Takes `count` nodes off the end of `order`, which is drawn anew where too few are left.
+fn draw(
+    order: &mut Vec<SocketAddr>,
+    count: usize,
+    nodes: impl Iterator<Item = SocketAddr>,
+    random: &mut SmallRng,
+) -> Vec<SocketAddr> {
+    if order.len() < count {
+        *order = nodes.collect();
+        order.shuffle(random);
+    }
+    order.split_off(order.len().saturating_sub(count))
+}
--- /dev/null
+++ b/crates/fleet/src/listed/rumours.rs
@@ -0,0 +1,49 @@
+//! What nodes said of themselves, told on by those that heard it.
+//!
+//! Pattern: a node says that it stops and is gone the moment after; the summary is lost on the way to one
+//! in a hundred others, and at hundreds of nodes no other word of it would come. Each node that has heard
+//! of a leaving or of a new life says so in its next summaries, so everybody hears it from several.
+//!
+//! No node is moved by the word of one: a node that tells false rumours, by mistake or not, would stop all
+//! work of others. What two said is believed, and only what is believed is told on.
+
+use std::collections::VecDeque;
+
+use crate::message::Rumour;
+
+/// Rumours in a summary.
+const A_SUMMARY: usize = 6;
+
+/// How many slices of summaries a rumour is told in. Five nodes are told in each, so a rumour that one node
+/// believes is told fifteen times by it, and all the others tell it as well.
+const TELLINGS: u32 = 3;
+
+/// Rumours that wait to be told; the oldest are dropped. Twice a fleet of the largest size: after the
+/// restart of all of them each is told of once.
+const WAITING_MOST: usize = 1_200;
+
+/// Rumours that are still to be told.
+#[derive(Debug, Default)]
+pub(super) struct Rumours {
+    waiting: VecDeque<(Rumour, u32)>,
+}
+
+impl Rumours {
+    /// Adds a rumour, in the place of an earlier one of the same node.
+    pub(super) fn add(&mut self, rumour: Rumour) {
+        self.waiting.retain(|(other, _)| other.of.address != rumour.of.address);
+        if self.waiting.len() == WAITING_MOST {
+            self.waiting.pop_front();
+        }
+        self.waiting.push_back((rumour, TELLINGS));
+    }
+
+    /// Takes the rumours of the next summary, those first that were told least.
+    pub(super) fn next(&mut self) -> Vec<Rumour> {
+        let count = self.waiting.len().min(A_SUMMARY);
+        let told: Vec<(Rumour, u32)> = self.waiting.drain(..count).collect();
+        let again = told.iter().filter(|(_, tellings)| *tellings > 1);
+        self.waiting.extend(again.map(|(rumour, tellings)| (*rumour, tellings - 1)));
+        told.into_iter().map(|(rumour, _)| rumour).collect()
+    }
+}
--- a/crates/fleet/src/listed/watch.rs
+++ b/crates/fleet/src/listed/watch.rs
@@ -97,13 +97,14 @@
         self.settings.readers.div_ceil(data_centres.max(1))
     }
 
-    /// Tells whether an idle node at place `rank` of its data centre's order calls the platform.
-    pub(super) fn is_due(&self, rank: usize, readers: usize, now: Time) -> bool {
+    /// Tells whether an idle node at place `rank` of its data centre's order calls the platform, where
+    /// word of a contact takes up to `spread` from node to node.
+    pub(super) fn is_due(&self, rank: usize, readers: usize, spread: Duration, now: Time) -> bool {
         if rank < readers {
             return true;
         }
         let place = (rank - readers).min(self.settings.silence_places) as u32;
-        let limit = self.settings.silence + self.settings.silence_step * place;
+        let limit = self.settings.silence + spread + self.settings.silence_step * place;
         let silent = self.contact.is_none_or(|contact| now.since(contact) > limit);
         if silent {
             cov_mark::hit!(listed_standby);
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -6,7 +6,7 @@
 
 use model::{config::Version, document::Delta};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr, ops::Not};
 
 use crate::{clock::Stamp, directory::Update, member::Record, source::Contact};
 
@@ -71,7 +71,7 @@
     /// What the asker lacks, or the first part of it.
     pub delta: Delta,
     /// Whether the asker lacks more than this.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(default, skip_serializing_if = "Not::not")]
     pub more: bool,
 }
 
@@ -115,11 +115,64 @@
     #[serde(default, rename = "s")]
     pub link_mbps: u32,
     /// Whether the platform fails the sender.
-    #[serde(default, rename = "x")]
+    #[serde(default, rename = "x", skip_serializing_if = "Not::not")]
     pub failing: bool,
     /// Whether the sender takes no more work.
-    #[serde(default, rename = "z")]
+    #[serde(default, rename = "z", skip_serializing_if = "Not::not")]
     pub leaving: bool,
+    /// Time since any node of another data centre spoke to the sender itself, in ms, by data centre;
+    /// only in fleets in which not every node speaks to every other one within seconds.
+    #[serde(default, rename = "h", skip_serializing_if = "BTreeMap::is_empty")]
+    pub heard_ms: BTreeMap<String, u64>,
+    /// What other nodes said of themselves lately.
+    #[serde(default, rename = "r", skip_serializing_if = "Vec::is_empty")]
+    pub rumours: Vec<Rumour>,
+    /// What the sender has just learnt, if that is little.
+    #[serde(default, rename = "n", skip_serializing_if = "News::is_empty")]
+    pub news: News,
+}
+
+/// What a node said of itself, as told by others.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Rumour {
+    /// The node.
+    #[serde(flatten)]
+    pub of: Sender,
+    /// Whether that life of it takes no more work.
+    #[serde(default, rename = "z", skip_serializing_if = "Not::not")]
+    pub leaving: bool,
+}
+
+/// Small changes that travel with a summary, so that nobody has to ask for them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// Changes of the list of upstreams.
+    #[serde(default, rename = "l", skip_serializing_if = "Option::is_none")]
+    pub list: Option<Update>,
+    /// Changes of the configuration.
+    #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
+    pub config: Option<Patch>,
+}
+
+impl News {
+    /// Tells whether nothing is told.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_none() && self.config.is_none()
+    }
+}
+
+/// What leads from one version of the configuration to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Patch {
+    /// Revision that the receiver must have in force.
+    #[serde(rename = "b")]
+    pub base: u64,
+    /// Version that the result must have.
+    #[serde(rename = "v")]
+    pub version: Version,
+    /// What changed.
+    #[serde(rename = "d")]
+    pub delta: Delta,
 }
 
 /// What one node asks of another.
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -10,14 +10,14 @@
     control::{Asked, Effect, Event, Lost},
     directory::{Entry, Standing},
     listed::{Control, Reading, Settings},
-    message::{Request, Response},
+    message::{Digest, News, Request, Response},
     source::{Answer, Failure, Query, Topic},
     view::View,
 };
 use model::time::Time;
 use std::{
-    collections::{BTreeSet, VecDeque},
-    net::SocketAddr,
+    collections::{BTreeMap, BTreeSet},
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
@@ -66,7 +66,8 @@
     pub(crate) links: Vec<u32>,
     /// When each link has carried all that is on its way; answers follow one after the other.
     busy: Vec<u64>,
-    queue: VecDeque<(u64, u64, Due)>,
+    /// What is on its way, by the time at which it arrives and the order in which it was sent.
+    queue: BTreeMap<(u64, u64), Due>,
     order: u64,
     pub(crate) store: Store,
     treatment: Vec<Treatment>,
@@ -74,18 +75,33 @@
     pub(crate) reads: u64,
     /// Every how many questions for the configuration one is lost; 0 for none.
     pub(crate) lossy: u64,
+    /// Nodes of a product version whose summaries say nothing of other nodes and carry no changes.
+    pub(crate) plain: BTreeSet<usize>,
+    /// Every how many summaries one is lost; 0 for none.
+    pub(crate) lossy_summaries: u64,
     /// Questions for the configuration that a node sent.
     pub(crate) pulls: Vec<u64>,
+    /// Summaries that a node sent.
+    pub(crate) told: Vec<u64>,
+    /// Bytes of summaries that arrived at a node, without those of the network's own headers.
+    pub(crate) heard_bytes: Vec<u64>,
     /// Revisions that a node put into force after a higher one.
     pub(crate) regressions: Vec<(usize, u64, u64)>,
 }
 
-fn address(node: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, node as u8 + 1], 7_000))
+/// Nodes that share the first three parts of their addresses.
+const NODES_A_BLOCK: usize = 250;
+
+fn host(node: usize) -> [u8; 4] {
+    [10, 0, (node / NODES_A_BLOCK) as u8, (node % NODES_A_BLOCK) as u8 + 1]
+}
+
+pub(crate) fn address(node: usize) -> SocketAddr {
+    SocketAddr::from((host(node), 7_000))
 }
 
 fn upstream(node: usize) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, node as u8 + 1], 80))
+    SocketAddr::from((host(node), 80))
 }
 
 impl Net {
@@ -105,14 +121,18 @@
             zones: zones.to_vec(),
             links: vec![1_000; zones.len()],
             busy: vec![0; zones.len()],
-            queue: VecDeque::new(),
+            queue: BTreeMap::new(),
             order: 0,
             store: Store::default(),
             treatment: vec![Treatment::Serve; zones.len()],
             cut: BTreeSet::new(),
             reads: 0,
             lossy: 0,
+            plain: BTreeSet::new(),
+            lossy_summaries: 0,
             pulls: vec![0; zones.len()],
+            told: vec![0; zones.len()],
+            heard_bytes: vec![0; zones.len()],
             regressions: Vec::new(),
         };
         net.publish();
@@ -245,9 +265,11 @@
         let end = self.now + ms;
         while self.now < end {
             self.now += 1;
-            while let Some(index) = self.queue.iter().position(|(at, ..)| *at <= self.now) {
-                let due = self.queue.remove(index).expect("the index was just found");
-                self.deliver(due.2);
+            while let Some(first) = self.queue.first_entry()
+                && first.key().0 <= self.now
+            {
+                let due = first.remove();
+                self.deliver(due);
             }
             if self.now.is_multiple_of(50) {
                 for node in 0..self.nodes.len() {
@@ -278,11 +300,7 @@
 
     fn put(&mut self, delay: u64, due: Due) {
         self.order += 1;
-        let at = self.now + delay;
-        let index =
-            self.queue.iter().position(|(other, order, _)| (*other, *order) > (at, self.order));
-        let index = index.unwrap_or(self.queue.len());
-        self.queue.insert(index, (at, self.order, due));
+        self.queue.insert((self.now + delay, self.order), due);
     }
 
     fn deliver(&mut self, due: Due) {
@@ -350,13 +368,21 @@
         let life = self.nodes[node].life;
         match effect {
             Effect::Tell(targets, digest) => {
+                let bytes = serde_json::to_vec(&digest).expect("messages have a JSON form").len();
                 let targets: Vec<usize> =
                     targets.into_iter().filter_map(|t| self.index(t)).collect();
                 for to in targets {
-                    if !self.cut.contains(&(node, to)) {
-                        let life = self.nodes[to].life;
-                        self.put(DELAY, Due::Event(to, life, Event::Heard(digest.clone())));
+                    self.told[node] += 1;
+                    let is_lost = self.lossy_summaries > 0
+                        && self.told[node].is_multiple_of(self.lossy_summaries);
+                    if is_lost || self.cut.contains(&(node, to)) {
+                        continue;
                     }
+                    self.heard_bytes[to] += bytes as u64;
+                    let life = self.nodes[to].life;
+                    let is_plain = self.plain.contains(&node) || self.plain.contains(&to);
+                    let digest = if is_plain { plain(&digest) } else { digest.clone() };
+                    self.put(DELAY, Due::Event(to, life, Event::Heard(digest)));
                 }
             }
             Effect::Send(peer, request, timeout) => self.send(node, life, peer, request, timeout),
@@ -377,7 +403,10 @@
     }
 
     fn index(&self, peer: SocketAddr) -> Option<usize> {
-        (0..self.nodes.len()).find(|&node| address(node) == peer)
+        let IpAddr::V4(ip) = peer.ip() else { return None };
+        let [_, _, block, last] = ip.octets();
+        let node = usize::from(block) * NODES_A_BLOCK + usize::from(last) - 1;
+        (node < self.nodes.len()).then_some(node)
     }
 
     fn send(
@@ -444,6 +473,24 @@
     }
 }
 
+/// Returns what a node of a product version without hearsay sends, or understands, of a summary.
+fn plain(digest: &Digest) -> Digest {
+    let Digest { from, config, list, contact_ms, link_mbps, failing, leaving, .. } = *digest;
+    Digest {
+        from,
+        data_centre: digest.data_centre.clone(),
+        config,
+        list,
+        contact_ms,
+        link_mbps,
+        failing,
+        leaving,
+        heard_ms: BTreeMap::new(),
+        rumours: Vec::new(),
+        news: News::default(),
+    }
+}
+
 fn asked(request: &Request) -> Asked {
     match request {
         Request::Fetch(_) => Asked::Fetch,
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -4,7 +4,7 @@
 //! A datagram costs each side one system call and no connection; one that is lost is made good by
 //! the next.
 
-use fleet::message::Digest;
+use fleet::message::{Digest, News};
 use snafu::{ResultExt, Snafu};
 use std::{
     io,
@@ -58,7 +58,7 @@
     ///
     /// One that could not be sent is as good as lost on the way: the next one follows soon.
     pub fn tell(&self, targets: &[SocketAddr], digest: &Digest) -> usize {
-        let Ok(text) = serde_json::to_vec(digest) else { return targets.len() };
+        let Ok(text) = encode(digest) else { return targets.len() };
         targets.iter().filter(|target| self.socket.send_to(&text, target).is_err()).count()
     }
 
@@ -69,3 +69,12 @@
         serde_json::from_slice(&buffer[..size]).context(MalformedSnafu { from })
     }
 }
+
+/// Encodes a summary in one packet: news that do not fit stay out, and whoever lacks them asks.
+fn encode(digest: &Digest) -> Result<Vec<u8>, serde_json::Error> {
+    let text = serde_json::to_vec(digest)?;
+    if text.len() <= SIZE_LIMIT || digest.news.is_empty() {
+        return Ok(text);
+    }
+    serde_json::to_vec(&Digest { news: News::default(), ..digest.clone() })
+}
