Silence of a data centre counts only where enough nodes listen for it

Cause: found by reading the rule again for fleets of other shapes: with fifty data centres of two nodes a second and a half without a word of one is common, and sound upstreams would get no calls for moments.

Change: at least eight other nodes beside the own one, at most twelve other data centres; elsewhere silence of a whole data centre is not judged. Test: four shapes of 100 nodes, nobody is missed in four calm seconds.

--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -173,8 +173,10 @@
         let reach = |(address, peer): (&SocketAddr, &Peer)| (*address, self.reach_of(peer, now));
         let missing: Vec<(SocketAddr, Reach)> =
             self.peers.iter().map(reach).filter(|(_, reach)| *reach != Reach::Heard).collect();
-        let silent =
-            if self.is_whole() { Vec::new() } else { self.places.silent(&self.data_centre, now) };
+        let silent = match self.is_whole() {
+            true => Vec::new(),
+            false => self.places.silent(&self.data_centre, self.near, now),
+        };
         let changed = missing != self.missing || silent != self.silent;
         self.missing = missing;
         self.silent = silent;
--- a/crates/fleet/src/listed/places.rs
+++ b/crates/fleet/src/listed/places.rs
@@ -20,6 +20,13 @@
 /// that hears nobody is cut off itself, or was starved, and learns nothing from silence.
 const OWN_WORD: Duration = Duration::from_millis(600);
 
+/// Fewest other nodes of the own data centre with which silence counts, and most other data centres.
+///
+/// A node tells ten others a second that are elsewhere. With more data centres, or fewer nodes that hear
+/// of them, a second and a half without a word of one of them is no rare chance.
+const EARS_LEAST: usize = 8;
+const OTHERS_MOST: usize = 12;
+
 /// Data centres that are remembered; another node's word names no more of them.
 const MOST: usize = 64;
 
@@ -73,10 +80,10 @@
             .collect()
     }
 
-    /// Returns the data centres that fell silent, as seen by a node of `own`.
-    pub(super) fn silent(&self, own: &str, now: Time) -> Vec<String> {
+    /// Returns the data centres that fell silent, as seen by a node of `own` with `ears` others beside it.
+    pub(super) fn silent(&self, own: &str, ears: usize, now: Time) -> Vec<String> {
         let hears = self.words.get(own).is_some_and(|word| now.since(word.own) < OWN_WORD);
-        if !hears {
+        if !hears || ears < EARS_LEAST || self.words.len() > OTHERS_MOST + 1 {
             return Vec::new();
         }
         let silent =
--- a/crates/fleet/tests/hundreds.rs
+++ b/crates/fleet/tests/hundreds.rs
@@ -39,6 +39,25 @@
     net
 }
 
+/// Upstreams of a sound data centre get no calls for moments, again and again, because among many data
+/// centres one was not heard of for a while by chance.
+#[test]
+fn nobody_is_missed_in_a_calm_fleet_of_any_shape() {
+    for (places, part) in [(5, 20), (50, 2), (12, 9), (2, 50)] {
+        let names: Vec<&'static str> = (0..places).map(|n| &*format!("place-{n}").leak()).collect();
+        let zones: Vec<&'static str> = (0..places * part).map(|n| names[n / part]).collect();
+        let mut net = Net::new(&zones);
+        net.until(4_000, |net| net.all(|n| n.open && n.view.iter().count() == zones.len()));
+        net.run(3_000);
+        for _ in 0..40 {
+            net.run(100);
+            let missed = |n: &usize| net.targets(*n).len() < zones.len();
+            let blind: Vec<usize> = (0..zones.len()).filter(missed).collect();
+            assert!(blind.is_empty(), "{places} places of {part}: {blind:?} miss somebody");
+        }
+    }
+}
+
 fn calm() -> Net {
     let mut net = fleet(PART);
     net.until(4_000, |net| net.all(|n| n.open && n.view.iter().count() == NODES));
