Tests: what fits into a summary, what two product versions understand, who asks for a small change

Cause: changes that travel with summaries were proved at the state machines only. Tests of the datagrams: five changed entries travel, twenty do not and the summary still arrives whole; the former version's text is read and what it needs is there.

--- a/crates/fleet/tests/hundreds.rs
+++ b/crates/fleet/tests/hundreds.rs
@@ -94,6 +94,18 @@
     assert!(net.regressions.is_empty());
 }
 
+/// Calls wait behind control: each change of a few bytes was a question of every node with a connection of
+/// its own, hundreds of them at the node that had it first.
+#[test]
+fn a_small_change_is_asked_for_by_few() {
+    let mut net = calm();
+    let before: u64 = net.pulls.iter().sum();
+    let revision = net.publish();
+    net.until(KNOWN, |net| net.all(|n| n.in_force == revision));
+    let asked = net.pulls.iter().sum::<u64>() - before;
+    assert!(asked <= NODES as u64 / 10, "{asked}");
+}
+
 /// A payment goes to an upstream that leaves, because its entry node had not heard of it.
 #[test]
 fn an_upstream_that_leaves_is_known_at_hundreds_in_a_second() {
--- /dev/null
+++ b/crates/peer/tests/datagram.rs
@@ -0,0 +1,90 @@
+//! Summaries as datagrams: what fits into one packet, and what other product versions understand.
+
+use fleet::{
+    directory::{Entry, Standing, Update},
+    message::{Digest, News, Sender},
+};
+use peer::datagram::Socket;
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr, UdpSocket},
+};
+
+/// What a node of the version without hearsay sends.
+const FORMER: &str =
+    r#"{"f":{"a":"10.0.0.1:7000","i":5},"d":"a","c":3,"l":9,"p":40,"s":10,"x":false,"z":true}"#;
+
+fn entry(number: u64) -> Entry {
+    Entry {
+        id: format!("i-7f3a91c2{number}"),
+        service: "shelfview".to_owned(),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        data_centre: "lalitpur-b".to_owned(),
+        slots: 8,
+        standing: Standing::Ready,
+        cold_ms: 3_000,
+        started_ms: Some(1_700_000_000_000),
+        revision: number,
+    }
+}
+
+fn digest(entries: u64) -> Digest {
+    let list = Update {
+        revision: entries,
+        base: Some(1),
+        entries: (0..entries).map(entry).collect(),
+        removed: Vec::new(),
+    };
+    Digest {
+        from: Sender { address: SocketAddr::from(([10, 0, 0, 2], 7_000)), incarnation: 1 },
+        data_centre: "ktm-a".to_owned(),
+        config: 12,
+        list: 34,
+        contact_ms: Some(250),
+        link_mbps: 10,
+        failing: false,
+        leaving: false,
+        heard_ms: BTreeMap::new(),
+        rumours: Vec::new(),
+        news: News { list: Some(list), config: None },
+    }
+}
+
+/// Sends a summary with so many changed entries and returns how many arrive with it.
+#[track_caller]
+fn check(entries: u64, expect: Option<usize>) {
+    let receiver = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has ports");
+    let target = receiver.local_addr().expect("it is bound");
+    let socket = Socket::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("as above");
+    assert_eq!(socket.tell(&[target], &digest(entries)), 0);
+    let mut buffer = [0; 4_096];
+    let size = receiver.recv(&mut buffer).expect("loopback loses no single packet");
+    let heard: Digest = serde_json::from_slice(&buffer[..size]).expect("it was a summary");
+    assert_eq!(heard.list, 34);
+    assert_eq!(heard.news.list.map(|list| list.entries.len()), expect);
+}
+
+/// Hundreds of nodes pull the list at once: the summary that carried the change was longer than a packet,
+/// and nobody could read what arrived of it.
+#[test]
+fn a_change_travels_with_a_summary_only_if_it_fits() {
+    check(1, Some(1));
+    check(5, Some(5));
+    check(20, None);
+}
+
+#[test]
+fn summaries_of_the_former_version_are_understood() {
+    let heard: Digest = serde_json::from_str(FORMER).expect("it is a summary");
+    assert!(heard.leaving && heard.news.is_empty() && heard.rumours.is_empty());
+    assert_eq!((heard.config, heard.list, heard.contact_ms), (3, 9, Some(40)));
+}
+
+/// A node of the former version drops what lacks one of the fields that it has always been told.
+#[test]
+fn the_former_version_finds_what_it_needs() {
+    let told = serde_json::to_value(digest(1)).expect("a summary is JSON");
+    for field in ["f", "d", "c", "l"] {
+        assert!(told.get(field).is_some(), "{field}");
+    }
+}
