--- a/crates/fleet/tests/hundreds.rs
+++ b/crates/fleet/tests/hundreds.rs
@@ -51,7 +51,7 @@
         net.run(3_000);
         for _ in 0..40 {
             net.run(100);
-            let missed = |n: &usize| net.targets(*n).len() < zones.len();
+            let missed = |n: &usize| net.target_count(*n) < zones.len();
             let blind: Vec<usize> = (0..zones.len()).filter(missed).collect();
             assert!(blind.is_empty(), "{places} places of {part}: {blind:?} miss somebody");
         }
@@ -116,14 +116,12 @@
         net.until(KNOWN, |net| (0..NODES).all(|n| !is_target(net, n, 100)));
         net.unregister("i-100");
         net.register(100, "i-100-next", Standing::Ready);
-        net.until(KNOWN, |net| {
-            (0..NODES).all(|n| net.targets(n).contains(&"i-100-next".to_owned()))
-        });
+        net.until(KNOWN, |net| (0..NODES).all(|n| net.is_target(n, "i-100-next")));
     }
 }
 
 fn is_target(net: &Net, node: usize, target: usize) -> bool {
-    net.targets(node).contains(&format!("i-{target}"))
+    net.is_target(node, &format!("i-{target}"))
 }
 
 /// A payment goes to a node that stops: one summary in ten is lost, the node has said once that it
@@ -145,11 +143,11 @@
     set_cut(&mut net, true);
     let own = |net: &Net, n: usize| {
         let is_own = |t: &usize| (place(*t) == 0) == (place(n) == 0);
-        (0..NODES).filter(is_own).count() == net.targets(n).len()
+        (0..NODES).filter(is_own).count() == net.target_count(n)
     };
     net.until(4_000, |net| [0, 30, 100, 294].iter().all(|n| own(net, *n)));
     set_cut(&mut net, false);
-    net.until(1_500, |net| (0..NODES).all(|n| net.targets(n).len() == NODES));
+    net.until(1_500, |net| (0..NODES).all(|n| net.target_count(n) == NODES));
 }
 
 /// Cuts the first data centre off, or connects it again.
@@ -229,5 +227,5 @@
         net.tell(0, Event::Heard(digest));
     }
     net.run(1_500);
-    assert!((0..NODES).all(|n| net.targets(n).len() == NODES));
+    assert!((0..NODES).all(|n| net.target_count(n) == NODES));
 }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -261,6 +261,18 @@
         able.map(|u| u.instance.clone()).collect()
     }
 
+    /// Tells whether a node sends calls to the upstream `id`.
+    pub(crate) fn is_target(&self, node: usize, id: &str) -> bool {
+        let upstreams = self.nodes[node].view.upstreams("shelfview");
+        upstreams.iter().any(|u| u.instance == id && u.state.takes_work())
+    }
+
+    /// Returns to how many upstreams a node sends calls.
+    pub(crate) fn target_count(&self, node: usize) -> usize {
+        let upstreams = self.nodes[node].view.upstreams("shelfview");
+        upstreams.iter().filter(|u| u.state.takes_work()).count()
+    }
+
     pub(crate) fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -10,7 +10,8 @@
 use std::{io, net::SocketAddr};
 use tokio::net::TcpStream;
 
-use crate::upstream::WORK;
+/// Header by which callers name a piece of work in an upstream's ledger.
+pub const WORK: &str = "x-work";
 
 /// A call to make.
 #[derive(Clone, Debug)]
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -17,14 +17,11 @@
     time::sleep,
 };
 
-use crate::caller;
+use crate::caller::{self, WORK};
 
 /// Most headers of a request.
 const HEADER_LIMIT: usize = 64;
 
-/// Header by which callers name a piece of work in the ledger.
-pub const WORK: &str = "x-work";
-
 /// How an upstream behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
