baobabctl status fits on a screen at hundreds of nodes

Cause: a line for each node, 295 of them, in which an operator looks for the two that matter; the progress of a published version was to be counted by hand. Tests: 295 told states, which need no node; before, by reckoning from the code, a line each.

--- a/crates/baobabctl/src/main.rs
+++ b/crates/baobabctl/src/main.rs
@@ -1,6 +1,7 @@
 //! The operators' command line: checks documents and asks nodes.
 
 mod check;
+mod fleet;
 mod logs;
 mod output;
 mod show;
@@ -14,7 +15,9 @@
 
 usage:
   baobabctl check FILE...                   checks profiles and services as a node would
-  baobabctl status --node IP:PORT [--json]  the fleet as that node can gather it
+  baobabctl status --node IP:PORT [--all] [--json]
+                                            the fleet as that node can gather it, by data centre, with
+                                            the nodes that need attention; --all names every node
   baobabctl explain SERVICE --node IP:PORT [--json]
                                             profile and upstreams as that node would choose now
   baobabctl timeline --node IP:PORT [--follow] [--json]
@@ -72,8 +75,10 @@
         Some("check") => Ok(check::run(&files(arguments)?)),
         Some("status") => {
             let (node, form) = node_and_form(&mut arguments)?;
+            let all = arguments.contains("--all");
             finish(arguments)?;
-            Ok(show::status(node, form))
+            let extent = if all { fleet::Extent::All } else { fleet::Extent::Attention };
+            Ok(show::status(node, form, extent))
         }
         Some("explain") => {
             let (node, form) = node_and_form(&mut arguments)?;
--- a/crates/baobabctl/src/show.rs
+++ b/crates/baobabctl/src/show.rs
@@ -1,15 +1,19 @@
 //! Asks a node and prints what it says.
 
-use fleet::{
+use ::fleet::{
     clock::Stamp,
-    member::State,
     status::{Explanation, Fleet},
     timeline::Event,
 };
 use serde::de::DeserializeOwned;
 use std::{net::SocketAddr, thread, time::Duration};
 
-use crate::{End, logs, output::say};
+use crate::{
+    End,
+    fleet::{self, Extent},
+    logs,
+    output::say,
+};
 
 /// Time for an answer; the node itself waits up to 2 s for each group of other nodes.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -27,15 +31,15 @@
 }
 
 /// Prints the fleet; the answer is no while a node is behind, silent or holds a refused version.
-pub(crate) fn status(node: SocketAddr, form: Form) -> End {
+pub(crate) fn status(node: SocketAddr, form: Form, extent: Extent) -> End {
     let Some(text) = fetch(node, "/fleet") else { return End::No };
     let Some(fleet) = parse::<Fleet>(&text) else { return End::No };
     if form == Form::Json {
         say!("{text}");
     } else {
-        print_fleet(&fleet);
+        fleet::lines(&fleet, extent).iter().for_each(|line| say!("{line}"));
     }
-    let newest = newest_revision(&fleet);
+    let newest = fleet::newest_revision(&fleet);
     let settled = fleet.silent.is_empty()
         && fleet.answered.iter().all(|n| n.version.revision == newest)
         && fleet.answered.iter().all(|n| n.rejected.iter().all(|r| r.version.revision < newest));
@@ -91,67 +95,6 @@
     parsed.map_err(|e| eprintln!("baobabctl: the node's answer is not understood: {e}")).ok()
 }
 
-fn newest_revision(fleet: &Fleet) -> u64 {
-    fleet.answered.iter().map(|n| n.version.revision).max().unwrap_or(0)
-}
-
-fn print_fleet(fleet: &Fleet) {
-    let newest = newest_revision(fleet);
-    say!("newest version in force: revision {newest}");
-    say!(
-        "{:<20} {:<14} {:<14} {:<12} {:<18} note",
-        "instance",
-        "data centre",
-        "service",
-        "state",
-        "version"
-    );
-    for node in &fleet.answered {
-        let behind = newest - node.version.revision;
-        let mut notes = Vec::new();
-        if behind > 0 {
-            notes.push(format!("behind by {behind} revisions"));
-        }
-        if let Some(revision) = node.stale_source {
-            notes.push(format!("the platform serves only revision {revision}"));
-        }
-        if node.reader_rank < fleet::source::READERS {
-            notes.push("reads the platform".to_owned());
-        }
-        say!(
-            "{:<20} {:<14} {:<14} {:<12} {:<18} {}",
-            node.instance,
-            node.data_centre,
-            node.service,
-            state_name(node.state),
-            node.version.to_string(),
-            notes.join(", ")
-        );
-    }
-    for member in &fleet.silent {
-        say!(
-            "{:<20} {:<14} {:<14} {:<12} {:<18} does not answer",
-            member.instance,
-            member.data_centre,
-            member.service,
-            state_name(member.state),
-            "-"
-        );
-    }
-    print_rejected(fleet);
-}
-
-fn print_rejected(fleet: &Fleet) {
-    let mut seen = Vec::new();
-    for node in &fleet.answered {
-        for rejected in node.rejected.iter().filter(|r| !seen.contains(&r.version)) {
-            say!("rejected by {}: version {}", node.instance, rejected.version);
-            rejected.faults.iter().for_each(|fault| say!("  {fault}"));
-        }
-        seen.extend(node.rejected.iter().map(|r| r.version));
-    }
-}
-
 fn print_explanation(explanation: &Explanation) {
     let Explanation { service, known, revision, profile, upstreams } = explanation;
     if !known {
@@ -224,13 +167,3 @@
     let (hour, minute, second) = (seconds / 3_600 % 24, seconds / 60 % 60, seconds % 60);
     format!("{hour:02}:{minute:02}:{second:02}.{:03}Z", ms % 1_000)
 }
-
-fn state_name(state: State) -> &'static str {
-    match state {
-        State::Live => "live",
-        State::Suspect => "suspect",
-        State::Unreachable => "unreachable",
-        State::Leaving => "leaving",
-        State::Gone => "gone",
-    }
-}
--- /dev/null
+++ b/crates/baobabctl/tests/fleet.rs
@@ -0,0 +1,105 @@
+//! What an operator sees of a fleet of hundreds.
+
+use serde_json::{Value, json};
+use std::{
+    io::{Read, Write},
+    net::{Ipv4Addr, TcpListener},
+    process::Command,
+    thread,
+};
+
+const NODES: usize = 295;
+const PLACES: [&str; 5] = ["ktm-a", "lalitpur-b", "bhaktapur-c", "kirtipur-d", "banepa-e"];
+const NEWEST: u64 = 42;
+
+/// Lines of a screen.
+const SCREEN: usize = 50;
+
+fn node(number: usize, revision: u64) -> Value {
+    json!({
+        "instance": format!("i-{number}"),
+        "address": "10.0.0.1:7000",
+        "service": "shelfview",
+        "data_centre": PLACES[number % PLACES.len()],
+        "incarnation": 1,
+        "product": "0.1.0",
+        "state": "live",
+        "version": { "revision": revision, "digest": "0".repeat(32) },
+        "stamp": 1,
+        "rejected": [],
+        "reader_rank": number / PLACES.len(),
+        "source_age_ms": 100,
+        "stale_source": null,
+        "members": [],
+    })
+}
+
+fn silent(number: usize) -> Value {
+    json!({
+        "instance": format!("i-{number}"),
+        "address": "10.0.0.1:7000",
+        "service": "paydesk",
+        "data_centre": PLACES[number % PLACES.len()],
+        "state": "unreachable",
+    })
+}
+
+/// Serves one answer to one question.
+fn serve(fleet: &Value) -> String {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has ports");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let text = fleet.to_string();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("somebody asks");
+        let _question = stream.read(&mut [0; 4_096]);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", text.len());
+        stream.write_all((head + &text).as_bytes()).expect("it is read");
+    });
+    address
+}
+
+/// Returns the exit status and the lines that `baobabctl status` prints of a fleet.
+fn status(behind: usize, silent_nodes: usize, words: &[&str]) -> (Option<i32>, Vec<String>) {
+    let revision = |number| if number < behind { NEWEST - 3 } else { NEWEST };
+    let answered: Vec<Value> =
+        (0..NODES - silent_nodes).map(|number| node(number, revision(number))).collect();
+    let missing: Vec<Value> = (NODES - silent_nodes..NODES).map(silent).collect();
+    let fleet = json!({ "node": node(0, NEWEST), "answered": answered, "silent": missing });
+    let address = serve(&fleet);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_baobabctl"));
+    let output = command.args(["status", "--node", &address]).args(words).output();
+    let output = output.expect("the program starts");
+    let text = String::from_utf8(output.stdout).expect("it prints text");
+    (output.status.code(), text.lines().map(str::to_owned).collect())
+}
+
+/// At night an operator asks how far a version has come and gets three hundred lines, of which two matter.
+#[test]
+fn hundreds_of_nodes_fit_on_a_screen() {
+    for (behind, silent_nodes) in [(0, 0), (5, 3), (200, 0), (0, 59)] {
+        let (code, lines) = status(behind, silent_nodes, &[]);
+        assert!(lines.len() <= SCREEN, "{} lines", lines.len());
+        let in_force = NODES - behind - silent_nodes;
+        let progress =
+            format!("newest version in force: revision {NEWEST}, at {in_force} of {NODES} nodes");
+        assert_eq!(lines[0], progress);
+        assert!(PLACES.iter().all(|place| lines.iter().any(|line| line.starts_with(place))));
+        assert_eq!(code, Some(i32::from(behind + silent_nodes > 0)));
+    }
+}
+
+#[test]
+fn who_lags_and_who_is_silent_is_named() {
+    let (_, lines) = status(2, 1, &[]);
+    let about = |id: &str| lines.iter().find(|line| line.starts_with(&format!("{id} ")));
+    assert!(about("i-1").is_some_and(|line| line.contains("behind by 3 revisions")));
+    assert!(about("i-294").is_some_and(|line| line.contains("does not answer")));
+    assert!(about("i-100").is_none());
+}
+
+#[test]
+fn all_nodes_are_named_if_asked_for() {
+    let (_, lines) = status(200, 0, &["--all"]);
+    let named = |n: usize| lines.iter().any(|line| line.starts_with(&format!("i-{n} ")));
+    assert!((0..NODES).all(named));
+}
