Soak: the ports that all nodes share are none that the system hands out

Ruled out: the product (it says what is wrong and ends with it, as it should).

Two starts of 200 nodes that failed before had one silent process as well; the same cause is inferred.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -18,6 +18,7 @@
 mod history;
 mod leaving;
 mod load;
+mod port;
 mod proxy;
 mod site;
 mod spot;
--- a/xtask/src/soak/site.rs
+++ b/xtask/src/soak/site.rs
@@ -1,6 +1,7 @@
 //! All instances of a soak and their platform.
 
 use fleet::directory::Standing;
+use rand::{SeedableRng, rngs::SmallRng};
 use rustix::process::Signal;
 use standins::{platform, platform::Platform};
 use std::{
@@ -14,7 +15,8 @@
 use crate::soak::{
     content::Content,
     history::{History, Trouble},
-    spot::{Place, Ports, Spot, free_port},
+    port,
+    spot::{Place, Ports, Spot},
 };
 
 /// All instances and the platform.
@@ -53,7 +55,8 @@
             folder,
             keep: false,
         };
-        let ports = Ports { nodes: free_port()?, peers: free_port()? };
+        let mut random = SmallRng::seed_from_u64(seed);
+        let ports = Ports { nodes: port::shared(&mut random)?, peers: port::shared(&mut random)? };
         let platform = site.platform.address();
         site.content.publish(&site.platform);
         for number in 0..count {
--- a/xtask/src/soak/spot.rs
+++ b/xtask/src/soak/spot.rs
@@ -9,7 +9,7 @@
 use std::{
     collections::HashMap,
     io,
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::Child,
     thread,
@@ -20,6 +20,7 @@
 use crate::soak::{
     content::SERVICES,
     history::{History, Trouble},
+    port,
     proxy::{Proxy, Speed},
 };
 
@@ -93,8 +94,8 @@
         let outer_nodes = address(1, number, ports.nodes);
         let (nodes, _) = Proxy::start(outer_nodes, inner_nodes, speed, handle)?;
         let (platform, to_platform) = Proxy::start(inner, platform, speed, handle)?;
-        let callers = address(2, number, free_port()?);
-        let operators = address(2, number, free_port()?);
+        let callers = address(2, number, port::free()?);
+        let operators = address(2, number, port::free()?);
         let service = SERVICES[number / 3 % SERVICES.len()];
         let settings = folder.join(format!("node-{number}.json"));
         let text = serde_json::json!({
@@ -258,8 +259,3 @@
     let [high, low] = (number as u16 + 1).to_be_bytes();
     SocketAddr::from((Ipv4Addr::new(127, network, high, low), port))
 }
-
-/// Returns a port that is free on every loopback address, as far as one can tell.
-pub(crate) fn free_port() -> io::Result<u16> {
-    Ok(TcpListener::bind(("0.0.0.0", 0))?.local_addr()?.port())
-}
