--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -78,12 +78,12 @@
     near: bool,
     /// Place in the rendezvous order.
     weight: u64,
-    rumour: Option<Heard>,
+    rumour: Option<Hearsay>,
 }
 
 /// A rumour of a node that it did not contradict itself.
 #[derive(Clone, Copy, Debug)]
-struct Heard {
+struct Hearsay {
     rumour: Rumour,
     /// Who told it first.
     by: SocketAddr,
@@ -263,7 +263,7 @@
             }
             Some(heard) if heard.rumour == rumour => false,
             other => {
-                *other = Some(Heard { rumour, by, believed: None });
+                *other = Some(Hearsay { rumour, by, believed: None });
                 false
             }
         }
--- a/crates/fleet/src/listed/places.rs
+++ b/crates/fleet/src/listed/places.rs
@@ -3,8 +3,8 @@
 //! Pattern: a data centre is cut off for six seconds. Among hundreds of nodes one hears each other one
 //! every twenty seconds, so the silence of a node shows nothing in time; all of the silent data centre
 //! together are heard every third of a second. Nodes also tell each other how long ago they themselves
-//! heard of each data centre, which makes up for summaries that were drawn late or were lost. Only the
-//! sender's own ear counts: what was heard from others would be told round and round after the cut, a
+//! heard of each data centre, which makes up for summaries that were drawn late or were lost. Only what the
+//! sender heard itself counts: what was heard from others would be told round and round after the cut, a
 //! little younger each time.
 
 use model::time::Time;
@@ -24,11 +24,11 @@
 /// Fewest other nodes of the own data centre for each other data centre with which silence counts.
 ///
 /// Four of them hear ten words of each in [`SILENCE`], in the mean; that there is none of ten is one chance in
-/// twenty thousand. With fewer ears, or more data centres, it is a common one.
-const EARS_A_PLACE: usize = 4;
+/// twenty thousand. With fewer of them, or more data centres, it is a common one.
+const LISTENERS_A_PLACE: usize = 4;
 
 /// Most nodes whose word about others arrives within [`SILENCE`].
-const EARS_MOST: usize = 30;
+const LISTENERS_MOST: usize = 30;
 
 /// Data centres that are remembered; another node's word names no more of them.
 const MOST: usize = 64;
@@ -83,11 +83,11 @@
             .collect()
     }
 
-    /// Returns the data centres that fell silent, as seen by a node of `own` with `ears` others beside it.
-    pub(super) fn silent(&self, own: &str, ears: usize, now: Time) -> Vec<String> {
+    /// Returns the data centres that fell silent, as seen by a node of `own` with `listeners` others beside it.
+    pub(super) fn silent(&self, own: &str, listeners: usize, now: Time) -> Vec<String> {
         let hears = self.words.get(own).is_some_and(|word| now.since(word.own) < OWN_WORD);
         let others = self.words.len().saturating_sub(1);
-        if !hears || ears.min(EARS_MOST) < others * EARS_A_PLACE {
+        if !hears || listeners.min(LISTENERS_MOST) < others * LISTENERS_A_PLACE {
             return Vec::new();
         }
         let silent =
