--- a/crates/baobabctl/src/fleet.rs
+++ b/crates/baobabctl/src/fleet.rs
@@ -38,7 +38,7 @@
 /// Returns the lines that show `fleet`.
 pub(crate) fn lines(fleet: &Fleet, extent: Extent) -> Vec<String> {
     let newest = newest_revision(fleet);
-    let mut lines = progress(fleet, newest);
+    let mut lines = vec![progress(fleet, newest)];
     lines.extend(table(&places(fleet, newest)));
     let attention = attention(fleet, newest);
     let most = if extent == Extent::All { usize::MAX } else { NAMED_MOST };
@@ -57,10 +57,10 @@
     lines
 }
 
-fn progress(fleet: &Fleet, newest: u64) -> Vec<String> {
+fn progress(fleet: &Fleet, newest: u64) -> String {
     let in_force = fleet.answered.iter().filter(|n| n.version.revision == newest).count();
     let all = fleet.answered.len() + fleet.silent.len();
-    vec![format!("newest version in force: revision {newest}, at {in_force} of {all} nodes")]
+    format!("newest version in force: revision {newest}, at {in_force} of {all} nodes")
 }
 
 fn places(fleet: &Fleet, newest: u64) -> BTreeMap<&str, Place<'_>> {
