Sight: a node tells which requests ran when its upstream's process ended

Cause of the blindness: a broken call is told as a broken connection, by an id that each attempt has anew. Nothing tells that the process ended, what ran then, and whether it is the same request again.

Ruled out: taking every broken call for an end (spoiled answers and reset connections break calls too: now nobody may listen at the address, asked twice within 100 ms, with no answer in between), and the lapse of the platform's entry (two seconds later, without the requests).

Change: policy::suspects keeps how the own upstream's calls ended lately; traffic finds out whether the process has ended; one line, upstream-ended, with fingerprint, method, host and path of each request, and a counter. No request is treated differently.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -209,6 +209,13 @@
         /// How many.
         count: u64,
     },
+    /// The own upstream's process ended while it ran requests.
+    UpstreamEnded {
+        /// Its address.
+        address: SocketAddr,
+        /// What ran: the fingerprint of each request, method, host and path.
+        requests: Vec<String>,
+    },
     /// An upstream gets no calls from this node for a while.
     Ejected {
         /// Its service.
--- a/crates/policy/src/comeback.rs
+++ b/crates/policy/src/comeback.rs
@@ -16,6 +16,8 @@
     time::Duration,
 };
 
+use crate::request::Fingerprint;
+
 /// Most refused requests that are remembered; an entry takes about 60 bytes.
 ///
 /// A node that refuses a hundred requests a second, each remembered for some seconds, stays under it.
@@ -25,10 +27,6 @@
 /// timers are not exact.
 const PATIENCE: f64 = 0.8;
 
-/// Identifies what a request asks for.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub struct Fingerprint(pub u64);
-
 /// Which attempt of a caller a request is.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Attempt {
@@ -81,7 +79,7 @@
     ///
     /// ```
     /// use model::time::Time;
-    /// use policy::comeback::{Attempt, Fingerprint, Register};
+    /// use policy::{comeback::{Attempt, Register}, request::Fingerprint};
     /// use std::time::Duration;
     /// let (begun, until) = (Time::from_millis(0), Time::from_millis(900));
     /// let mut register = Register::default();
--- a/crates/policy/tests/comeback.rs
+++ b/crates/policy/tests/comeback.rs
@@ -1,7 +1,10 @@
 //! Who among the callers has been refused before.
 
 use model::time::Time;
-use policy::comeback::{Attempt, Fingerprint, Register};
+use policy::{
+    comeback::{Attempt, Register},
+    request::Fingerprint,
+};
 use std::time::Duration;
 
 fn at(ms: u64) -> Time {
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -56,6 +56,12 @@
     attributes: "service",
     help: "Upstreams that this node stopped choosing for a while",
 };
+const ENDS: Entry = Entry {
+    name: "baobabrelay.upstream.ends",
+    unit: "{process}",
+    attributes: "",
+    help: "Times that the own upstream's process ended while it ran requests",
+};
 const DURATION: Entry = Entry {
     name: "baobabrelay.call.duration",
     unit: "s",
@@ -114,12 +120,13 @@
 };
 
 /// Every metric, in the order of the operators' page.
-pub const CATALOGUE: [Entry; 15] = [
+pub const CATALOGUE: [Entry; 16] = [
     CALLS,
     NOT_RUN,
     RETRIES,
     REFUSED,
     EJECTIONS,
+    ENDS,
     DURATION,
     REVISION,
     KNOWN,
@@ -158,6 +165,7 @@
     retries: Counter<u64>,
     refused: Counter<u64>,
     ejections: Counter<u64>,
+    ends: Counter<u64>,
     duration: Histogram<f64>,
     revision: Gauge<u64>,
     known: Gauge<u64>,
@@ -187,12 +195,15 @@
         let rejected = counter(REJECTED);
         // A counter without any event is not rendered, and would look like one that is not there.
         rejected.add(0, &[]);
+        let ends = counter(ENDS);
+        ends.add(0, &[]);
         Ok(Meter {
             calls: counter(CALLS),
             not_run: counter(NOT_RUN),
             retries: counter(RETRIES),
             refused: counter(REFUSED),
             ejections: counter(EJECTIONS),
+            ends,
             duration: meter
                 .f64_histogram(DURATION.name)
                 .with_unit(DURATION.unit)
@@ -245,6 +256,11 @@
         self.ejections.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts an end of the own upstream's process.
+    pub fn upstream_end(&self) {
+        self.ends.add(1, &[]);
+    }
+
     /// Sets the revision in force.
     pub fn revision(&self, revision: u64) {
         self.revision.record(revision, &[]);
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -1,13 +1,21 @@
 //! What the stages of a call hand on.
 
 use bytes::Bytes;
-use hyper::{HeaderMap, Method, Request, Response, Uri, header::HeaderValue};
+use hyper::{
+    HeaderMap, Method, Request, Response, Uri,
+    header::{self, HeaderValue},
+    http::uri::PathAndQuery,
+};
 use model::{profile::Profile, time::Time};
-use policy::{admission::Rank, retry::Kind};
+use policy::{admission::Rank, request::Fingerprint, retry::Kind};
 use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{net::stream::Probe, record::Trail, wire};
 
+/// Longest text by which operators tell a request, in characters.
+const LABEL_MOST: usize = 160;
+
 /// What holds for a call by its route, or by its service's profile.
 #[derive(Clone, Debug)]
 pub(crate) struct Terms {
@@ -105,4 +113,35 @@
         *request.headers_mut() = self.headers.clone();
         request
     }
+
+    /// Identifies what is asked for, whoever brings it, when and by which way: an attempt's id, its time left,
+    /// the service that it comes from and how its body was sent do not count. `service` is the one that is
+    /// named where there are no routes; the host is then any node's.
+    pub(crate) fn fingerprint(&self, service: Option<&str>) -> Fingerprint {
+        let mut hash = Xxh3::new();
+        let mut add = |part: &[u8]| {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        };
+        add(self.method.as_str().as_bytes());
+        match service {
+            Some(service) => add(service.as_bytes()),
+            None => add(wire::host(&self.headers).as_bytes()),
+        }
+        add(self.target().as_bytes());
+        let caller = self.headers.get(header::AUTHORIZATION);
+        add(caller.map_or(&[], |caller| caller.as_bytes()));
+        add(&self.body);
+        Fingerprint(hash.digest())
+    }
+
+    /// Returns what operators read of the request.
+    pub(crate) fn label(&self) -> String {
+        let text = format!("{} {}{}", self.method, wire::host(&self.headers), self.target());
+        text.chars().take(LABEL_MOST).collect()
+    }
+
+    fn target(&self) -> &str {
+        self.path.path_and_query().map_or("/", PathAndQuery::as_str)
+    }
 }
--- a/crates/traffic/src/hub.rs
+++ b/crates/traffic/src/hub.rs
@@ -1,5 +1,6 @@
 //! What all calls of a node share.
 
+pub(crate) mod ends;
 mod estimates;
 mod explain;
 mod own;
@@ -14,7 +15,7 @@
     view::{Upstream, View},
 };
 use model::{config::Snapshot, time::Time};
-use policy::{comeback, health, pause, split::Split};
+use policy::{comeback, health, pause, request::Fingerprint, split::Split, suspects::Suspect};
 use std::{
     collections::HashMap,
     sync::{
@@ -26,9 +27,11 @@
 use telemetry::metric::Meter;
 
 use crate::{
+    call::Payload,
     clock::Clock,
     gate::{running::Running, transfer::Transfers, turnstile::Turnstile},
     hub::{
+        ends::Ends,
         estimates::Estimates,
         room::Held,
         services::Services,
@@ -59,6 +62,8 @@
     pub(crate) state: State,
     pub(crate) services: Services,
     pub(crate) estimates: Estimates,
+    /// Ends of the own upstream.
+    pub(crate) ends: Ends,
     /// The slots of the own upstream.
     pub(crate) slots: Arc<Turnstile>,
     /// Turns of large bodies on the own link.
@@ -96,6 +101,7 @@
             transfers,
             services: Services::default(),
             estimates: Estimates::default(),
+            ends: Ends::default(),
             state: State::default(),
             splits: Mutex::default(),
             refused: Mutex::default(),
@@ -235,9 +241,22 @@
         self.meter.in_hand(self.held.calls() as u64);
         let mut events = self.tally.take();
         events.extend(self.log.left_out());
+        events.extend(self.ends.take().into_iter().map(|suspects| self.ended(suspects)));
         events
     }
 
+    fn ended(&self, suspects: Vec<Suspect>) -> Kind {
+        self.meter.upstream_end();
+        let text = |s: Suspect| format!("{} {}", s.request, s.label);
+        let requests = suspects.into_iter().map(text).collect();
+        Kind::UpstreamEnded { address: self.settings.upstream, requests }
+    }
+
+    /// Identifies what a call to `service` asks for.
+    pub(crate) fn fingerprint(&self, payload: &Payload, service: &str) -> Fingerprint {
+        payload.fingerprint((!self.config().has_routes()).then_some(service))
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Arc<Snapshot> {
         self.config.load_full()
--- /dev/null
+++ b/crates/traffic/src/hub/ends.rs
@@ -0,0 +1,68 @@
+//! Ends of the own upstream, and the requests that ran then.
+
+use model::time::Time;
+use policy::{
+    request::Fingerprint,
+    suspects::{Loss, Runs, Suspect},
+};
+use std::sync::{
+    Mutex,
+    atomic::{AtomicBool, Ordering},
+};
+
+use crate::lock::lock;
+
+/// What is known of the own upstream's ends.
+#[derive(Debug, Default)]
+pub(crate) struct Ends {
+    runs: Mutex<Runs>,
+    /// Whether somebody finds out whether the upstream has ended.
+    looking: AtomicBool,
+    /// Ends that control has not taken yet.
+    found: Mutex<Vec<Vec<Suspect>>>,
+}
+
+impl Ends {
+    /// Notes that the upstream answered a call.
+    pub(crate) fn answer(&self, request: Fingerprint, now: Time) {
+        lock(&self.runs).answer(request, now);
+    }
+
+    /// Notes that a call to the upstream was lost.
+    pub(crate) fn lose(&self, suspect: Suspect, loss: Loss, now: Time) {
+        lock(&self.runs).lose(suspect, loss, now);
+    }
+
+    /// Tells whether the upstream answered anything after `since`.
+    pub(crate) fn has_answered_after(&self, since: Time) -> bool {
+        lock(&self.runs).has_answered_after(since)
+    }
+
+    /// Tells whether any call to the upstream was lost lately.
+    pub(crate) fn has_lost(&self, now: Time) -> bool {
+        lock(&self.runs).has_lost(now)
+    }
+
+    /// Returns whether nobody else looks whether the upstream has ended.
+    pub(crate) fn begin_look(&self) -> bool {
+        !self.looking.swap(true, Ordering::SeqCst)
+    }
+
+    /// Notes what a look has shown.
+    pub(crate) fn end_look(&self, has_ended: bool, now: Time) {
+        self.looking.store(false, Ordering::SeqCst);
+        let mut runs = lock(&self.runs);
+        if !has_ended {
+            return runs.survive();
+        }
+        let suspects = runs.end(now);
+        if !suspects.is_empty() {
+            lock(&self.found).push(suspects);
+        }
+    }
+
+    /// Takes the ends that were found since the last time, with the requests of each.
+    pub(crate) fn take(&self) -> Vec<Vec<Suspect>> {
+        std::mem::take(&mut *lock(&self.found))
+    }
+}
--- a/crates/traffic/src/link/arrival.rs
+++ b/crates/traffic/src/link/arrival.rs
@@ -49,7 +49,7 @@
 
 /// Takes an offer in, and gives it a turn or runs it.
 async fn take(
-    hub: &Hub,
+    hub: &Arc<Hub>,
     request: Request<Inflow>,
     origin: Probe,
     received: Time,
--- a/crates/traffic/src/link/offer.rs
+++ b/crates/traffic/src/link/offer.rs
@@ -106,7 +106,7 @@
     let time = hub.tuning().connect + transfer::backlog(hub.settings.link_mbps);
     let time = time.min(patience.since(hub.clock.now()));
     let opened = hub.pool.open(upstream.traffic, time).await;
-    let connection = opened.ok_or_else(|| of_loss(Step::Connect, Loss::Closed))?;
+    let connection = opened.map_err(|_| of_loss(Step::Connect, Loss::Closed))?;
     send(hub, call, upstream, offer, parcel, connection, patience).await.map_err(settled)
 }
 
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -13,11 +13,12 @@
 };
 use std::{
     collections::HashMap,
+    io,
     net::SocketAddr,
     sync::{Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::task::AbortHandle;
+use tokio::{task::AbortHandle, time::timeout};
 
 use crate::{
     clock::Clock,
@@ -73,6 +74,24 @@
     Broken,
 }
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Unopened {
+    /// Nobody listens at the address.
+    Refused,
+    /// Somebody may.
+    Failed,
+}
+
+impl Unopened {
+    fn of(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Unopened::Refused,
+            _ => Unopened::Failed,
+        }
+    }
+}
+
 impl Pool {
     /// Takes a kept connection to `address` that may carry a call, if there is one.
     pub(crate) fn take(
@@ -94,16 +113,21 @@
         None
     }
 
-    /// Opens a connection to `address`; none where that fails or takes longer than `time`.
-    pub(crate) async fn open(&self, address: SocketAddr, time: Duration) -> Option<Connection> {
-        let stream = tokio::time::timeout(time, Stream::connect(address)).await.ok()?.ok()?;
+    /// Opens a connection to `address`, or tells why that failed or took longer than `time`.
+    pub(crate) async fn open(
+        &self,
+        address: SocketAddr,
+        time: Duration,
+    ) -> Result<Connection, Unopened> {
+        let connected = timeout(time, Stream::connect(address)).await;
+        let stream = connected.map_err(|_| Unopened::Failed)?.map_err(Unopened::of)?;
         let probe = stream.probe();
-        let (sender, driver) = http1::handshake(stream).await.ok()?;
+        let (sender, driver) = http1::handshake(stream).await.map_err(|_| Unopened::Failed)?;
         let task = tokio::spawn(async move {
             // An error ends the connection; the call on it learns of it by its own channel.
             let _ = driver.await;
         });
-        Some(Connection { sender, probe, task: Closer(task.abort_handle()) })
+        Ok(Connection { sender, probe, task: Closer(task.abort_handle()) })
     }
 
     /// Keeps a connection whose answer was received whole.
--- a/crates/traffic/src/routing/returning.rs
+++ b/crates/traffic/src/routing/returning.rs
@@ -2,7 +2,7 @@
 
 use hyper::{HeaderMap, Method, Response, Uri, header};
 use model::time::Time;
-use policy::comeback::{Attempt, Fingerprint};
+use policy::{comeback::Attempt, request::Fingerprint};
 use std::time::Duration;
 use xxhash_rust::xxh3::Xxh3;
 
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -1,6 +1,6 @@
 //! Where a call goes, and what holds for it on the way.
 
-use hyper::{Request, Uri, header, http::uri::PathAndQuery};
+use hyper::{Request, Uri, http::uri::PathAndQuery};
 use model::{config::Snapshot, profile::Profile, route};
 use policy::{outcome::Cause, retry::Kind};
 
@@ -70,22 +70,16 @@
 
 /// Tells whether a request may run more than once, as far as routes say.
 pub(crate) fn may_repeat(config: &Snapshot, request: &Request<Inflow>) -> bool {
-    let route = config.route(&host(request), request.uri().path());
+    let route = config.route(&wire::host(request.headers()), request.uri().path());
     route.is_some_and(|route| route.terms.kind == route::Kind::Idempotent)
 }
 
-/// Returns the host that a request names, without a port and in lower case.
-fn host(request: &Request<Inflow>) -> String {
-    let host = header_text(request.headers(), header::HOST).unwrap_or("");
-    host.split(':').next().unwrap_or("").to_ascii_lowercase()
-}
-
 fn find_route<'a>(
     hub: &Hub,
     config: &'a Snapshot,
     request: &Request<Inflow>,
 ) -> Option<Target<'a>> {
-    let route = config.route(&host(request), request.uri().path())?;
+    let route = config.route(&wire::host(request.headers()), request.uri().path())?;
     let weights: Vec<u32> = route.targets.iter().map(|t| t.weight).collect();
     let part = hub.next_part(&route.name, &weights)?;
     let service = config.target(route.targets[part].service);
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -7,7 +7,7 @@
     claim,
     outcome::{Cause, Outcome},
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use crate::{
     call::{Answer, Offer},
@@ -15,12 +15,16 @@
     hub::{Hub, room::Offered},
     net::{pool::Connection, stream::Look},
     record::{Interest, Trail},
-    upstream::{self, Sent},
+    upstream::{self, Sent, end},
     wire,
 };
 
 /// Runs an offered call on the own upstream, if it may be run.
-pub(crate) async fn run(hub: &Hub, profile: &Profile, offer: Offer) -> Result<Answer, Outcome> {
+pub(crate) async fn run(
+    hub: &Arc<Hub>,
+    profile: &Profile,
+    offer: Offer,
+) -> Result<Answer, Outcome> {
     let trail = Trail::new(offer_id(hub, &offer));
     let result = attempt(hub, profile, &offer, &trail).await;
     if let Err(Outcome::NotRun(cause, _)) = result {
@@ -43,7 +47,7 @@
 }
 
 async fn attempt(
-    hub: &Hub,
+    hub: &Arc<Hub>,
     profile: &Profile,
     offer: &Offer,
     trail: &Trail,
@@ -59,15 +63,17 @@
     };
     note_claim(hub, offer, trail, "run");
     let _running = hub.running.begin(trail.id(), offer.rank);
+    let run = end::Run::begin(hub, offer);
     let result = send_noted(hub, profile, offer, trail, connection, &mut slot).await;
     let result = match result {
         // The upstream closed the kept connection in this moment; nothing was written on it.
-        Err(Sent::Not) if was_kept => {
-            let connection = upstream::dial(hub, offer).await?;
-            send_noted(hub, profile, offer, trail, connection, &mut slot).await
-        }
+        Err(Sent::Not) if was_kept => match upstream::dial(hub, offer).await {
+            Ok(connection) => send_noted(hub, profile, offer, trail, connection, &mut slot).await,
+            Err(outcome) => Err(Sent::Lost(outcome)),
+        },
         result => result,
     };
+    run.end(&result);
     result.map_err(Sent::outcome)
 }
 
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -1,11 +1,12 @@
 //! One exchange with the own upstream.
 
+pub(crate) mod end;
 mod proof;
 
 use hyper::{Request, Response, header::HeaderValue};
 use model::profile::Profile;
 use policy::outcome::{Cause, Doubt, Loss, Outcome, Step, of_loss};
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 
 use crate::{
@@ -14,7 +15,7 @@
     hub::Hub,
     net::{
         body,
-        pool::{Connection, Failure},
+        pool::{Connection, Failure, Unopened},
     },
     upstream::proof::{belongs, is_authentic, refusal},
     wire,
@@ -39,11 +40,17 @@
 }
 
 /// Opens a connection to the upstream.
-pub(crate) async fn dial(hub: &Hub, offer: &Offer) -> Result<Connection, Outcome> {
+pub(crate) async fn dial(hub: &Arc<Hub>, offer: &Offer) -> Result<Connection, Outcome> {
     let remaining = offer.deadline.since(hub.clock.now());
     let time = hub.tuning().connect.min(remaining);
     let opened = hub.pool.open(hub.settings.upstream, time).await;
-    opened.ok_or_else(|| of_loss(Step::Dial, Loss::Closed))
+    opened.map_err(|unopened| {
+        // All callers of a process may have left before it ended; only the next call notices the end.
+        if unopened == Unopened::Refused && hub.ends.has_lost(hub.clock.now()) {
+            end::look(hub);
+        }
+        of_loss(Step::Dial, Loss::Closed)
+    })
 }
 
 /// Returns the request as the upstream is to see it, with the time that is left now.
--- /dev/null
+++ b/crates/traffic/src/upstream/end.rs
@@ -0,0 +1,99 @@
+//! Whether the own upstream has ended, and which requests it worked on then.
+
+use policy::{
+    outcome::{Doubt, Outcome},
+    request::Fingerprint,
+    suspects::{Loss, Suspect},
+};
+use std::{sync::Arc, time::Duration};
+use tokio::time::sleep;
+
+use crate::{
+    call::{Answer, Offer},
+    hub::Hub,
+    net::pool::Unopened,
+    upstream::Sent,
+};
+
+/// Time between two questions whether anybody listens at the upstream's address, and before the first.
+///
+/// All calls of a process that ends are broken within a few milliseconds. A listener that is full may refuse
+/// one connection, hardly two; a process that has ended is not back so soon.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Questions that must be answered by a refusal.
+const QUESTIONS: usize = 2;
+
+/// A call that the upstream works on, until its end is noted or this is dropped.
+pub(crate) struct Run<'a> {
+    hub: &'a Arc<Hub>,
+    offer: &'a Offer,
+    request: Fingerprint,
+    ended: bool,
+}
+
+impl<'a> Run<'a> {
+    /// Notes that the upstream is to work on `offer`.
+    pub(crate) fn begin(hub: &'a Arc<Hub>, offer: &'a Offer) -> Self {
+        let request = hub.fingerprint(&offer.payload, &hub.settings.service);
+        Run { hub, offer, request, ended: false }
+    }
+
+    /// Notes how it ended.
+    pub(crate) fn end(mut self, result: &Result<Answer, Sent>) {
+        self.ended = true;
+        match result {
+            // An upstream says that it failed before it ends, too, such as when a call that it made was
+            // refused. That clears nothing.
+            Ok(answer) if answer.head.status().is_server_error() => {}
+            Ok(_) => self.hub.ends.answer(self.request, self.hub.clock.now()),
+            Err(Sent::Lost(Outcome::Unknown(Doubt::Broken | Doubt::BadAnswer))) => {
+                self.lose(Loss::Broken);
+                look(self.hub);
+            }
+            Err(Sent::Lost(Outcome::Unknown(Doubt::Timeout))) => self.lose(Loss::Abandoned),
+            Err(Sent::Lost(Outcome::NotRun(..)) | Sent::Not) => {}
+        }
+    }
+
+    fn lose(&self, loss: Loss) {
+        let suspect = Suspect { request: self.request, label: self.offer.payload.label() };
+        self.hub.ends.lose(suspect, loss, self.hub.clock.now());
+    }
+}
+
+impl Drop for Run<'_> {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.lose(Loss::Abandoned);
+        }
+    }
+}
+
+/// Finds out whether the upstream has ended, unless that is being found out.
+pub(crate) fn look(hub: &Arc<Hub>) {
+    if hub.ends.begin_look() {
+        let hub = hub.clone();
+        tokio::spawn(async move {
+            let has_ended = has_ended(&hub).await;
+            hub.ends.end_look(has_ended, hub.clock.now());
+        });
+    }
+}
+
+/// Tells whether nobody listens at the upstream's address, and nothing was answered meanwhile.
+async fn has_ended(hub: &Hub) -> bool {
+    let begun = hub.clock.now();
+    for _ in 0..QUESTIONS {
+        sleep(PAUSE).await;
+        match hub.pool.open(hub.settings.upstream, hub.tuning().connect).await {
+            Ok(connection) => {
+                hub.pool.put(hub.settings.upstream, connection);
+                return false;
+            }
+            Err(Unopened::Failed) => return false,
+            Err(Unopened::Refused) => {}
+        }
+    }
+    !hub.ends.has_answered_after(begun)
+}
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -262,6 +262,12 @@
     headers.get(name)?.to_str().ok()
 }
 
+/// Returns the host that a request names, without a port and in lower case.
+pub(crate) fn host(headers: &HeaderMap) -> String {
+    let host = header_text(headers, header::HOST).unwrap_or("");
+    host.split(':').next().unwrap_or("").to_ascii_lowercase()
+}
+
 /// Returns the outcome that an answer tells, as one of the constants.
 pub(crate) fn known_outcome(outcome: Option<&str>) -> &'static str {
     match outcome {
