Failing test: a request that ends upstreams is sent to one after the other

Symptom: 14 attempts of one caller at five nodes end 14 upstreams; at most three and three more while word spreads may. The upstream stand-in gets a path whose requests end its process, which comes back after 300 ms.

--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -22,6 +22,18 @@
 /// Most headers of a request.
 const HEADER_LIMIT: usize = 64;
 
+/// End of the path of a request that ends the process of every upstream that runs it.
+pub const FATAL: &str = "/fatal";
+
+/// Time from the beginning of such a request to the end of the process.
+const FATAL_WORK: Duration = Duration::from_millis(20);
+
+/// Time from the end of a process to its next start.
+const RESTART: Duration = Duration::from_millis(300);
+
+/// Time between two attempts to listen at the address of the former process.
+const RELISTEN: Duration = Duration::from_millis(10);
+
 /// How an upstream behaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -102,6 +114,8 @@
     pub shed: u64,
     /// Most requests run at once.
     pub most_busy: usize,
+    /// How often its process ended.
+    pub ends: u32,
 }
 
 struct State {
@@ -115,6 +129,7 @@
 
 /// A request as far as an upstream cares.
 struct Request {
+    path: String,
     work: Option<String>,
     id: Option<String>,
     deadline_ms: Option<String>,
@@ -170,6 +185,24 @@
         tasks.iter().for_each(AbortHandle::abort);
     }
 
+    /// Ends the process and starts it again after a while.
+    fn fall(&self) {
+        let server = self.clone();
+        tokio::spawn(async move {
+            server.lock().ledger.ends += 1;
+            server.kill();
+            sleep(RESTART).await;
+            let listener = loop {
+                match TcpListener::bind(server.address).await {
+                    Ok(listener) => break listener,
+                    Err(_) => sleep(RELISTEN).await,
+                }
+            };
+            let accepting = tokio::spawn(server.clone().accept(listener));
+            server.lock().tasks.push(accepting.abort_handle());
+        });
+    }
+
     /// Returns what it has done.
     pub fn ledger(&self) -> Ledger {
         self.lock().ledger.clone()
@@ -233,6 +266,11 @@
     /// Runs one request and returns the status of its answer.
     async fn run(&self, request: &Request) -> &'static str {
         let Some(busy) = Busy::begin(self, request) else { return "503 Shed" };
+        if request.path.ends_with(FATAL) {
+            sleep(FATAL_WORK).await;
+            self.fall();
+            std::future::pending::<()>().await;
+        }
         let work = self.lock().work;
         if !work.is_zero() {
             sleep(work).await;
@@ -318,6 +356,7 @@
     };
     let body = find("content-length").and_then(|text| text.parse().ok()).unwrap_or(0usize);
     let request = Request {
+        path: head.path.unwrap_or_default().to_owned(),
         work: find(WORK),
         id: find("baobab-id"),
         deadline_ms: find("baobab-deadline-ms"),
