An end has one cause: what ran beside a quarantined request is not blamed for its ends

The read had run beside a fatal request when two upstreams ended, and at the end of a third that ended by itself, 340 ms later, before word of the first answer to it had spread.

Cause: each suspect of an end was blamed for the whole of it, also where another request was known to be its cause; and an answer that clears was told in turn, up to a fifth of a second later.

Ruled out: four ends in place of three (more upstreams lost, and the same chance again later); waiting before a request is refused (as many more ends).

Change: requests with the most ends are causes first, of equals the one whose last end was first; ends that they explain count for no other. Two with the very same ends are both held: neither is known to be innocent. An answer is told at once where one more end would have been enough. Summaries that do not fit into a packet leave out reports.

The soak gets callers with requests that end upstreams, and two promises: no other call is quarantined, and no such request runs more than three times longer than three seconds after the third end at nodes that nothing hindered.

Seen to fail: the soak, and fleet quarantine::what_ran_beside_the_cause_is_not_blamed_for_its_ends with ends counted for all suspects.

--- a/crates/baobabrelayd/tests/fatal.rs
+++ b/crates/baobabrelayd/tests/fatal.rs
@@ -27,10 +27,10 @@
 const ATTEMPTS: usize = 14;
 
 /// Ends after which nobody may doubt the cause.
-const PROOF: u32 = 3;
+const PROOF: usize = 3;
 
 /// Ends while word of that spreads.
-const SPREADING: u32 = 3;
+const SPREADING: usize = 3;
 
 fn mesh() -> Mesh {
     let settings = Settings {
@@ -54,8 +54,8 @@
     answer.unwrap_or_else(|_| panic!("node {node} answers"))
 }
 
-fn ends(mesh: &Mesh) -> u32 {
-    mesh.spots.iter().map(|spot| spot.upstream.ledger().ends).sum()
+fn ends(mesh: &Mesh) -> usize {
+    mesh.spots.iter().map(|spot| spot.upstream.ledger().ends.len()).sum()
 }
 
 #[test]
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -186,7 +186,10 @@
             Event::Source(answer) => self.hear_source(answer, now),
             Event::Note(kind) => self.note(kind, now),
             Event::UpstreamEnded(loss) => self.note_end(loss, now),
-            Event::Cleared(request) => self.quarantine.note_answer(request, now.time),
+            Event::Cleared(request) => {
+                self.quarantine.note_answer(request, now.time);
+                self.urgent = true;
+            }
             Event::Leave => self.leave(now),
             Event::Stop => self.stop(now),
         }
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -21,7 +21,7 @@
 
 pub use self::watch::Settings as Reading;
 
-use model::time::Time;
+use model::{request::Fingerprint, time::Time};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -185,7 +185,7 @@
             Event::Source(answer) => self.hear_source(answer, now),
             Event::Note(kind) => self.note(kind, now),
             Event::UpstreamEnded(loss) => self.note_end(loss, now),
-            Event::Cleared(request) => self.quarantine.note_answer(request, now.time),
+            Event::Cleared(request) => self.note_answer(request, now),
             Event::Leave => self.leave(now),
             Event::Stop => self.tell_all(now),
         }
@@ -268,11 +268,20 @@
         self.quarantine.hear(&reports, now.time);
     }
 
-    /// Tells the others which requests ran when the own upstream ended. At once: the next one that runs them
-    /// may end within the time that a call takes, and so may this node.
     fn note_end(&mut self, loss: Loss, now: Now) {
         self.quarantine.note_end(&loss, now.time);
         self.note(Kind::UpstreamEnded { requests: loss.labels() }, now);
+        self.tell_ends(now);
+    }
+
+    fn note_answer(&mut self, request: Fingerprint, now: Now) {
+        self.quarantine.note_answer(request, now.time);
+        self.tell_ends(now);
+    }
+
+    /// Tells the others at once what the own upstream's end or answer shows: the next upstream may end within the
+    /// time that a call takes, and so may this node.
+    fn tell_ends(&mut self, now: Now) {
         let targets = self.peers.first_audience(FAR_AUDIENCE, &mut self.random);
         for reports in self.quarantine.tell_at_once(now.time) {
             let digest = Digest { reports, ..self.digest(now) };
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -6,9 +6,12 @@
 //! which requests ran when its upstream ended, all nodes hold the same [`Register`] of them, and a
 //! request under which [`ENDS_MOST`] upstreams ended is not run for a while.
 //!
-//! Invariant *an answer clears*: a request that any upstream answered around the ends, or after them, is
-//! not the cause of them. That tells a popular request, of which a copy runs everywhere, from one that
-//! no upstream survives.
+//! Two things tell the cause from what merely ran beside it:
+//!
+//! - *An answer clears.* A request that any upstream answered around the ends, or after them, did not cause them:
+//!   a popular one, of which a copy runs everywhere, goes on after an outage.
+//! - *An end has one cause.* What ran beside a request under which more upstreams ended is not blamed for the
+//!   ends that the two share.
 
 use model::{
     request::{Fingerprint, Suspect},
@@ -16,6 +19,7 @@
 };
 use serde::{Deserialize, Serialize};
 use std::{
+    cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     ops::Not,
     time::Duration,
@@ -30,7 +34,7 @@
 pub const ENDS_MOST: usize = 3;
 
 /// Ends that are told apart. A further one makes the time begin anew, and no longer.
-const ENDS_KEPT: usize = 5;
+const ENDS_KEPT: usize = 8;
 
 /// How long a request is quarantined for [`ENDS_MOST`] ends, counted from the last one; twice as long for
 /// each further end. Somebody has time to look at it, and at most one upstream in ten minutes is lost to it.
@@ -137,28 +141,23 @@
 }
 
 impl Case {
-    fn is_guilty(&self) -> bool {
-        self.ends.len() >= ENDS_MOST
-    }
-
     /// Returns how long the ends count.
     fn period(&self) -> Duration {
         let further = self.ends.len().saturating_sub(ENDS_MOST) as u32;
         PERIOD * 2u32.pow(further)
     }
 
-    /// Returns until when the request is not to be run, if it is not to be run at `now`.
-    fn until(&self, now: Time) -> Option<Time> {
-        let until = self.ended + self.period();
-        (self.is_guilty() && now < until).then_some(until)
+    /// Returns until when the request is not to be run, if it is the cause of its ends.
+    fn until(&self) -> Time {
+        self.ended + self.period()
     }
 
     /// Tells whether nothing is left to be remembered. After the time in which a request is not run, its
     /// ends count for as long again: the next one quarantines it at once.
     fn is_over(&self, now: Time) -> bool {
         let last = self.answered.map_or(self.ended, |answered| answered.max(self.ended));
-        let kept = if self.is_guilty() { self.period() * 2 } else { self.period() };
-        now >= last + kept
+        let rounds = if self.ends.len() < ENDS_MOST { 1 } else { 2 };
+        now >= last + self.period() * rounds
     }
 
     /// Tells whether an answer at `answered` clears an end at `ended`.
@@ -230,7 +229,11 @@
 
     /// Notes that the own upstream answered a request at `now`.
     pub fn note_answer(&mut self, request: Fingerprint, now: Time) {
-        self.change(request, now, |case| case.answer(now));
+        self.change(request, now, |case| {
+            // One more end, of whatever cause, and all nodes refuse it.
+            case.is_urgent = case.ends.len() + 1 >= ENDS_MOST;
+            case.answer(now)
+        });
     }
 
     /// Takes what another node tells into account; returns whether anything of it is new.
@@ -274,7 +277,7 @@
         changed.into_iter().take(most).map(|(_, _, request)| request).collect()
     }
 
-    /// Returns what is to be told of the last end of the own upstream, in groups for a summary each.
+    /// Returns what this node has found out and must not wait to be told, in groups for a summary each.
     pub fn tell_at_once(&mut self, now: Time) -> Vec<Vec<Report>> {
         let fresh = |(key, case): (&Fingerprint, &Case)| (case.is_urgent).then_some(*key);
         let keys: Vec<Fingerprint> = self.cases.iter().filter_map(fresh).collect();
@@ -291,10 +294,15 @@
             return None;
         }
         self.cases.retain(|_, case| !case.is_over(now));
-        let guilty = |(key, case): (&Fingerprint, &Case)| Some((*key, case.until(now)?));
+        let held = |request: &Fingerprint| Some((*request, self.cases[request].until()));
         let suspect = |(key, case): (&Fingerprint, &Case)| (!case.ends.is_empty()).then_some(*key);
         let next = Quarantine {
-            until: self.cases.iter().filter_map(guilty).collect(),
+            until: self
+                .causes()
+                .iter()
+                .filter_map(held)
+                .filter(|(_, until)| now < *until)
+                .collect(),
             suspects: self.cases.iter().filter_map(suspect).collect(),
         };
         let before = std::mem::replace(&mut self.shown, next);
@@ -304,6 +312,25 @@
         Some(added.chain(ended.map(|key| Change::Released(*key))).collect())
     }
 
+    /// Returns the requests that are taken for the cause of ends: those under which the most upstreams ended
+    /// first, and of these the one whose last end was first. Of two with the same ends neither is known to be
+    /// innocent.
+    fn causes(&self) -> Vec<Fingerprint> {
+        let many = |(_, case): &(&Fingerprint, &Case)| case.ends.len() >= ENDS_MOST;
+        let mut suspects: Vec<(&Fingerprint, &Case)> = self.cases.iter().filter(many).collect();
+        suspects.sort_by_key(|(_, case)| (Reverse(case.ends.len()), case.ended));
+        let mut explained: BTreeSet<End> = BTreeSet::new();
+        let mut causes: Vec<(&Fingerprint, &Case)> = Vec::new();
+        for (request, case) in suspects {
+            let has_twin = causes.iter().any(|(_, cause)| cause.ends == case.ends);
+            if has_twin || case.ends.difference(&explained).count() >= ENDS_MOST {
+                explained.extend(&case.ends);
+                causes.push((request, case));
+            }
+        }
+        causes.into_iter().map(|(request, _)| *request).collect()
+    }
+
     /// Returns what traffic needs to know, as of the last [`Register::refresh`].
     pub fn shown(&self) -> &Quarantine {
         &self.shown
@@ -353,11 +380,11 @@
         }
     }
 
+    /// Returns the quarantined request whose turn it is to be told.
     fn next_in_turn(&mut self) -> Option<Fingerprint> {
-        let guilty = |(key, case): (&Fingerprint, &Case)| case.is_guilty().then_some(*key);
-        let behind = self.turn.map_or(Fingerprint(0), |last| Fingerprint(last.0.saturating_add(1)));
-        let next = self.cases.range(behind..).find_map(guilty);
-        self.turn = next.or_else(|| self.cases.iter().find_map(guilty));
+        let held = || self.shown.until.keys().copied();
+        let behind = held().filter(|request| Some(*request) > self.turn).min();
+        self.turn = behind.or_else(|| held().min());
         self.turn
     }
 
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -215,7 +215,7 @@
     check(&[0, 4, 8], Some(18));
     check(&[0, 0, 0, 11], Some(31));
     check(&[0, 0, 0, 11, 32], Some(72));
-    check(&[0, 0, 0, 11, 32, 80], Some(120));
+    check(&[0, 0, 0, 11, 32, 80], Some(160));
 }
 
 #[test]
@@ -258,6 +258,34 @@
     }
 }
 
+/// A read ran beside the request that ended two upstreams, and a third upstream ended by itself: callers of the
+/// read are turned away, before the first upstream is back to answer it.
+#[test]
+fn what_ran_beside_the_cause_is_not_blamed_for_its_ends() {
+    let mut register = Register::default();
+    register.note_end(&loss(1, &[FATAL]), at(15));
+    register.note_end(&loss(2, &[FATAL, OTHER]), at(23));
+    register.note_end(&loss(3, &[FATAL, OTHER]), at(29));
+    register.note_end(&loss(4, &[OTHER]), at(367));
+    register.refresh(at(367));
+    let held: Vec<&Fingerprint> = register.shown().until.keys().collect();
+    assert_eq!(held, [&FATAL]);
+}
+
+/// Two requests ran at the same three ends. One of them goes on to end a fourth.
+#[test]
+fn of_two_that_ran_at_the_same_ends_both_are_held_until_one_ends_more() {
+    let mut register = Register::default();
+    for end in 0..3 {
+        register.note_end(&loss(end, &[FATAL, OTHER]), at(0));
+    }
+    register.refresh(at(0));
+    assert_eq!(register.shown().until.len(), 2);
+    register.note_end(&loss(3, &[FATAL]), at(10));
+    let changes = register.refresh(at(10)).expect("an end is news");
+    assert_eq!(changes, [Change::Released(OTHER)]);
+}
+
 /// An answer of before the ends clears as long as a call lasts, and not for ever: a request may become fatal.
 #[test]
 fn an_old_answer_clears_nothing() {
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -70,11 +70,18 @@
     }
 }
 
-/// Encodes a summary in one packet: news that do not fit stay out, and whoever lacks them asks.
+/// Encodes a summary in one packet: news that do not fit stay out, and whoever lacks them asks. Reports that do
+/// not fit beside the rest are told in later summaries.
 fn encode(digest: &Digest) -> Result<Vec<u8>, serde_json::Error> {
     let text = serde_json::to_vec(digest)?;
-    if text.len() <= SIZE_LIMIT || digest.news.is_empty() {
+    if text.len() <= SIZE_LIMIT {
         return Ok(text);
     }
-    serde_json::to_vec(&Digest { news: News::default(), ..digest.clone() })
+    let mut fitting = Digest { news: News::default(), ..digest.clone() };
+    loop {
+        let text = serde_json::to_vec(&fitting)?;
+        if text.len() <= SIZE_LIMIT || fitting.reports.pop().is_none() {
+            return Ok(text);
+        }
+    }
 }
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -2,8 +2,10 @@
 
 use fleet::{
     directory::{Entry, Standing, Update},
-    message::{Digest, News, Sender},
+    message::{Digest, News, Rumour, Sender},
+    quarantine::{End, REPORTS_A_SUMMARY, REPORTS_AT_ONCE, Report},
 };
+use model::request::Fingerprint;
 use peer::datagram::Socket;
 use std::{
     collections::BTreeMap,
@@ -51,16 +53,47 @@
     }
 }
 
-/// Sends a summary with so many changed entries and returns how many arrive with it.
-#[track_caller]
-fn check(entries: u64, expect: Option<usize>) {
+/// Returns a summary that tells as much of other nodes as any, and `reports` of requests under which as many
+/// upstreams ended as are told apart.
+fn full(reports: u64) -> Digest {
+    let about = |n: u16| Rumour {
+        of: Sender {
+            address: SocketAddr::from(([10, 100, 200, 100 + n as u8], 65_000)),
+            incarnation: 1_800_000_000_000,
+        },
+        leaving: true,
+    };
+    let report = |n: u64| Report {
+        request: Fingerprint(u64::MAX - n),
+        ends: (0..8).map(|end| End(u32::MAX - end)).collect(),
+        answered: false,
+        age_ms: 36_000_000,
+    };
+    let places = ["ktm-a", "lalitpur-b", "bhaktapur-c", "kirtipur-d"];
+    Digest {
+        heard_ms: places.map(|place| (place.to_owned(), 20_000)).into(),
+        rumours: (0..6).map(about).collect(),
+        reports: (0..reports).map(report).collect(),
+        ..digest(5)
+    }
+}
+
+/// Sends a summary and returns what arrives.
+fn carry(digest: &Digest) -> Digest {
     let receiver = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("loopback has ports");
     let target = receiver.local_addr().expect("it is bound");
     let socket = Socket::bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("as above");
-    assert_eq!(socket.tell(&[target], &digest(entries)), 0);
+    assert_eq!(socket.tell(&[target], digest), 0);
     let mut buffer = [0; 4_096];
     let size = receiver.recv(&mut buffer).expect("loopback loses no single packet");
-    let heard: Digest = serde_json::from_slice(&buffer[..size]).expect("it was a summary");
+    assert!(size <= 1_200, "one packet");
+    serde_json::from_slice(&buffer[..size]).expect("it was a summary")
+}
+
+/// Sends a summary with so many changed entries and compares how many arrive with it.
+#[track_caller]
+fn check(entries: u64, expect: Option<usize>) {
+    let heard = carry(&digest(entries));
     assert_eq!(heard.list, 34);
     assert_eq!(heard.news.list.map(|list| list.entries.len()), expect);
 }
@@ -74,6 +107,18 @@
     check(20, None);
 }
 
+/// Word of a request that ends upstreams makes the fullest summaries longer than a packet, and nobody reads
+/// anything of them any more.
+#[test]
+fn what_a_summary_tells_of_ends_fits_beside_all_the_rest() {
+    let told = carry(&full(REPORTS_A_SUMMARY as u64));
+    assert_eq!((told.reports.len(), told.rumours.len()), (REPORTS_A_SUMMARY, 6));
+    let told = carry(&full(40));
+    assert!((REPORTS_A_SUMMARY..40).contains(&told.reports.len()));
+    let told = carry(&Digest { reports: full(REPORTS_AT_ONCE as u64).reports, ..digest(0) });
+    assert_eq!(told.reports.len(), REPORTS_AT_ONCE);
+}
+
 #[test]
 fn summaries_of_the_former_version_are_understood() {
     let heard: Digest = serde_json::from_str(FORMER).expect("it is a summary");
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -114,8 +114,10 @@
     pub shed: u64,
     /// Most requests run at once.
     pub most_busy: usize,
-    /// How often its process ended.
-    pub ends: u32,
+    /// When its process ended under a request, oldest first.
+    pub ends: Vec<Instant>,
+    /// Requests that end the process, as they came here: when they were begun, and their paths.
+    pub fatal: Vec<(Instant, String)>,
 }
 
 struct State {
@@ -125,6 +127,8 @@
     busy: usize,
     ledger: Ledger,
     tasks: Vec<AbortHandle>,
+    /// How often its process was ended.
+    kills: u64,
 }
 
 /// A request as far as an upstream cares.
@@ -148,14 +152,12 @@
             busy: 0,
             ledger: Ledger::default(),
             tasks: Vec::new(),
+            kills: 0,
         };
         let upstream =
             Upstream { address, state: Arc::new(Mutex::new(state)), settings: Arc::new(settings) };
-        let server = upstream.clone();
         let _guard = handle.enter();
-        let listener = TcpListener::from_std(socket)?;
-        let task = handle.spawn(async move { server.accept(listener).await });
-        upstream.lock().tasks.push(task.abort_handle());
+        upstream.serve_on(TcpListener::from_std(socket)?);
         Ok(upstream)
     }
 
@@ -181,28 +183,33 @@
 
     /// Closes the listener and every connection, as a killed process would.
     pub fn kill(&self) {
-        let tasks = std::mem::take(&mut self.lock().tasks);
-        tasks.iter().for_each(AbortHandle::abort);
+        let mut state = self.lock();
+        state.kills += 1;
+        state.tasks.drain(..).for_each(|task| task.abort());
     }
 
-    /// Ends the process and starts it again after a while.
+    /// Ends the process, and starts it again after a while unless it is killed meanwhile.
     fn fall(&self) {
         let server = self.clone();
         tokio::spawn(async move {
-            server.lock().ledger.ends += 1;
+            server.lock().ledger.ends.push(Instant::now());
             server.kill();
+            let kills = server.lock().kills;
             sleep(RESTART).await;
-            let listener = loop {
-                match TcpListener::bind(server.address).await {
-                    Ok(listener) => break listener,
-                    Err(_) => sleep(RELISTEN).await,
+            while server.lock().kills == kills {
+                if let Ok(listener) = TcpListener::bind(server.address).await {
+                    return server.serve_on(listener);
                 }
-            };
-            let accepting = tokio::spawn(server.clone().accept(listener));
-            server.lock().tasks.push(accepting.abort_handle());
+                sleep(RELISTEN).await;
+            }
         });
     }
 
+    fn serve_on(&self, listener: TcpListener) {
+        let task = tokio::spawn(self.clone().accept(listener));
+        self.lock().tasks.push(task.abort_handle());
+    }
+
     /// Returns what it has done.
     pub fn ledger(&self) -> Ledger {
         self.lock().ledger.clone()
@@ -267,6 +274,7 @@
     async fn run(&self, request: &Request) -> &'static str {
         let Some(busy) = Busy::begin(self, request) else { return "503 Shed" };
         if request.path.ends_with(FATAL) {
+            self.lock().ledger.fatal.push((Instant::now(), request.path.clone()));
             sleep(FATAL_WORK).await;
             self.fall();
             std::future::pending::<()>().await;
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -4,7 +4,8 @@
 //! Faults come in series and overlap: processes are killed, paused, stopped and restarted,
 //! connections between nodes and to the platform are delayed, reset, cut one way or silenced by
 //! loopback proxies, the platform fails, upstreams lose and spoil answers, leave, are replaced and
-//! start again under their own names, and the configuration grows by many routes at once.
+//! start again under their own names, and the configuration grows by many routes at once. In some runs callers
+//! bring requests that end every upstream that runs them.
 //!
 //! Every fourth instance has a link of 5 Mbit/s for calls of other nodes and to the platform. Messages
 //! between nodes do not pass a proxy: a node knows itself and is known to the others by the address
@@ -14,6 +15,7 @@
 mod check;
 mod content;
 mod cut;
+mod fatal;
 mod fault;
 mod history;
 mod leaving;
@@ -55,6 +57,16 @@
     seed: u64,
     time: Duration,
     nodes: usize,
+    requests: Requests,
+}
+
+/// What callers ask for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Requests {
+    /// What upstreams can do.
+    Sound,
+    /// Among it, requests that end every upstream that runs them.
+    Fatal,
 }
 
 /// What failed once, with the cause of each; every run by hand plays them first.
@@ -63,23 +75,26 @@
 ///   node starts after it.
 /// - 1041, 1113: a stopping node that is held up until its limit is over never closes, and ends with calls in
 ///   flight. In 1041 what holds it up is not drawn by the seed.
-const REGRESSIONS: [Plan; 6] = [
+/// - 4000: a read that ran beside a fatal request at two ends, and at the end of a third upstream, is refused.
+const REGRESSIONS: [Plan; 7] = [
     regression(104),
     regression(1_002),
     regression(1_033),
     regression(1_041),
     regression(1_110),
     regression(1_113),
+    Plan { seed: 4_000, time: Duration::from_secs(14), nodes: 9, requests: Requests::Fatal },
 ];
 
 /// What CI plays: between them, most kinds of faults.
-const SHORT: [Plan; 2] = [
-    Plan { seed: 1, time: Duration::from_secs(5), nodes: 6 },
-    Plan { seed: 3, time: Duration::from_secs(5), nodes: 6 },
+const SHORT: [Plan; 3] = [
+    Plan { seed: 1, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
+    Plan { seed: 3, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
+    Plan { seed: 5, time: Duration::from_secs(10), nodes: 6, requests: Requests::Fatal },
 ];
 
 const fn regression(seed: u64) -> Plan {
-    Plan { seed, time: Duration::from_secs(6), nodes: 9 }
+    Plan { seed, time: Duration::from_secs(6), nodes: 9, requests: Requests::Sound }
 }
 
 /// Plays one seed, or a number of them.
@@ -92,7 +107,8 @@
     tools::finish(arguments)?;
     let programs = tools::build()?;
     let time = Duration::from_secs(seconds);
-    let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes });
+    let requests = Requests::Fatal;
+    let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes, requests });
     let plans: Vec<Plan> = REGRESSIONS.into_iter().chain(seeds).collect();
     play_all(&plans, &programs.join("baobabrelayd"))
 }
@@ -130,7 +146,10 @@
     }
     let book = Arc::new(Book::default());
     let going = Arc::new(AtomicBool::new(true));
-    let callers = load::start(&site, &book, &going);
+    let mut callers = load::start(&site, &book, &going);
+    if plan.requests == Requests::Fatal {
+        callers.1.extend(fatal::start(&site, plan.seed, &going));
+    }
     let mut faults = Faults::default();
     let end = Instant::now() + plan.time;
     while Instant::now() < end {
--- a/xtask/src/soak/book.rs
+++ b/xtask/src/soak/book.rs
@@ -20,6 +20,8 @@
     /// An upstream's own failure.
     Failed,
     NotRun,
+    /// It was not run since upstreams ended under such calls.
+    Quarantined,
     Unknown,
     /// No connection could be opened.
     Refused,
--- a/xtask/src/soak/check.rs
+++ b/xtask/src/soak/check.rs
@@ -9,7 +9,7 @@
 
 use crate::soak::{
     book::{Book, End, Ended, Kind},
-    cut,
+    cut, fatal,
     history::Trouble,
     leaving,
     site::Site,
@@ -81,6 +81,7 @@
     }
     findings.extend(cut::late_stops(site));
     findings.extend(leaving::findings(site));
+    findings.extend(fatal::findings(site));
     findings
 }
 
@@ -95,7 +96,12 @@
 fn broken(kind: Kind, end: End, ran: u32) -> Option<&'static str> {
     match (kind, end) {
         (Kind::Post, _) if ran > 1 => Some("a call that is not idempotent runs at most once"),
-        (_, End::NotRun) if ran > 0 => Some("a call that is said not to have run has not run"),
+        (_, End::Quarantined) if ran == 0 => {
+            Some("a call that ends no upstream is not taken for one that does")
+        }
+        (_, End::NotRun | End::Quarantined) if ran > 0 => {
+            Some("a call that is said not to have run has not run")
+        }
         (_, End::Answered) if ran == 0 => Some("an answer is an upstream's"),
         (_, End::Mixed) => Some("an answer is whole and belongs to its call"),
         _ => None,
--- a/xtask/src/soak/cut.rs
+++ b/xtask/src/soak/cut.rs
@@ -37,7 +37,7 @@
         End::Refused => refused(call, history),
         End::Broken | End::Cut => cut(call, history, places),
         End::Unknown => lost(call, places, site),
-        End::Answered | End::Failed | End::NotRun | End::Mixed => None,
+        End::Answered | End::Failed | End::NotRun | End::Quarantined | End::Mixed => None,
     }
 }
 
@@ -68,7 +68,8 @@
     };
     let excused = until - call.begun >= NEAR_DEADLINE
         || had(&call.node, &VIOLENCE)
-        || places.iter().any(|place| had(place, &EXCUSES));
+        || places.iter().any(|place| had(place, &EXCUSES))
+        || places.iter().any(|&place| site.spots[place].fell(since, until));
     let stopped = places.iter().any(|place| had(place, &STOPS));
     (stopped && !excused).then_some("a planned stop cuts no offer in hand")
 }
--- a/xtask/src/soak/load.rs
+++ b/xtask/src/soak/load.rs
@@ -33,7 +33,7 @@
 const PAUSE_PER_NODE: Duration = Duration::from_micros(1_300);
 
 /// Time that a caller grants a call, in ms.
-const DEADLINE_MS: u64 = 1_200;
+pub(crate) const DEADLINE_MS: u64 = 1_200;
 
 /// Starts callers of every node.
 pub(crate) fn start(
@@ -107,7 +107,7 @@
     Call { host: Some(HOST.to_owned()), deadline_ms: Some(DEADLINE_MS), ..call }
 }
 
-fn broken(error: &io::Error) -> End {
+pub(crate) fn broken(error: &io::Error) -> End {
     match error.kind() {
         io::ErrorKind::Other => End::Broken,
         io::ErrorKind::UnexpectedEof => End::Cut,
@@ -115,7 +115,7 @@
     }
 }
 
-fn ended(answer: &Answer, work: &str) -> End {
+pub(crate) fn ended(answer: &Answer, work: &str) -> End {
     match answer.outcome() {
         "answered" if answer.status == 200 => {
             let own = answer.header(standins::caller::WORK) == work;
@@ -123,6 +123,7 @@
             if own && whole { End::Answered } else { End::Mixed }
         }
         "answered" => End::Failed,
+        "not-run" if answer.header("baobab-cause") == "quarantined" => End::Quarantined,
         "not-run" => End::NotRun,
         _ => End::Unknown,
     }
