Quarantine: an answer is kept for ends that are heard after it

What a caller would see: one node refuses a page for ten minutes that all others serve. Found by reading, no run: a node that heard the answer before the ends dropped it, as there was nothing to clear, and held the request when the ends came by another way. The answer is kept now; what is kept beside no end is forgotten first. fleet quarantine::an_answer_that_overtakes_the_ends_clears_them fails on the former rule at its first line. Also a test that a suspect is not repeated, and named fields in the place of a tuple.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -109,21 +109,31 @@
 /// A change of a request's standing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// It is not run until the given time; that many upstreams ended under it.
-    Quarantined(Fingerprint, usize, Time),
+    /// It is not run for a while.
+    Quarantined {
+        /// Which.
+        request: Fingerprint,
+        /// Upstreams that ended under it.
+        ends: usize,
+        /// When it may run again.
+        until: Time,
+    },
     /// It may run again.
-    Released(Fingerprint),
+    Released {
+        /// Which.
+        request: Fingerprint,
+    },
 }
 
 impl Change {
     /// Returns the event that tells it, at `now`.
     pub fn event(self, now: Time) -> Kind {
         match self {
-            Change::Quarantined(key, ends, until) => {
+            Change::Quarantined { request, ends, until } => {
                 let seconds = until.since(now).as_secs();
-                Kind::Quarantined { request: key.to_string(), ends, seconds }
+                Kind::Quarantined { request: request.to_string(), ends, seconds }
             }
-            Change::Released(key) => Kind::Released { request: key.to_string() },
+            Change::Released { request } => Kind::Released { request: request.to_string() },
         }
     }
 }
@@ -184,13 +194,17 @@
         is_news
     }
 
+    /// Takes an answer at `answered` into account; returns whether that is news. One that is heard before the
+    /// ends that it clears is kept for them: words overtake each other.
     fn answer(&mut self, answered: Time) -> bool {
-        if self.ends.is_empty() || !Case::clears(Some(answered), self.ended) {
-            return false;
+        let clears = Case::clears(Some(answered), self.ended);
+        let is_later = self.answered.is_none_or(|known| answered > known + ANSWER_HOLDS);
+        let is_news = if self.ends.is_empty() { is_later } else { clears };
+        if is_news {
+            self.ends.clear();
+            self.answered = self.answered.max(Some(answered));
         }
-        self.ends.clear();
-        self.answered = self.answered.max(Some(answered));
-        true
+        is_news
     }
 }
 
@@ -279,7 +293,7 @@
 
     /// Returns what this node has found out and must not wait to be told, in groups for a summary each.
     pub fn tell_at_once(&mut self, now: Time) -> Vec<Vec<Report>> {
-        let fresh = |(key, case): (&Fingerprint, &Case)| (case.is_urgent).then_some(*key);
+        let fresh = |(key, case): (&Fingerprint, &Case)| case.is_urgent.then_some(*key);
         let keys: Vec<Fingerprint> = self.cases.iter().filter_map(fresh).collect();
         let mut group =
             |keys: &[Fingerprint]| keys.iter().filter_map(|key| self.report(*key, now)).collect();
@@ -294,22 +308,27 @@
             return None;
         }
         self.cases.retain(|_, case| !case.is_over(now));
-        let held = |request: &Fingerprint| Some((*request, self.cases[request].until()));
-        let suspect = |(key, case): (&Fingerprint, &Case)| (!case.ends.is_empty()).then_some(*key);
-        let next = Quarantine {
-            until: self
-                .causes()
-                .iter()
-                .filter_map(held)
-                .filter(|(_, until)| now < *until)
-                .collect(),
-            suspects: self.cases.iter().filter_map(suspect).collect(),
+        let held = self.causes().into_iter().map(|request| (request, self.cases[&request].until()));
+        let until = held.filter(|(_, until)| now < *until).collect();
+        let suspects = self.cases.iter().filter(|(_, case)| !case.ends.is_empty());
+        let suspects = suspects.map(|(request, _)| *request).collect();
+        let before = std::mem::replace(&mut self.shown, Quarantine { until, suspects });
+        Some(self.changes(&before))
+    }
+
+    /// Returns which requests are held now and were not `before`, and the other way round.
+    fn changes(&self, before: &Quarantine) -> Vec<Change> {
+        let held = |(&request, &until): (&Fingerprint, &Time)| {
+            let is_new = !before.until.contains_key(&request);
+            let ends = self.ends_of(request);
+            is_new.then_some(Change::Quarantined { request, ends, until })
+        };
+        let released = |&request: &Fingerprint| {
+            let is_over = !self.shown.until.contains_key(&request);
+            is_over.then_some(Change::Released { request })
         };
-        let before = std::mem::replace(&mut self.shown, next);
-        let added = self.shown.until.iter().filter(|(key, _)| !before.until.contains_key(key));
-        let added = added.map(|(key, until)| Change::Quarantined(*key, self.ends_of(*key), *until));
-        let ended = before.until.keys().filter(|key| !self.shown.until.contains_key(key));
-        Some(added.chain(ended.map(|key| Change::Released(*key))).collect())
+        let held = self.shown.until.iter().filter_map(held);
+        held.chain(before.until.keys().filter_map(released)).collect()
     }
 
     /// Returns the requests that are taken for the cause of ends: those under which the most upstreams ended
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -204,7 +204,7 @@
     assert_eq!(until, held_until.map(|minute| at(minute * MINUTE)));
     if let Some(until) = until {
         let changes = register.refresh(until).expect("its time is over");
-        assert_eq!(changes, [Change::Released(FATAL)]);
+        assert_eq!(changes, [Change::Released { request: FATAL }]);
     }
 }
 
@@ -283,7 +283,21 @@
     assert_eq!(register.shown().until.len(), 2);
     register.note_end(&loss(3, &[FATAL]), at(10));
     let changes = register.refresh(at(10)).expect("an end is news");
-    assert_eq!(changes, [Change::Released(OTHER)]);
+    assert_eq!(changes, [Change::Released { request: OTHER }]);
+}
+
+/// One node refuses a page for ten minutes that all others serve: it heard that the page was answered before it
+/// heard of the ends, and kept the ends alone.
+#[test]
+fn an_answer_that_overtakes_the_ends_clears_them() {
+    let mut register = Register::default();
+    let ends = (0..3).map(End).collect();
+    let answer = Report { request: OTHER, ends: Vec::new(), answered: true, age_ms: 500 };
+    let ended = Report { request: OTHER, ends, answered: false, age_ms: 900 };
+    assert!(register.hear(&[answer], at(30_000)));
+    register.hear(&[ended], at(30_100));
+    register.refresh(at(30_100));
+    assert!(register.shown().until.is_empty());
 }
 
 /// An answer of before the ends clears as long as a call lasts, and not for ever: a request may become fatal.
--- a/crates/traffic/tests/quarantine.rs
+++ b/crates/traffic/tests/quarantine.rs
@@ -247,6 +247,23 @@
     assert_ne!(lose(&scene, &read).end, found[0].end);
 }
 
+/// One attempt of a caller ends two upstreams: its repeat at the next one begins before word of the first end has
+/// come. Once that has come, the outcome is told and not tried again.
+#[test]
+fn a_suspect_whose_outcome_is_unknown_is_not_repeated() {
+    let read = request("GET", "/read/x", "", "");
+    let suspect = end(&Scene::new(1, 4), &read);
+    for (suspects, runs) in [(vec![], 2), (vec![suspect], 1)] {
+        let scene = Scene::new(2, 4);
+        let suspects = suspects.into_iter().collect();
+        let suspected = Quarantine { until: Default::default(), suspects };
+        scene.hubs[0].set_quarantine(Arc::new(suspected));
+        scene.upstreams.iter().for_each(|upstream| upstream.set(Act::Cut));
+        assert_eq!(status(&scene.exchange(0, &read)), "502");
+        assert_eq!(scene.seen().len(), runs);
+    }
+}
+
 /// A request is suspected by others after an outage, and this node answered it a moment before, or does now.
 #[test]
 fn an_answer_here_clears_what_others_suspect() {
