Quarantine: a node that starts is told at once what is held; one report a summary for everybody else

Cause, by reckoning and then by the test: three reports of quarantined requests in each summary are up to 16 KB a second and node for as long as any are held, where 8 KB are for all of control; with one in turn, a node that starts beside 40 held requests learnt the last of them after more than three seconds, since all nodes tell them in the same order (fleet quarantine::what_is_quarantined_is_told_at_a_small_cost, seen to fail at both ends).

Change: a node that speaks for the first time in a life is told all that is held, up to 60 requests, by whoever hears it; each summary has one place for what is held, in turn.

--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -34,7 +34,7 @@
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
     message::{Bundle, Digest, News, Request, Response, Sender},
-    quarantine::{Loss, REPORTS_A_SUMMARY, Register},
+    quarantine::{Loss, REPORTS_A_SUMMARY, Register, Report},
     source::Query,
     status,
     timeline::{Event as Note, Kind, Ring},
@@ -261,11 +261,17 @@
         self.fence.hear(digest.config);
         let (from, news) = (digest.from.address, std::mem::take(&mut digest.news));
         let reports = std::mem::take(&mut digest.reports);
+        let is_newcomer = digest.from.incarnation > self.peers.incarnation(from);
         if self.peers.hear(digest, now.time) {
             self.view_stale = true;
         }
         self.hear_news(news, from, now);
         self.quarantine.hear(&reports, now.time);
+        if is_newcomer {
+            // The first request that it is asked to run may be one of these.
+            let held = self.quarantine.tell_newcomer(now.time);
+            self.tell_reports(vec![from], held, now);
+        }
     }
 
     fn note_end(&mut self, loss: Loss, now: Now) {
@@ -283,7 +289,12 @@
     /// time that a call takes, and so may this node.
     fn tell_ends(&mut self, now: Now) {
         let targets = self.peers.first_audience(FAR_AUDIENCE, &mut self.random);
-        for reports in self.quarantine.tell_at_once(now.time) {
+        let found = self.quarantine.tell_at_once(now.time);
+        self.tell_reports(targets, found, now);
+    }
+
+    fn tell_reports(&mut self, targets: Vec<SocketAddr>, groups: Vec<Vec<Report>>, now: Now) {
+        for reports in groups {
             let digest = Digest { reports, ..self.digest(now) };
             self.effects.push(Effect::Tell(targets.clone(), digest));
         }
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -53,6 +53,9 @@
 /// Most reports of a message that tells little else, or is not bound to one packet.
 pub const REPORTS_AT_ONCE: usize = 6;
 
+/// Most quarantined requests that a node that has just started is told of at once by each other one.
+const NEWCOMER_MOST: usize = 60;
+
 /// Summaries in which a node tells a change, each to several others, who tell it on.
 const TELLINGS: u32 = 6;
 
@@ -265,8 +268,8 @@
     }
 
     /// Returns up to `most` reports for the next summary. One is of a quarantined request, in turn, however
-    /// much else there is to tell, so that a node that has just started knows them all within a moment. Then
-    /// come changes, those of requests with the most ends first, and further quarantined ones.
+    /// much else there is to tell: whoever missed it hears of it. The others are changes, those of requests with
+    /// the most ends first.
     pub fn tell(&mut self, most: usize, now: Time) -> Vec<Report> {
         let mut told: Vec<Fingerprint> = self.next_in_turn().into_iter().collect();
         for changed in self.changed_most(most) {
@@ -274,11 +277,6 @@
                 told.push(changed);
             }
         }
-        while told.len() < most
-            && let Some(next) = self.next_in_turn().filter(|next| !told.contains(next))
-        {
-            told.push(next);
-        }
         told.into_iter().filter_map(|request| self.report(request, now)).collect()
     }
 
@@ -293,11 +291,16 @@
 
     /// Returns what this node has found out and must not wait to be told, in groups for a summary each.
     pub fn tell_at_once(&mut self, now: Time) -> Vec<Vec<Report>> {
-        let fresh = |(key, case): (&Fingerprint, &Case)| case.is_urgent.then_some(*key);
-        let keys: Vec<Fingerprint> = self.cases.iter().filter_map(fresh).collect();
-        let mut group =
-            |keys: &[Fingerprint]| keys.iter().filter_map(|key| self.report(*key, now)).collect();
-        keys.chunks(REPORTS_AT_ONCE).map(&mut group).collect()
+        let urgent = |(request, case): (&Fingerprint, &Case)| case.is_urgent.then_some(*request);
+        let requests: Vec<Fingerprint> = self.cases.iter().filter_map(urgent).collect();
+        self.report_all(&requests, now)
+    }
+
+    /// Returns what a node is told that has just started and knows nothing, in groups for a summary each.
+    pub fn tell_newcomer(&mut self, now: Time) -> Vec<Vec<Report>> {
+        let held = self.shown.until.keys().copied().take(NEWCOMER_MOST);
+        let requests: Vec<Fingerprint> = held.collect();
+        self.report_all(&requests, now)
     }
 
     /// Works out anew what may run at `now`, and returns which requests' standing changed; none where nothing
@@ -407,6 +410,13 @@
         self.turn
     }
 
+    fn report_all(&mut self, requests: &[Fingerprint], now: Time) -> Vec<Vec<Report>> {
+        let group = |requests: &[Fingerprint]| {
+            requests.iter().filter_map(|request| self.report(*request, now)).collect()
+        };
+        requests.chunks(REPORTS_AT_ONCE).map(group).collect()
+    }
+
     fn report(&mut self, request: Fingerprint, now: Time) -> Option<Report> {
         let case = self.cases.get_mut(&request)?;
         case.tellings = case.tellings.saturating_sub(1);
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -190,6 +190,27 @@
     assert!(told <= usual + usual / 20, "{told} bytes in ten seconds, usually {usual}");
 }
 
+/// For as long as requests are quarantined, their reports fill the links of nodes, which may spend 8 KB a second on
+/// control.
+#[test]
+fn what_is_quarantined_is_told_at_a_small_cost() {
+    let mut net = calm(&PLACES, NODES);
+    for request in 0..40 {
+        for number in 0..3 {
+            let loss = loss(request * 3 + number, &[Fingerprint(request.into())]);
+            net.tell(number as usize * 4, Event::UpstreamEnded(loss));
+        }
+    }
+    net.run(30_000);
+    let before: u64 = net.heard_bytes.iter().sum();
+    net.run(10_000);
+    let a_node = (net.heard_bytes.iter().sum::<u64>() - before) / NODES as u64 / 10;
+    assert!(a_node < 8_000, "{a_node} bytes a second and node");
+    net.kill(3);
+    net.start(3);
+    net.until(3 * KNOWN, |net| net.all(|node| node.quarantine.until.len() == 40));
+}
+
 /// Ends under one request at the given times, in minutes; whether it may run after the last, and when it may
 /// again.
 #[track_caller]
