Trace: a refused call names the request that is quarantined, and the ends under it

Why: the log of a refused call told the reason, and nothing led from its id to the fingerprint under which the ends are told. One line more for each refused call, within the log's bound; baobabctl trace shows it with the event.

--- a/crates/baobabctl/src/trace.rs
+++ b/crates/baobabctl/src/trace.rs
@@ -46,7 +46,7 @@
 }
 
 /// Returns the events that explain the decisions: when the revision came into force at the entry
-/// node, and what it had last heard of each upstream that it chose.
+/// node, what it had last heard of each upstream that it chose, and since when it does not run the request.
 fn background<'a>(lines: &[Line], logs: &'a Logs) -> Vec<&'a Event> {
     let mut events = Vec::new();
     for line in lines {
@@ -59,6 +59,13 @@
                     _ => false,
                 })
             }
+            Step::Quarantined { request } => {
+                let held = request.clone();
+                Box::new(move |event| match &event.kind {
+                    Kind::Quarantined { request, .. } => *request == held,
+                    _ => false,
+                })
+            }
             Step::Offered { upstream, .. } => {
                 let (upstream, until) = (upstream.clone(), line.t);
                 Box::new(move |event| match &event.kind {
--- a/crates/baobabctl/tests/trace.rs
+++ b/crates/baobabctl/tests/trace.rs
@@ -12,6 +12,9 @@
 {"t":10000031,"node":"entry","id":"9c41","event":"ended","outcome":"not-run","reason":"overloaded","status":503,"retry_after_ms":60,"ms":30,"attempts":1}
 {"t":10000040,"node":"entry","id":"77a0","event":"unrouted","revision":7,"expected":9}
 {"t":10000040,"node":"entry","id":"77a0","event":"ended","outcome":"not-run","reason":"outdated","status":503,"retry_after_ms":500,"ms":0,"attempts":0}
+{"stamp":655360000002,"node":"entry","event":"quarantined","request":"00ff","ends":3,"seconds":600}
+{"t":10000050,"node":"entry","id":"88b1","event":"quarantined","request":"00ff"}
+{"t":10000050,"node":"entry","id":"88b1","event":"ended","outcome":"not-run","reason":"quarantined","status":503,"retry_after_ms":599000,"ms":0,"attempts":0}
 a line of somebody else
 "#;
 
@@ -71,6 +74,14 @@
     check(&["trace", "77a0"], 0, &["unrouted", "revision=7 expected=9", "in-force", outdated]);
 }
 
+/// A caller is told to come back in ten minutes. Whoever asks why must see which request is meant, and under how many
+/// ends of upstreams.
+#[test]
+fn a_quarantined_request_is_told_with_the_ends_under_it() {
+    let held = "upstreams ended under the same request";
+    check(&["trace", "88b1"], 0, &["quarantined", "request=\"00ff\"", "ends", held]);
+}
+
 #[test]
 fn unknown_requests_and_wrong_usage_are_told() {
     check(&["trace", "none"], 1, &["No line about this request"]);
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -11,6 +11,7 @@
     retry,
 };
 use std::sync::Arc;
+use trail::Step;
 
 use crate::{
     call::{Answer, Call},
@@ -65,6 +66,13 @@
         paused: hub.in_doubt(call.received, now),
         wanted: call.origin.look() != Look::Closed,
     };
-    let hindrance = retry::hindrance(moment).map(Cause::outcome);
-    hindrance.or_else(|| hub.quarantined(&call.payload, call.service))
+    retry::hindrance(moment).map(Cause::outcome).or_else(|| quarantined(hub, call))
+}
+
+/// Returns the outcome of a call that must not run, since upstreams ended under such calls, and notes which.
+fn quarantined(hub: &Hub, call: &Call<'_>) -> Option<Outcome> {
+    let outcome = hub.quarantined(&call.payload, call.service)?;
+    let request = hub.fingerprint(&call.payload, call.service).to_string();
+    call.trail.note(&hub.log, Step::Quarantined { request });
+    Some(outcome)
 }
--- a/crates/trail/src/lib.rs
+++ b/crates/trail/src/lib.rs
@@ -53,6 +53,11 @@
         /// Highest revision that the entry node was to hold then.
         expected: u64,
     },
+    /// The entry node did not offer the request to anybody, or to nobody else: upstreams ended under such ones.
+    Quarantined {
+        /// Its fingerprint, as in the events about those ends.
+        request: String,
+    },
     /// The entry node offered the request to an upstream's node.
     Offered {
         /// Number of the attempt, unique on the entry node.
@@ -145,6 +150,7 @@
             | Step::Attempted { attempt, .. } => Some(*attempt),
             Step::Routed { .. }
             | Step::Unrouted { .. }
+            | Step::Quarantined { .. }
             | Step::Ended { .. }
             | Step::Abandoned { .. } => None,
         }
