--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -51,6 +51,9 @@
 /// Time for everything to be as it should once the last fault has ended.
 const RECOVERY: Duration = Duration::from_secs(15);
 
+/// Time in which every kind of sound call is answered.
+const ANSWERED: Duration = Duration::from_secs(1);
+
 /// What a soak consists of.
 #[derive(Clone, Copy, Debug)]
 struct Plan {
@@ -65,8 +68,10 @@
 enum Requests {
     /// What upstreams can do.
     Sound,
-    /// Among it, requests that end every upstream that runs them.
-    Fatal,
+    /// Among it, after a while, requests that end every upstream that runs them.
+    ///
+    /// A call that was never answered cannot be told from a fatal one that ran beside it each time.
+    Fatal(Duration),
 }
 
 /// What failed once, with the cause of each; every run by hand plays them first.
@@ -83,14 +88,19 @@
     regression(1_041),
     regression(1_110),
     regression(1_113),
-    Plan { seed: 4_000, time: Duration::from_secs(14), nodes: 9, requests: Requests::Fatal },
+    Plan {
+        seed: 4_000,
+        time: Duration::from_secs(14),
+        nodes: 9,
+        requests: Requests::Fatal(Duration::ZERO),
+    },
 ];
 
 /// What CI plays: between them, most kinds of faults.
 const SHORT: [Plan; 3] = [
     Plan { seed: 1, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
     Plan { seed: 3, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
-    Plan { seed: 5, time: Duration::from_secs(10), nodes: 6, requests: Requests::Fatal },
+    Plan { seed: 5, time: Duration::from_secs(10), nodes: 6, requests: Requests::Fatal(ANSWERED) },
 ];
 
 const fn regression(seed: u64) -> Plan {
@@ -107,7 +117,7 @@
     tools::finish(arguments)?;
     let programs = tools::build()?;
     let time = Duration::from_secs(seconds);
-    let requests = Requests::Fatal;
+    let requests = Requests::Fatal(Duration::ZERO);
     let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes, requests });
     let plans: Vec<Plan> = REGRESSIONS.into_iter().chain(seeds).collect();
     play_all(&plans, &programs.join("baobabrelayd"))
@@ -147,8 +157,8 @@
     let book = Arc::new(Book::default());
     let going = Arc::new(AtomicBool::new(true));
     let mut callers = load::start(&site, &book, &going);
-    if plan.requests == Requests::Fatal {
-        callers.1.extend(fatal::start(&site, plan.seed, &going));
+    if let Requests::Fatal(after) = plan.requests {
+        callers.1.extend(fatal::start(&site, after, plan.seed, &going));
     }
     let mut faults = Faults::default();
     let end = Instant::now() + plan.time;
--- a/xtask/src/soak/fatal.rs
+++ b/xtask/src/soak/fatal.rs
@@ -45,13 +45,22 @@
 const HINDRANCES: [Trouble; 5] =
     [Trouble::Killed, Trouble::Paused, Trouble::Stopping, Trouble::Stopped, Trouble::Crashed];
 
-/// Starts callers that bring their requests to all nodes in turn.
-pub(crate) fn start(site: &Site, seed: u64, going: &Arc<AtomicBool>) -> Vec<JoinHandle<()>> {
+/// Starts callers that bring their requests to nodes drawn at random, and begin `after` a while.
+pub(crate) fn start(
+    site: &Site,
+    after: Duration,
+    seed: u64,
+    going: &Arc<AtomicBool>,
+) -> Vec<JoinHandle<()>> {
     let nodes: Vec<SocketAddr> = site.spots.iter().map(|spot| spot.callers).collect();
     let callers = ["stock", "pay"].into_iter().flat_map(|service| [service; CALLERS]);
     let bring = |(number, service): (usize, &'static str)| {
         let random = SmallRng::seed_from_u64(seed + number as u64);
-        site.runtime.handle().spawn(bring(service, nodes.clone(), random, going.clone()))
+        let caller = bring(service, nodes.clone(), random, going.clone());
+        site.runtime.handle().spawn(async move {
+            sleep(after).await;
+            caller.await;
+        })
     };
     callers.enumerate().map(bring).collect()
 }
--- a/xtask/src/soak/load.rs
+++ b/xtask/src/soak/load.rs
@@ -107,7 +107,7 @@
     Call { host: Some(HOST.to_owned()), deadline_ms: Some(DEADLINE_MS), ..call }
 }
 
-pub(crate) fn broken(error: &io::Error) -> End {
+fn broken(error: &io::Error) -> End {
     match error.kind() {
         io::ErrorKind::Other => End::Broken,
         io::ErrorKind::UnexpectedEof => End::Cut,
@@ -115,7 +115,7 @@
     }
 }
 
-pub(crate) fn ended(answer: &Answer, work: &str) -> End {
+fn ended(answer: &Answer, work: &str) -> End {
     match answer.outcome() {
         "answered" if answer.status == 200 => {
             let own = answer.header(standins::caller::WORK) == work;
