--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -13,6 +13,8 @@
 //! - *An end has one cause.* What ran beside a request under which more upstreams ended is not blamed for the
 //!   ends that the two share.
 
+mod case;
+
 use model::{
     request::{Fingerprint, Suspect},
     time::Time,
@@ -25,7 +27,7 @@
     time::Duration,
 };
 
-use crate::{status, timeline::Kind};
+use crate::{quarantine::case::Case, status, timeline::Kind};
 
 /// Ends under a request with which it is quarantined.
 ///
@@ -33,16 +35,6 @@
 /// may be part of the same outage.
 pub const ENDS_MOST: usize = 3;
 
-/// Ends that are told apart. A further one makes the time begin anew, and no longer.
-const ENDS_KEPT: usize = 8;
-
-/// How long a request is quarantined for [`ENDS_MOST`] ends, counted from the last one; twice as long for
-/// each further end. Somebody has time to look at it, and at most one upstream in ten minutes is lost to it.
-const PERIOD: Duration = Duration::from_secs(600);
-
-/// How long before an end an answer clears it: longer than a call lasts.
-const ANSWER_HOLDS: Duration = Duration::from_secs(10);
-
 /// Most requests that are remembered, at some 150 bytes each. Every end of an upstream adds those that ran
 /// there, a few dozen at most.
 const CASES_MOST: usize = 512;
@@ -141,76 +133,6 @@
     }
 }
 
-#[derive(Clone, Debug, Default)]
-struct Case {
-    ends: BTreeSet<End>,
-    /// When the last of the ends was.
-    ended: Time,
-    answered: Option<Time>,
-    /// How often a change is still to be told.
-    tellings: u32,
-    /// Whether it is still to be told at once, too.
-    is_urgent: bool,
-}
-
-impl Case {
-    /// Returns how long the ends count.
-    fn period(&self) -> Duration {
-        let further = self.ends.len().saturating_sub(ENDS_MOST) as u32;
-        PERIOD * 2u32.pow(further)
-    }
-
-    /// Returns until when the request is not to be run, if it is the cause of its ends.
-    fn until(&self) -> Time {
-        self.ended + self.period()
-    }
-
-    /// Tells whether nothing is left to be remembered. After the time in which a request is not run, its
-    /// ends count for as long again: the next one quarantines it at once.
-    fn is_over(&self, now: Time) -> bool {
-        let last = self.answered.map_or(self.ended, |answered| answered.max(self.ended));
-        let rounds = if self.ends.len() < ENDS_MOST { 1 } else { 2 };
-        now >= last + self.period() * rounds
-    }
-
-    /// Tells whether an answer at `answered` clears an end at `ended`.
-    fn clears(answered: Option<Time>, ended: Time) -> bool {
-        answered.is_some_and(|answered| ended < answered + ANSWER_HOLDS)
-    }
-
-    /// Adds ends of which the last was at `ended`; returns whether that is news.
-    fn add_ends(&mut self, ends: &[End], ended: Time) -> bool {
-        if Case::clears(self.answered, ended) {
-            return false;
-        }
-        let before = self.ends.clone();
-        self.ends.extend(ends);
-        // Every node drops the same ones, so that they agree and nobody is told the same for ever.
-        while self.ends.len() > ENDS_KEPT {
-            self.ends.pop_last();
-        }
-        let is_later = before.len() == ENDS_KEPT && ended > self.ended + ANSWER_HOLDS;
-        let is_news = self.ends != before || is_later;
-        if is_news {
-            self.ended = self.ended.max(ended);
-        }
-        is_news
-    }
-
-    /// Takes an answer at `answered` into account; returns whether that is news. One that is heard before the
-    /// ends that it clears is kept for them: words overtake each other.
-    fn answer(&mut self, answered: Time) -> bool {
-        let clears = Case::clears(Some(answered), self.ended);
-        let is_later = self.answered.is_none_or(|known| answered > known + ANSWER_HOLDS);
-        let is_news = if self.ends.is_empty() { is_later } else { clears };
-        if is_news {
-            self.ends.clear();
-            self.answered = self.answered.max(Some(answered));
-        }
-        is_news
-    }
-}
-
 /// Requests under which upstreams ended, as this node knows of them.
 #[derive(Clone, Debug, Default)]
 pub struct Register {
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -1,7 +1,11 @@
 //! What a request asks for, told apart from who asks when and by which way.
 
 use serde::{Deserialize, Serialize};
-use std::fmt;
+use std::{fmt, time::Duration};
+
+/// How long before the end of an upstream an answer to a request shows that the request did not cause it: longer
+/// than a call lasts.
+pub const ANSWER_HOLDS: Duration = Duration::from_secs(10);
 
 /// Identifies what a request asks for.
 #[derive(
--- a/crates/policy/src/suspects.rs
+++ b/crates/policy/src/suspects.rs
@@ -4,7 +4,7 @@
 //! A call that breaks alone is a lost connection or a spoiled answer, and the upstream answers others.
 
 use model::{
-    request::{Fingerprint, Suspect},
+    request::{ANSWER_HOLDS, Fingerprint, Suspect},
     time::Time,
 };
 use std::{
@@ -20,9 +20,6 @@
 /// Most lost calls that are remembered; within [`WINDOW`] an upstream has a few times its slots.
 const LOST_MOST: usize = 256;
 
-/// How long an answer shows that a request does not end upstreams: longer than a call lasts.
-const ANSWER_HOLDS: Duration = Duration::from_secs(10);
-
 /// Most answers that are remembered, at some 50 bytes each: those of ten seconds at 200 calls a second.
 const ANSWERS_MOST: usize = 2_048;
 
--- a/crates/traffic/src/hub.rs
+++ b/crates/traffic/src/hub.rs
@@ -4,6 +4,7 @@
 mod estimates;
 mod explain;
 mod own;
+mod quarantine;
 pub(crate) mod room;
 pub(crate) mod services;
 pub(crate) mod settings;
@@ -11,17 +12,12 @@
 
 use arc_swap::ArcSwap;
 use fleet::{
-    quarantine::{Loss, Quarantine},
+    quarantine::Quarantine,
     timeline::Kind,
     view::{Upstream, View},
 };
-use model::{config::Snapshot, request::Fingerprint, time::Time};
-use policy::{
-    comeback, health,
-    outcome::{Cause, Outcome},
-    pause,
-    split::Split,
-};
+use model::{config::Snapshot, time::Time};
+use policy::{comeback, health, pause, split::Split};
 use std::{
     collections::HashMap,
     sync::{
@@ -33,7 +29,6 @@
 use telemetry::metric::Meter;
 
 use crate::{
-    call::Payload,
     clock::Clock,
     gate::{running::Running, transfer::Transfers, turnstile::Turnstile},
     hub::{
@@ -253,61 +248,6 @@
         events
     }
 
-    /// Does not run what is in `quarantine` from now on.
-    pub fn set_quarantine(&self, quarantine: Arc<Quarantine>) {
-        let before = self.quarantine.swap(quarantine.clone());
-        let now = self.clock.now();
-        for request in quarantine.suspects.difference(&before.suspects) {
-            // Others may suspect what was answered here a moment ago.
-            if self.ends.was_answered(*request, now) {
-                self.ends.clear(*request);
-            }
-        }
-    }
-
-    /// Takes the ends of the own upstream that were found since the last time, with what ran at each.
-    pub fn take_ends(&self) -> Vec<Loss> {
-        let ends = self.ends.take();
-        ends.iter().for_each(|_| self.meter.upstream_end());
-        ends
-    }
-
-    /// Takes the suspected requests that the own upstream answered since the last time.
-    pub fn take_cleared(&self) -> Vec<Fingerprint> {
-        self.ends.take_cleared()
-    }
-
-    /// Notes that the own upstream answered a request, and did not fail at it.
-    pub(crate) fn note_answered(&self, request: Fingerprint) {
-        self.ends.answer(request, self.clock.now());
-        if self.quarantine.load().suspects.contains(&request) {
-            self.ends.clear(request);
-        }
-    }
-
-    /// Returns the outcome of a call to `service` that must not run, since upstreams ended under such calls.
-    pub(crate) fn quarantined(&self, payload: &Payload, service: &str) -> Option<Outcome> {
-        let quarantine = self.quarantine.load();
-        if quarantine.until.is_empty() {
-            return None;
-        }
-        let until = quarantine.until.get(&self.fingerprint(payload, service))?;
-        let left = until.since(self.clock.now());
-        (!left.is_zero()).then_some(Outcome::NotRun(Cause::Quarantined, left))
-    }
-
-    /// Tells whether an upstream is known to have ended under such a call.
-    pub(crate) fn is_suspected(&self, payload: &Payload, service: &str) -> bool {
-        let quarantine = self.quarantine.load();
-        !quarantine.suspects.is_empty()
-            && quarantine.suspects.contains(&self.fingerprint(payload, service))
-    }
-
-    /// Identifies what a call to `service` asks for.
-    pub(crate) fn fingerprint(&self, payload: &Payload, service: &str) -> Fingerprint {
-        payload.fingerprint((!self.config().has_routes()).then_some(service))
-    }
-
     /// Returns the configuration in force.
     pub fn config(&self) -> Arc<Snapshot> {
         self.config.load_full()
