--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -10,6 +10,7 @@
 //!
 //! Invariant *one way in*: [`Control::apply`] is the only way to change the state.
 
+mod ends;
 mod known;
 mod news;
 mod peers;
@@ -21,7 +22,7 @@
 
 pub use self::watch::Settings as Reading;
 
-use model::{request::Fingerprint, time::Time};
+use model::time::Time;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -34,7 +35,7 @@
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
     message::{Bundle, Digest, News, Request, Response, Sender},
-    quarantine::{Loss, REPORTS_A_SUMMARY, Register, Report},
+    quarantine::{REPORTS_A_SUMMARY, Register},
     source::Query,
     status,
     timeline::{Event as Note, Kind, Ring},
@@ -268,35 +269,7 @@
         self.hear_news(news, from, now);
         self.quarantine.hear(&reports, now.time);
         if is_newcomer {
-            // The first request that it is asked to run may be one of these.
-            let held = self.quarantine.tell_newcomer(now.time);
-            self.tell_reports(vec![from], held, now);
-        }
-    }
-
-    fn note_end(&mut self, loss: Loss, now: Now) {
-        self.quarantine.note_end(&loss, now.time);
-        self.note(Kind::UpstreamEnded { requests: loss.labels() }, now);
-        self.tell_ends(now);
-    }
-
-    fn note_answer(&mut self, request: Fingerprint, now: Now) {
-        self.quarantine.note_answer(request, now.time);
-        self.tell_ends(now);
-    }
-
-    /// Tells the others at once what the own upstream's end or answer shows: the next upstream may end within the
-    /// time that a call takes, and so may this node.
-    fn tell_ends(&mut self, now: Now) {
-        let targets = self.peers.first_audience(FAR_AUDIENCE, &mut self.random);
-        let found = self.quarantine.tell_at_once(now.time);
-        self.tell_reports(targets, found, now);
-    }
-
-    fn tell_reports(&mut self, targets: Vec<SocketAddr>, groups: Vec<Vec<Report>>, now: Now) {
-        for reports in groups {
-            let digest = Digest { reports, ..self.digest(now) };
-            self.effects.push(Effect::Tell(targets.clone(), digest));
+            self.tell_newcomer(from, now);
         }
     }
 
@@ -452,14 +425,6 @@
         }
     }
 
-    fn refresh_quarantine(&mut self, now: Now) {
-        let Some(changes) = self.quarantine.refresh(now.time) else { return };
-        for change in changes {
-            self.note(change.event(now.time), now);
-        }
-        self.effects.push(Effect::Quarantine(Arc::new(self.quarantine.shown().clone())));
-    }
-
     fn note_changes(&mut self, changes: Vec<(Entry, Change)>, from: Option<SocketAddr>, now: Now) {
         for (entry, change) in changes {
             self.peers.list(self.node_of(&entry), &entry.data_centre, now.time);
