--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -411,7 +411,7 @@
         for change in changes {
             self.note(change.event(now.time), now);
         }
-        self.effects.push(Effect::Quarantine(Arc::new(self.quarantine.shown().clone())));
+        self.effects.push(Effect::Quarantine(self.quarantine.shown().clone()));
     }
 
     /// Works out anew what depends on the table of nodes, if that has changed.
--- a/crates/fleet/src/listed/ends.rs
+++ b/crates/fleet/src/listed/ends.rs
@@ -1,7 +1,7 @@
 //! What a node in listed mode makes of the ends of upstreams, its own and those that others tell of.
 
 use model::request::Fingerprint;
-use std::{net::SocketAddr, sync::Arc};
+use std::net::SocketAddr;
 
 use crate::{
     clock::Now,
@@ -44,7 +44,7 @@
         for change in changes {
             self.note(change.event(now.time), now);
         }
-        self.effects.push(Effect::Quarantine(Arc::new(self.quarantine.shown().clone())));
+        self.effects.push(Effect::Quarantine(self.quarantine.shown().clone()));
     }
 
     /// Tells a node that has just started what must not run: the first request that it is asked for may be such
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -24,6 +24,7 @@
     cmp::Reverse,
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     ops::Not,
+    sync::Arc,
     time::Duration,
 };
 
@@ -140,7 +141,7 @@
     /// The case that was told last, in turn.
     turn: Option<Fingerprint>,
     changed: bool,
-    shown: Quarantine,
+    shown: Arc<Quarantine>,
 }
 
 impl Register {
@@ -237,7 +238,8 @@
         let until = held.filter(|(_, until)| now < *until).collect();
         let suspects = self.cases.iter().filter(|(_, case)| !case.ends.is_empty());
         let suspects = suspects.map(|(request, _)| *request).collect();
-        let before = std::mem::replace(&mut self.shown, Quarantine { until, suspects });
+        let shown = Arc::new(Quarantine { until, suspects });
+        let before = std::mem::replace(&mut self.shown, shown);
         Some(self.changes(&before))
     }
 
@@ -276,7 +278,7 @@
     }
 
     /// Returns what traffic needs to know, as of the last [`Register::refresh`].
-    pub fn shown(&self) -> &Quarantine {
+    pub fn shown(&self) -> &Arc<Quarantine> {
         &self.shown
     }
 
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -8,7 +8,7 @@
 };
 use model::{profile::Profile, request::Fingerprint, time::Time};
 use policy::{admission::Rank, retry::Kind};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{net::stream::Probe, record::Trail, wire};
@@ -102,9 +102,15 @@
     pub(crate) path: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// What it asks for, once that was worked out.
+    asked: OnceLock<Fingerprint>,
 }
 
 impl Payload {
+    pub(crate) fn new(method: Method, path: Uri, headers: HeaderMap, body: Bytes) -> Self {
+        Payload { method, path, headers, body, asked: OnceLock::new() }
+    }
+
     /// Returns a request to send on.
     pub(crate) fn request(&self) -> Request<wire::Body> {
         let mut request = Request::new(wire::Body::new(self.body.clone()));
@@ -116,8 +122,12 @@
 
     /// Identifies what is asked for, whoever brings it, when and by which way: an attempt's id, its time left,
     /// the service that it comes from and how its body was sent do not count. `service` is the one that is
-    /// named where there are no routes; the host is then any node's.
+    /// named where there are no routes; the host is then any node's. A large body is gone through once only.
     pub(crate) fn fingerprint(&self, service: Option<&str>) -> Fingerprint {
+        *self.asked.get_or_init(|| self.work_out(service))
+    }
+
+    fn work_out(&self, service: Option<&str>) -> Fingerprint {
         let mut hash = Xxh3::new();
         let mut add = |part: &[u8]| {
             hash.update(&(part.len() as u64).to_le_bytes());
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -146,7 +146,7 @@
         service: target.service,
         profile: target.profile,
         terms: target.terms,
-        payload: Payload { method: head.method, path: target.path, headers, body },
+        payload: Payload::new(head.method, target.path, headers, body),
         received: schedule.received,
         deadline: schedule.deadline,
         due: schedule.due(),
--- a/crates/traffic/src/link/arrival.rs
+++ b/crates/traffic/src/link/arrival.rs
@@ -129,7 +129,7 @@
     let Stated { id, incarnation, identity, started_ms, deadline, kind, rank } = stated;
     let mut headers = head.headers;
     wire::strip(&mut headers);
-    let payload = Payload { method: head.method, path: head.uri, headers, body };
+    let payload = Payload::new(head.method, head.uri, headers, body);
     Offer { payload, received, deadline, kind, rank, incarnation, identity, started_ms, origin, id }
 }
 
--- a/crates/traffic/tests/quarantine.rs
+++ b/crates/traffic/tests/quarantine.rs
@@ -4,7 +4,7 @@
 
 use fleet::quarantine::{Loss, Quarantine};
 use model::{request::Fingerprint, time::Time};
-use scene::{Act, Scene, request, status};
+use scene::{Act, Scene, header, request, status};
 use std::{cell::RefCell, io::Write, sync::Arc, thread, time::Duration};
 
 /// Time in which a node finds out whether its upstream has ended, with room to spare.
@@ -13,13 +13,6 @@
 /// Time for which requests are quarantined here, in s; far more than any test takes.
 const HELD: u64 = 1_000;
 
-fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
-    answer.lines().find_map(|line| {
-        let (found, value) = line.split_once(':')?;
-        found.eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
-
 /// Returns what ran when the upstream of `node` ended, once that is found.
 fn ended(scene: &Scene, node: usize) -> Loss {
     let found = RefCell::new(Vec::new());
@@ -53,6 +46,12 @@
     scene.hubs[node].set_quarantine(Arc::new(quarantine));
 }
 
+/// Returns what a node is told of suspects that may run.
+fn suspected(suspects: &[Fingerprint]) -> Arc<Quarantine> {
+    let suspects = suspects.iter().copied().collect();
+    Arc::new(Quarantine { suspects, ..Quarantine::default() })
+}
+
 #[track_caller]
 fn check_refused(scene: &Scene, node: usize, bytes: &str) {
     let before = scene.seen().len();
@@ -231,20 +230,11 @@
     copies.iter_mut().for_each(|c| c.write_all(read.as_bytes()).expect("the node reads"));
     scene.wait(|| scene.seen().len() == 2);
     scene.upstreams[0].end_but_one();
-    let found = RefCell::new(scene.hubs[0].take_ends());
-    scene.wait(|| {
-        found.borrow_mut().extend(scene.hubs[0].take_ends());
-        found.borrow().len() == 1
-    });
+    let first = ended(&scene, 0);
     scene.upstreams[0].end();
-    scene.wait(|| {
-        found.borrow_mut().extend(scene.hubs[0].take_ends());
-        found.borrow().len() == 2
-    });
-    let found = found.into_inner();
-    assert_eq!(found[0], found[1]);
+    assert_eq!(ended(&scene, 0), first);
     scene.upstreams[0].restart();
-    assert_ne!(lose(&scene, &read).end, found[0].end);
+    assert_ne!(lose(&scene, &read).end, first.end);
 }
 
 /// One attempt of a caller ends two upstreams: its repeat at the next one begins before word of the first end has
@@ -255,9 +245,7 @@
     let suspect = end(&Scene::new(1, 4), &read);
     for (suspects, runs) in [(vec![], 2), (vec![suspect], 1)] {
         let scene = Scene::new(2, 4);
-        let suspects = suspects.into_iter().collect();
-        let suspected = Quarantine { until: Default::default(), suspects };
-        scene.hubs[0].set_quarantine(Arc::new(suspected));
+        scene.hubs[0].set_quarantine(suspected(&suspects));
         scene.upstreams.iter().for_each(|upstream| upstream.set(Act::Cut));
         assert_eq!(status(&scene.exchange(0, &read)), "502");
         assert_eq!(scene.seen().len(), runs);
@@ -270,13 +258,12 @@
     let scene = Scene::new(1, 4);
     let read = request("GET", "/read/x", "", "");
     let suspect = end(&scene, &read);
-    let suspected = Quarantine { until: Default::default(), suspects: [suspect].into() };
-    scene.hubs[0].set_quarantine(Arc::new(suspected.clone()));
+    scene.hubs[0].set_quarantine(suspected(&[suspect]));
     assert!(scene.hubs[0].take_cleared().is_empty());
     assert_eq!(status(&scene.exchange(0, &read)), "200");
     assert_eq!(scene.hubs[0].take_cleared(), [suspect]);
     scene.hubs[0].set_quarantine(Arc::default());
-    scene.hubs[0].set_quarantine(Arc::new(suspected));
+    scene.hubs[0].set_quarantine(suspected(&[suspect]));
     assert_eq!(scene.hubs[0].take_cleared(), [suspect]);
 }
 
@@ -286,8 +273,7 @@
     let scene = Scene::new(1, 4);
     let read = request("GET", "/read/x", "", "");
     let suspect = end(&scene, &read);
-    let suspected = Quarantine { until: Default::default(), suspects: [suspect].into() };
-    scene.hubs[0].set_quarantine(Arc::new(suspected));
+    scene.hubs[0].set_quarantine(suspected(&[suspect]));
     scene.upstreams[0].set(Act::Fail);
     assert_eq!(status(&scene.exchange(0, &read)), "500");
     assert!(scene.hubs[0].take_cleared().is_empty());
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -2,16 +2,9 @@
 
 mod scene;
 
-use scene::{Act, Scene, request, status};
+use scene::{Act, Scene, header, request, status};
 use std::{io::Write, thread, time::Duration};
 
-fn header<'a>(answer: &'a str, name: &str) -> Option<&'a str> {
-    answer.lines().find_map(|line| {
-        let (found, value) = line.split_once(": ")?;
-        found.eq_ignore_ascii_case(name).then(|| value.trim())
-    })
-}
-
 #[track_caller]
 fn check(scene: &Scene, text: &str, expect: &str) -> String {
     let answer = scene.exchange(0, text);
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -68,13 +68,18 @@
 
 impl Seen {
     pub(crate) fn header(&self, name: &str) -> Option<&str> {
-        self.head.lines().skip(1).find_map(|line| {
-            let (found, value) = line.split_once(':')?;
-            found.eq_ignore_ascii_case(name).then(|| value.trim())
-        })
+        header(&self.head, name)
     }
 }
 
+/// Returns a header of a request or an answer.
+pub(crate) fn header<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.lines().skip(1).find_map(|line| {
+        let (found, value) = line.split_once(':')?;
+        found.eq_ignore_ascii_case(name).then(|| value.trim())
+    })
+}
+
 /// A scripted upstream.
 #[derive(Clone)]
 pub(crate) struct Upstream {
--- a/xtask/src/soak/spot.rs
+++ b/xtask/src/soak/spot.rs
@@ -183,27 +183,25 @@
 
     /// Returns when each named piece of work was begun at its upstream.
     pub(crate) fn starts(&self) -> Vec<(Instant, String)> {
-        let processes = self.former.iter().chain([&self.upstream]);
-        processes.flat_map(|upstream| upstream.ledger().starts).collect()
-    }
-
-    /// Returns when its upstream's processes ended under a request.
-    pub(crate) fn falls(&self) -> Vec<Instant> {
-        let processes = self.former.iter().chain([&self.upstream]);
-        processes.flat_map(|upstream| upstream.ledger().ends).collect()
+        self.processes().flat_map(|upstream| upstream.ledger().starts).collect()
     }
 
     /// Returns the requests that end upstreams, as they came to its upstream: when they were begun, and what
     /// tells them apart.
     pub(crate) fn fatal(&self) -> Vec<(Instant, String)> {
-        let processes = self.former.iter().chain([&self.upstream]);
-        let runs = processes.flat_map(|upstream| upstream.ledger().fatal);
+        let runs = self.processes().flat_map(|upstream| upstream.ledger().fatal);
         runs.map(|(at, path)| (at, format!("{} {path}", self.service))).collect()
     }
 
     /// Tells whether its upstream ended under a request within the time given.
     pub(crate) fn fell(&self, from: Instant, until: Instant) -> bool {
-        self.falls().iter().any(|at| (from..=until).contains(at))
+        let mut falls = self.processes().flat_map(|upstream| upstream.ledger().ends);
+        falls.any(|at| (from..=until).contains(&at))
+    }
+
+    /// Returns every process of its upstream, the present one last.
+    fn processes(&self) -> impl Iterator<Item = &Upstream> {
+        self.former.iter().chain([&self.upstream])
     }
 
     /// Returns how often each named piece of work was begun at its upstream.
