--- a/crates/baobabctl/src/fleet.rs
+++ b/crates/baobabctl/src/fleet.rs
@@ -184,5 +184,6 @@
         State::Unreachable => "unreachable",
         State::Leaving => "leaving",
         State::Gone => "gone",
+        State::Evacuated => "evacuated",
     }
 }
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -224,6 +224,7 @@
             stamp: self.clock.stamp(now),
             rejected: self.fence.rejections(),
             quarantined: self.quarantine.status(now.time),
+            evacuated: Vec::new(),
             reader_rank: self.rank,
             source_age_ms: self.duty.contact(now.time).map(|c| c.age_ms),
             stale_source: self.stale_source,
--- a/crates/fleet/src/control/fleet.rs
+++ b/crates/fleet/src/control/fleet.rs
@@ -216,6 +216,8 @@
         let same_life = before.filter(|(incarnation, _)| *incarnation == record.incarnation);
         let kind = match (same_life.map(|(_, state)| state), record.state) {
             (Some(old), new) if old == new => return,
+            // Records never tell it.
+            (_, State::Evacuated) => return,
             (_, State::Suspect) => Kind::Suspected { peer },
             (_, State::Unreachable) => Kind::Unreachable { peer },
             (_, State::Leaving) => Kind::Leaving { peer },
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -16,6 +16,8 @@
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
+use crate::evacuation::{Order, Orders};
+
 /// How long a removal is remembered, so that it can be told to nodes that were away.
 ///
 /// A node that was away for longer gets the whole list.
@@ -119,12 +121,21 @@
     pub entries: Vec<Entry>,
     /// Entries removed since `base`.
     pub removed: Vec<Removal>,
+    /// Orders to evacuate data centres and their withdrawals since `base`, or all; none from a
+    /// product version that knows nothing of them.
+    #[serde(default, rename = "e", skip_serializing_if = "Option::is_none")]
+    pub orders: Option<Vec<Order>>,
 }
 
 impl Update {
-    /// Tells whether it names no upstream.
+    /// Tells whether it changes nothing.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty() && self.removed.is_empty()
+        self.changes() == 0
+    }
+
+    /// Returns how many upstreams and orders it names.
+    pub fn changes(&self) -> usize {
+        self.entries.len() + self.removed.len() + self.orders.as_ref().map_or(0, Vec::len)
     }
 }
 
@@ -186,6 +197,7 @@
     entries: BTreeMap<String, Entry>,
     doubts: BTreeMap<String, Doubt>,
     tombstones: BTreeMap<String, Tombstone>,
+    orders: Orders,
     revision: u64,
     /// Lowest revision since which all removals are remembered.
     floor: u64,
@@ -202,6 +214,16 @@
         self.entries.values()
     }
 
+    /// Returns the orders to evacuate data centres.
+    pub fn orders(&self) -> &Orders {
+        &self.orders
+    }
+
+    /// Takes the orders that have changed since the last time.
+    pub fn take_changed_orders(&mut self) -> Vec<Order> {
+        self.orders.take_changed()
+    }
+
     /// Merges `update` and returns what it changed, or refuses it whole if it leaves a gap.
     ///
     /// A removal takes effect after `doubt`. The platform drops the entries of upstreams that
@@ -241,6 +263,11 @@
         for removal in removed {
             changes.extend(self.remove(&removal, doubt, now));
         }
+        // Operators write orders themselves, so an outage withdraws none and there is no doubt.
+        match update.orders {
+            Some(orders) if update.base.is_none() => self.orders.replace(orders, update.revision),
+            orders => self.orders.merge(orders.unwrap_or_default()),
+        }
         self.revision = self.revision.max(update.revision);
         self.forget(now);
         Ok(changes)
@@ -280,6 +307,7 @@
             base,
             entries: self.entries.values().filter(|e| newer(e.revision)).cloned().collect(),
             removed: doubted.chain(buried).filter(|r| newer(r.revision)).collect(),
+            orders: Some(self.orders.since(base)),
         }
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod directory;
+pub mod evacuation;
 pub mod fence;
 pub mod listed;
 pub mod member;
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -22,7 +22,7 @@
 
 pub use self::watch::Settings as Reading;
 
-use model::time::Time;
+use model::{service, time::Time};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -31,6 +31,7 @@
     clock::{Clock, Now, Stamp},
     control::{Asked, Effect, Event, Machine},
     directory::{Change, Directory, Entry},
+    evacuation::Order,
     fence::{Announced, Fence},
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
@@ -80,6 +81,9 @@
 /// Random time added to [`LISTEN`], so that nodes that heard nobody do not all call at once.
 const LISTEN_SPREAD: Duration = Duration::from_millis(200);
 
+/// For how long it is remembered that a data centre was taken back: no upstream stays cold longer.
+const TAKEN_BACK_KEPT: Duration = Duration::from_millis(*service::COLD_MS.end());
+
 /// Time between two looks at who is silent.
 const UPKEEP: Duration = Duration::from_millis(100);
 
@@ -125,6 +129,10 @@
     peers: Peers,
     pulls: Pulls,
     quarantine: Register,
+    /// Until when upstreams are cold, by their identities.
+    cold_until: BTreeMap<String, Time>,
+    /// When orders to evacuate a data centre were withdrawn.
+    taken_back: BTreeMap<String, Time>,
     /// Revision up to which the platform's own answers are held.
     read_to: Option<u64>,
     started: Time,
@@ -153,6 +161,8 @@
             peers: Peers::new(settings.address, settings.link_mbps, settings.data_centre.clone()),
             pulls: Pulls::default(),
             quarantine: Register::default(),
+            cold_until: BTreeMap::new(),
+            taken_back: BTreeMap::new(),
             read_to: None,
             started: now.time,
             leaving: false,
@@ -429,6 +439,7 @@
         for (entry, change) in changes {
             self.peers.list(self.node_of(&entry), &entry.data_centre, now.time);
             self.view_stale = true;
+            self.note_cold(&entry, change, now.time);
             if change == Change::Revised {
                 continue;
             }
@@ -444,6 +455,30 @@
         }
     }
 
+    /// Takes note of how long an upstream stays cold. What it wrote took a moment to arrive here, so it
+    /// may be warm a little sooner.
+    fn note_cold(&mut self, entry: &Entry, change: Change, now: Time) {
+        if matches!(change, Change::Gone | Change::Restarted) {
+            self.cold_until.remove(&entry.id);
+        }
+        let is_written = !matches!(change, Change::Gone | Change::Doubted);
+        if is_written && entry.cold_ms > 0 {
+            let until = now + Duration::from_millis(entry.cold_ms);
+            self.cold_until.insert(entry.id.clone(), until);
+        }
+    }
+
+    fn note_orders(&mut self, orders: Vec<Order>, from: Option<SocketAddr>, now: Now) {
+        self.taken_back.retain(|_, at| now.time.since(*at) < TAKEN_BACK_KEPT);
+        for Order { data_centre, revision, withdrawn } in orders {
+            self.view_stale = true;
+            if withdrawn {
+                self.taken_back.insert(data_centre.clone(), now.time);
+            }
+            self.note(Kind::Evacuation { data_centre, withdrawn, revision, from }, now);
+        }
+    }
+
     fn note(&mut self, kind: Kind, now: Now) {
         let stamp = self.clock.stamp(now);
         self.ring.push(Note { stamp, node: self.settings.instance.clone(), kind });
--- a/crates/fleet/src/listed/known.rs
+++ b/crates/fleet/src/listed/known.rs
@@ -21,6 +21,7 @@
             stamp: self.clock.stamp(now),
             rejected: self.fence.rejections(),
             quarantined: self.quarantine.status(now.time),
+            evacuated: self.directory.orders().in_force().cloned().collect(),
             reader_rank: self.peers.rank(now.time),
             source_age_ms: self.watch.contact_age(now.time).map(|age| age.as_millis() as u64),
             stale_source: None,
@@ -75,7 +76,8 @@
             near: entry.data_centre == self.settings.data_centre,
             state: self.state_of(entry, now),
             slots: entry.slots,
-            cold_ms: entry.cold_ms,
+            cold_until: self.cold_until.get(&entry.id).copied().unwrap_or_default(),
+            taken_back: self.taken_back.get(&entry.data_centre).copied(),
         }
     }
 
@@ -84,6 +86,9 @@
         if entry.standing == Standing::Leaving {
             return State::Leaving;
         }
+        if self.directory.orders().is_evacuated(&entry.data_centre) {
+            return State::Evacuated;
+        }
         if entry.address == self.settings.upstream {
             return State::Live;
         }
--- a/crates/fleet/src/listed/news.rs
+++ b/crates/fleet/src/listed/news.rs
@@ -97,8 +97,7 @@
             return None;
         }
         let update = self.directory.since(Some(before.list), now.time);
-        let changes = update.entries.len() + update.removed.len();
-        (update.base.is_some() && changes <= NEWS_CHANGES).then_some(update)
+        (update.base.is_some() && update.changes() <= NEWS_CHANGES).then_some(update)
     }
 
     fn config_since(&self, before: Holdings) -> Option<Patch> {
@@ -125,8 +124,10 @@
         let before = self.holdings();
         match self.directory.apply(update, doubt, now.time) {
             Ok(changes) => {
-                let is_new = !changes.is_empty();
+                let orders = self.directory.take_changed_orders();
+                let is_new = !changes.is_empty() || !orders.is_empty();
                 self.note_changes(changes, from, now);
+                self.note_orders(orders, from, now);
                 if from.is_some() && self.directory.revision() > before.list {
                     let targets = self.peers.some(PASSED_ON, &mut self.random);
                     self.tell_since(before, targets, now);
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -25,12 +25,14 @@
     Leaving,
     /// It has stopped. Final for its incarnation.
     Gone,
+    /// Operators had its data centre evacuated; it gets no work until they take that back.
+    Evacuated,
 }
 
 impl State {
     /// Tells whether the state can never be left by the same incarnation.
     pub fn is_final(self) -> bool {
-        self >= State::Leaving
+        matches!(self, State::Leaving | State::Gone)
     }
 
     /// Tells whether new work may go to a node in this state.
@@ -88,6 +90,9 @@
         if !names.into_iter().all(|name| is_name(name)) {
             return Some("a record's name is not 1 to 63 of a-z, 0-9 and -");
         }
+        if self.state == State::Evacuated {
+            return Some("a record tells a state that only operators' orders give");
+        }
         let numbers = [self.incarnation, self.sequence];
         numbers
             .into_iter()
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-use crate::{clock::Stamp, member::State};
+use crate::{clock::Stamp, evacuation::Order, member::State};
 
 /// State of one node.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -40,6 +40,9 @@
     /// Requests that it does not run, since upstreams ended under them.
     #[serde(default)]
     pub quarantined: Vec<Quarantined>,
+    /// Data centres to which it sends no work, since operators had them evacuated.
+    #[serde(default)]
+    pub evacuated: Vec<Order>,
 }
 
 /// A request that is not run for a while.
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -151,6 +151,17 @@
         /// The node that told it; none for the platform.
         from: Option<SocketAddr>,
     },
+    /// Operators had a data centre evacuated, or took it back.
+    Evacuation {
+        /// Which data centre.
+        data_centre: String,
+        /// Whether work may go there again.
+        withdrawn: bool,
+        /// Revision of the order.
+        revision: u64,
+        /// The node that told it; none for the platform.
+        from: Option<SocketAddr>,
+    },
     /// The settings were read again.
     Reloaded {
         /// Whether something changed that only a restart brings into force.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,5 +1,6 @@
 //! The immutable picture of the fleet that the traffic threads read.
 
+use model::time::Time;
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use crate::member::{Record, State};
@@ -28,8 +29,11 @@
     pub state: State,
     /// Calls that it works on at once; 0 where that is not known.
     pub slots: usize,
-    /// How much longer it was slow after its start when it was listed, in ms.
-    pub cold_ms: u64,
+    /// Until when it is cold, as the platform lists it.
+    pub cold_until: Time,
+    /// When the latest order to evacuate its data centre was withdrawn, if that is known; it may have
+    /// become cold meanwhile.
+    pub taken_back: Option<Time>,
 }
 
 /// All upstreams by service.
@@ -54,7 +58,8 @@
                 identity: None,
                 started_ms: None,
                 slots: 0,
-                cold_ms: 0,
+                cold_until: Time::default(),
+                taken_back: None,
             };
             view.add(&record.service, upstream);
         }
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -252,6 +252,22 @@
         self.store.write(id, Value::Gone)
     }
 
+    /// Has the data centre `zone` evacuated.
+    pub(crate) fn evacuate(&mut self, zone: &str) -> u64 {
+        self.store.write_order(zone, Value::Evacuation)
+    }
+
+    /// Takes the data centre `zone` back.
+    pub(crate) fn take_back(&mut self, zone: &str) -> u64 {
+        self.store.write_order(zone, Value::Gone)
+    }
+
+    /// Writes an entry of an upstream that stays cold for `cold_ms`.
+    pub(crate) fn register_cold(&mut self, node: usize, id: &str, cold_ms: u64) -> u64 {
+        let entry = Entry { cold_ms, ..self.entry(node, id, Standing::Ready) };
+        self.store.write(id, Value::Entry(entry))
+    }
+
     /// Drops the store's history, as a compaction does.
     pub(crate) fn forget(&mut self) {
         self.store.forget();
--- a/crates/fleet/tests/net/store.rs
+++ b/crates/fleet/tests/net/store.rs
@@ -2,6 +2,7 @@
 
 use fleet::{
     directory::{Entry, Reason, Removal, Update},
+    evacuation::Order,
     source::Bulletin,
 };
 use model::document::{Delta, Document};
@@ -9,6 +10,7 @@
 
 const CONFIG: &str = "config";
 const SERVERS: &str = "servers/";
+const EVACUATIONS: &str = "evacuations/";
 
 /// Whether nodes accept a configuration.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -24,6 +26,8 @@
     Gone,
     Nonsense,
     Config(Content),
+    /// An order to evacuate the data centre that the key names.
+    Evacuation,
 }
 
 pub(crate) struct Store {
@@ -59,6 +63,11 @@
         self.put(format!("{SERVERS}{id}"), value)
     }
 
+    /// Writes or removes the order to evacuate `data_centre`; returns the revision.
+    pub(crate) fn write_order(&mut self, data_centre: &str, value: Value) -> u64 {
+        self.put(format!("{EVACUATIONS}{data_centre}"), value)
+    }
+
     fn put(&mut self, key: String, value: Value) -> u64 {
         self.revision += 1;
         self.values.insert(key.clone(), (self.revision, value));
@@ -82,7 +91,16 @@
         let list = Update { revision: self.revision, base: after, ..Update::default() };
         let mut news = Bulletin { revision: self.revision, list, ..Bulletin::default() };
         let is_new = |revision: u64| after.is_none_or(|after| revision > after);
+        let mut orders = Vec::new();
         for (key, (revision, value)) in self.values.iter().filter(|(_, (at, _))| is_new(*at)) {
+            if let Some(data_centre) = key.strip_prefix(EVACUATIONS) {
+                let withdrawn = matches!(value, Value::Gone);
+                if !withdrawn || after.is_some() {
+                    let data_centre = data_centre.to_owned();
+                    orders.push(Order { data_centre, revision: *revision, withdrawn });
+                }
+                continue;
+            }
             let id = key.trim_start_matches(SERVERS).to_owned();
             let removal = Removal { id, revision: *revision, ..Removal::default() };
             match value {
@@ -93,8 +111,10 @@
                     news.list.removed.push(Removal { reason: Reason::Unusable, ..removal });
                 }
                 Value::Config(content) => news.config = Some(self.config(*revision, *content)),
+                Value::Evacuation => {}
             }
         }
+        news.list.orders = Some(orders);
         news
     }
 
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -194,16 +194,18 @@
         check_name(name, document, faults);
         let before = faults.len();
         let wanted = service::read(&document.key, &document.text, faults);
-        match profiles.get(wanted.as_str()) {
+        match profiles.get(wanted.profile.as_str()) {
             Some(&profile) => {
-                let key = snapshot.services.insert(Service { name: name.to_owned(), profile });
+                let service = Service { name: name.to_owned(), profile, warm_up: wanted.warm_up };
+                let key = snapshot.services.insert(service);
                 snapshot.by_name.insert(name.to_owned(), key);
             }
             // A reference to a profile that this revision does not hold: documents crossed on the
             // way, or a misspelling. Applying the rest would leave a route without its target.
             None if faults.len() == before => {
                 cov_mark::hit!(dangling_profile);
-                let reason = format!("names the profile \"{wanted}\", which does not exist");
+                let reason =
+                    format!("names the profile \"{}\", which does not exist", wanted.profile);
                 faults.push(Fault::new(&document.key, "/profile", reason));
             }
             None => {}
--- a/crates/model/src/service.rs
+++ b/crates/model/src/service.rs
@@ -1,7 +1,15 @@
-//! Services: which profile each one follows.
+//! Services: which profile each one follows, and what its upstreams bear after a start.
+
+use std::{ops::RangeInclusive, time::Duration};
 
 use crate::{arena::Key, fault::Fault, profile::Profile, read::Object, strict};
 
+/// Bounds between which the calls per minute that a cold upstream bears may lie.
+pub const COLD_CALLS: RangeInclusive<u64> = 1..=60_000_000;
+
+/// Bounds between which the time for which an upstream is cold may lie, in ms.
+pub const COLD_MS: RangeInclusive<u64> = 0..=3_600_000;
+
 /// A service and the profile it runs under.
 #[derive(Clone, Debug)]
 pub struct Service {
@@ -9,25 +17,57 @@
     pub name: String,
     /// Its profile, in the same snapshot.
     pub profile: Key<Profile>,
+    /// What its upstreams bear while they are cold; none where that is no less than later.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// What an upstream bears while it is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WarmUp {
+    /// Calls per minute.
+    pub calls_per_min: u64,
+    /// How long an upstream stays cold.
+    pub length: Duration,
 }
 
-/// Reads the profile's name out of a service document, adding every fault.
+/// A service document as read.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Draft {
+    /// Name of the profile.
+    pub profile: String,
+    /// What its upstreams bear while they are cold.
+    pub warm_up: Option<WarmUp>,
+}
+
+/// Reads a service document, adding every fault.
 ///
 /// ```
 /// let mut faults = Vec::new();
-/// let profile = model::service::read("services/paydesk", r#"{"profile": "posting"}"#, &mut faults);
-/// assert_eq!((profile.as_str(), faults.len()), ("posting", 0));
+/// let text = r#"{"profile": "posting", "warm_up": {"calls_per_min": 600, "length_ms": 3000}}"#;
+/// let draft = model::service::read("services/paydesk", text, &mut faults);
+/// assert_eq!((draft.profile.as_str(), faults.len()), ("posting", 0));
+/// assert_eq!(draft.warm_up.map(|w| w.calls_per_min), Some(600));
 /// ```
-pub fn read(document: &str, text: &str, faults: &mut Vec<Fault>) -> String {
+pub fn read(document: &str, text: &str, faults: &mut Vec<Fault>) -> Draft {
     let value = match strict::parse(document, text) {
         Ok(value) => value,
         Err(fault) => {
             faults.push(fault);
-            return String::new();
+            return Draft::default();
         }
     };
     let mut object = Object::new(document, "", value, faults);
-    let profile = object.name("profile");
+    let draft = Draft { profile: object.name("profile"), warm_up: warm_up(&mut object) };
     object.finish();
-    profile
+    draft
+}
+
+fn warm_up(object: &mut Object<'_>) -> Option<WarmUp> {
+    if !object.has("warm_up") {
+        return None;
+    }
+    Some(object.object("warm_up", |fields| WarmUp {
+        calls_per_min: fields.number("calls_per_min", COLD_CALLS, *COLD_CALLS.end()),
+        length: Duration::from_millis(fields.number("length_ms", COLD_MS, 0)),
+    }))
 }
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -42,12 +42,13 @@
 const BACKLOG: usize = 4_096;
 
 /// States that the gauge of members tells apart.
-const STATES: [(State, &str); 5] = [
+const STATES: [(State, &str); 6] = [
     (State::Live, "live"),
     (State::Suspect, "suspect"),
     (State::Unreachable, "unreachable"),
     (State::Leaving, "leaving"),
     (State::Gone, "gone"),
+    (State::Evacuated, "evacuated"),
 ];
 
 /// What the control thread needs besides the settings.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -157,6 +157,7 @@
         reloaded.room = new.room;
         reloaded.connect = new.connect;
         reloaded.budget = new.budget;
+        reloaded.cold_excess = new.cold_excess;
         reloaded.stop = new.stop;
         let needs_restart = reloaded != *new;
         self.hub.set_tuning(tuning(&reloaded));
@@ -197,7 +198,12 @@
 }
 
 fn tuning(settings: &Settings) -> Tuning {
-    Tuning { room: settings.room, connect: settings.connect, budget: settings.budget }
+    Tuning {
+        room: settings.room,
+        connect: settings.connect,
+        budget: settings.budget,
+        cold_excess: settings.cold_excess,
+    }
 }
 
 fn hub_settings(settings: &Settings, incarnation: u64) -> traffic::Settings {
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,7 @@
 mod fields;
 
 use model::{fault::Fault, read::Object, strict};
-use policy::{budget, share::Room};
+use policy::{budget, share::Room, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 use traffic::wire::{HeaderName, Names, Precision};
 
@@ -42,6 +42,8 @@
     pub names: Names,
     /// Bound on repeated calls of the whole fleet, if there is one.
     pub budget: Option<budget::Settings>,
+    /// How far calls to a cold upstream may exceed what its service's configuration says it bears.
+    pub cold_excess: Excess,
     /// How a planned stop goes.
     pub stop: Stop,
     /// Speed of the instance's link, in Mbit/s; 0 where it is not known.
@@ -149,6 +151,7 @@
             discovery: Discovery::Gossip,
             names: Names::default(),
             budget: None,
+            cold_excess: Excess::default(),
             stop: Stop::default(),
             link_mbps: 0,
         }
@@ -211,6 +214,7 @@
         discovery: discovery(object),
         names: names(object),
         budget: repeats(object),
+        cold_excess: cold_excess(object),
         stop: object.object("stop", |stop| Stop {
             linger: millis(stop, "linger_ms", 0..=600_000, usual.stop.linger),
             finish: millis(stop, "finish_ms", 0..=600_000, usual.stop.finish),
@@ -275,6 +279,14 @@
     given.then_some(settings)
 }
 
+fn cold_excess(object: &mut Object<'_>) -> Excess {
+    let usual = Excess::default();
+    object.object("cold_excess", |excess| Excess {
+        factor: excess.number("percent", 100..=1_000, (usual.factor * 100.0) as u64) as f64 / 100.0,
+        slack: excess.number("slack", 1..=1_000_000, usual.slack as u64) as f64,
+    })
+}
+
 fn optional_address(object: &mut Object<'_>, name: &str) -> Option<SocketAddr> {
     let valid = |text: &str| text.parse::<SocketAddr>().is_ok();
     object.optional_text(name, ADDRESS_SHAPE, valid)?.parse().ok()
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// Every setting, in the order of the reference page.
-pub const FIELDS: [Field; 34] = [
+pub const FIELDS: [Field; 36] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of the upstream beside this node"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -163,6 +163,13 @@
     ),
     optional("/repeats/slack", "0 to 1000000 calls", "0", "repeats beyond that share"),
     optional("/repeats/window_ms", "1000 to 600000 ms", "10000", "length of the sliding window"),
+    optional(
+        "/cold_excess/percent",
+        "100 to 1000 %",
+        "100",
+        "calls that may reach a cold upstream in any second, of those that its service's configuration names",
+    ),
+    optional("/cold_excess/slack", "1 to 1000000 calls", "1", "calls beyond that"),
     optional(
         "/stop/linger_ms",
         "0 to 600000 ms",
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -36,6 +36,7 @@
         base: Some(1),
         entries: (0..entries).map(entry).collect(),
         removed: Vec::new(),
+        orders: None,
     };
     Digest {
         from: Sender { address: SocketAddr::from(([10, 0, 0, 2], 7_000)), incarnation: 1 },
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -19,6 +19,8 @@
     time::Duration,
 };
 
+use crate::warmup::{Bucket, Limit};
+
 /// Share of a new sample in the moving average of service times.
 const SAMPLE_SHARE: f64 = 0.1;
 
@@ -83,6 +85,8 @@
     /// Calls of upstreams that hold a slot.
     nested: HashSet<Ticket>,
     service_time: Duration,
+    /// Limit of an upstream that is cold.
+    warm_up: Option<Bucket>,
 }
 
 impl Gate {
@@ -94,9 +98,23 @@
             queue: VecDeque::new(),
             nested: HashSet::new(),
             service_time: Duration::from_millis(1),
+            warm_up: None,
         }
     }
 
+    /// Lets no more calls through than `limit` says until the upstream is warm.
+    pub fn set_warm_up(&mut self, limit: Limit, now: Time) {
+        match &mut self.warm_up {
+            Some(bucket) if bucket.is_in_force(now) => bucket.set_limit(limit, now),
+            bucket => *bucket = Some(Bucket::new(limit, now)),
+        }
+    }
+
+    /// Ends the limit of an upstream that is warm.
+    pub fn end_warm_up(&mut self) {
+        self.warm_up = None;
+    }
+
     /// Decides on a call that must be answered by `deadline`, with at most `queue_limit` waiting.
     ///
     /// ```
@@ -127,15 +145,16 @@
         deadline: Time,
         queue_limit: usize,
     ) -> Entry {
-        if self.busy < self.slots {
+        // Where a slot is free and calls wait, they wait for a token and go first.
+        if self.busy < self.slots && self.queue.is_empty() && self.take_token(now) {
             self.busy += 1;
             self.hold(ticket, rank.line);
             return Entry::Run;
         }
-        self.queue.retain(|w| w.until > now);
+        self.drop_expired(now);
         if !self.admits(rank, now, deadline, queue_limit) {
             cov_mark::hit!(gate_refuses);
-            return Entry::Refuse(self.retry_after());
+            return Entry::Refuse(self.retry_after(now));
         }
         let place = self.queue.partition_point(|w| w.priority <= rank.priority);
         // More urgent calls may yet come and go first.
@@ -147,10 +166,10 @@
 
     /// Tells whether a call of `rank` would be let in or could wait.
     pub fn admits(&self, rank: Rank, now: Time, deadline: Time, queue_limit: usize) -> bool {
-        if self.busy < self.slots {
+        if self.busy < self.slots && self.token_wait(1, now).is_zero() {
             return true;
         }
-        let wait = self.expected_wait(self.place(rank) + 1);
+        let wait = self.expected_wait(self.place(rank) + 1, now);
         let full = self.queue.iter().filter(|w| w.until > now).count() >= queue_limit;
         let hopeless = now + wait >= deadline;
         let untimely = rank.start_by.is_some_and(|start_by| now + wait > start_by);
@@ -200,16 +219,41 @@
     /// Returns the calls that may run now; their slots are taken.
     pub fn resize(&mut self, slots: usize, now: Time) -> Vec<Ticket> {
         self.slots = slots;
-        let mut granted = Vec::new();
-        while self.busy < self.slots {
-            let Some(waiter) = self.next() else { break };
-            if waiter.until > now {
-                self.busy += 1;
-                self.hold(waiter.ticket, waiter.line);
-                granted.push(waiter.ticket);
-            }
+        self.release(now)
+    }
+
+    /// Returns the waiting calls for which there are slots and tokens now; their slots are taken.
+    pub fn release(&mut self, now: Time) -> Vec<Ticket> {
+        std::iter::from_fn(|| self.release_one(now)).collect()
+    }
+
+    /// Takes a slot and a token for the call that goes next, if there are both.
+    fn release_one(&mut self, now: Time) -> Option<Ticket> {
+        if self.busy >= self.slots {
+            return None;
+        }
+        self.drop_expired(now);
+        if self.queue.is_empty() || !self.take_token(now) {
+            return None;
         }
-        granted
+        let waiter = self.next()?;
+        self.busy += 1;
+        self.hold(waiter.ticket, waiter.line);
+        Some(waiter.ticket)
+    }
+
+    fn drop_expired(&mut self, now: Time) {
+        let before = self.queue.len();
+        self.queue.retain(|w| w.until > now);
+        if self.queue.len() < before {
+            cov_mark::hit!(gate_drops_expired);
+        }
+    }
+
+    /// Returns when the next waiting call gets a token, if calls wait for one.
+    pub fn next_token(&self, now: Time) -> Option<Time> {
+        let wait = self.token_wait(1, now);
+        (!self.queue.is_empty() && !wait.is_zero()).then(|| now + wait)
     }
 
     /// Returns the number of slots.
@@ -228,23 +272,12 @@
         service_time: Option<Duration>,
     ) -> Option<Ticket> {
         self.nested.remove(&ticket);
-        if let Some(sample) = service_time {
-            self.service_time = average(self.service_time, sample);
-        }
-        if self.busy > self.slots {
-            // There are fewer slots than before: this one is not passed on.
-            self.busy -= 1;
-            return None;
-        }
-        while let Some(waiter) = self.next() {
-            if waiter.until > now {
-                self.hold(waiter.ticket, waiter.line);
-                return Some(waiter.ticket);
-            }
-            cov_mark::hit!(gate_drops_expired);
+        match service_time {
+            Some(sample) => self.service_time = average(self.service_time, sample),
+            None => self.give_token_back(),
         }
         self.busy = self.busy.saturating_sub(1);
-        None
+        self.release_one(now)
     }
 
     /// Forgets a waiting call; returns whether it was still waiting.
@@ -257,8 +290,8 @@
     }
 
     /// Returns when a refused caller has a fair chance: once the present queue has been worked off.
-    pub fn retry_after(&self) -> Duration {
-        let wait = self.expected_wait(self.queue.len() + 1);
+    pub fn retry_after(&self, now: Time) -> Duration {
+        let wait = self.expected_wait(self.queue.len() + 1, now);
         wait.clamp(RETRY_AFTER_LEAST, RETRY_AFTER_MOST)
     }
 
@@ -272,8 +305,26 @@
         self.queue.len()
     }
 
-    fn expected_wait(&self, place: usize) -> Duration {
-        self.service_time.mul_f64(place as f64 / self.slots.max(1) as f64)
+    fn expected_wait(&self, place: usize, now: Time) -> Duration {
+        let slot_wait = self.service_time.mul_f64(place as f64 / self.slots.max(1) as f64);
+        slot_wait.max(self.token_wait(place, now))
+    }
+
+    /// Returns how long the call at `place` waits for a token; 1 is the first place.
+    fn token_wait(&self, place: usize, now: Time) -> Duration {
+        let bucket = self.warm_up.filter(|bucket| bucket.is_in_force(now));
+        bucket.map_or(Duration::ZERO, |bucket| bucket.wait(place, now))
+    }
+
+    fn take_token(&mut self, now: Time) -> bool {
+        let bucket = self.warm_up.as_mut().filter(|bucket| bucket.is_in_force(now));
+        bucket.is_none_or(|bucket| bucket.take(now))
+    }
+
+    fn give_token_back(&mut self) {
+        if let Some(bucket) = &mut self.warm_up {
+            bucket.give_back();
+        }
     }
 }
 
--- a/crates/policy/src/claim.rs
+++ b/crates/policy/src/claim.rs
@@ -25,6 +25,8 @@
     pub leaving: bool,
     /// Whether the request was meant for this life of the node.
     pub own: bool,
+    /// Whether operators had the upstream's data centre evacuated.
+    pub evacuated: bool,
     /// Whether upstreams ended under such requests, so that it must not run.
     pub quarantined: bool,
 }
@@ -36,7 +38,8 @@
 /// use policy::{claim, outcome::Cause};
 /// let facts = claim::Facts {
 ///     now: Time::from_millis(10), deadline: Time::from_millis(9),
-///     paused: false, wanted: true, leaving: false, own: true, quarantined: false,
+///     paused: false, wanted: true, leaving: false, own: true,
+///     evacuated: false, quarantined: false,
 /// };
 /// assert_eq!(claim::refusal(facts), Some(Cause::Late));
 /// ```
@@ -71,6 +74,11 @@
         cov_mark::hit!(claim_leaving);
         return Some(Cause::Leaving);
     }
+    if facts.evacuated {
+        // The entry node may not have heard of the order, or heard while the request waited here.
+        cov_mark::hit!(claim_evacuated);
+        return Some(Cause::Evacuated);
+    }
     None
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -71,9 +71,10 @@
         match outcome {
             // A node that says it leaves, or that another life has replaced, is as good as absent
             // until the view says the same.
-            Outcome::NotRun(Cause::Unreachable | Cause::Leaving | Cause::Replaced, _) => {
-                Sample::Unreachable
-            }
+            Outcome::NotRun(
+                Cause::Unreachable | Cause::Leaving | Cause::Replaced | Cause::Evacuated,
+                _,
+            ) => Sample::Unreachable,
             Outcome::NotRun(..) => Sample::Refused,
             Outcome::Unknown(Doubt::Timeout) => Sample::Silent(time),
             Outcome::Unknown(_) => Sample::Failed,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod suspects;
 pub mod transfer;
 pub mod urgency;
+pub mod warmup;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -38,6 +38,8 @@
     Saturated,
     /// Upstreams ended under such requests; it is not run for a while.
     Quarantined,
+    /// Operators had the data centre of the upstream evacuated.
+    Evacuated,
     /// The request itself is not acceptable: cut short, too large, too slow or malformed.
     BadRequest,
 }
@@ -185,6 +187,7 @@
             Cause::UnknownService
             | Cause::NoUpstream
             | Cause::Late
+            | Cause::Evacuated
             | Cause::Quarantined
             | Cause::BadRequest => LONG,
         }
@@ -201,7 +204,7 @@
 const LONG: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 15] = [
+const CAUSES: [(Cause, &str); 16] = [
     (Cause::Unready, "unready"),
     (Cause::Outdated, "outdated"),
     (Cause::UnknownService, "unknown-service"),
@@ -216,6 +219,7 @@
     (Cause::Replaced, "replaced"),
     (Cause::Saturated, "saturated"),
     (Cause::Quarantined, "quarantined"),
+    (Cause::Evacuated, "evacuated"),
     (Cause::BadRequest, "bad-request"),
 ];
 
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -9,6 +9,7 @@
 
 use model::time::Time;
 use rand::{Rng, RngExt};
+use std::time::Duration;
 
 use crate::{health::Record, retry::Kind};
 
@@ -69,6 +70,9 @@
 /// Upstreams take about twice as long while cold; their first answers show it only after a while.
 const COLD: f64 = 2.0;
 
+/// Time of a call assumed at an upstream that has not answered one yet.
+const COLD_CALL: Duration = Duration::from_millis(50);
+
 /// Where an upstream is, as seen from the entry node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
@@ -80,6 +84,17 @@
     Far,
 }
 
+/// Whether an upstream is cold after a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Cold {
+    /// It is not.
+    No,
+    /// It takes longer for its calls.
+    Slow,
+    /// It also takes only so many calls a second.
+    Limited(f64),
+}
+
 /// An upstream that could be chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -95,8 +110,8 @@
     pub crossing: usize,
     /// Bytes that usually come back; 0 where that is not known.
     pub returning: usize,
-    /// Whether it is slow after its start.
-    pub cold: bool,
+    /// Whether it is cold.
+    pub cold: Cold,
     /// Upstreams that the call was offered to so far. Nearly all of them refused it for want of room;
     /// one that is silent beside a second attempt counts as well.
     pub refusals: u32,
@@ -132,13 +147,25 @@
     (bytes * FAR_BYTE).min(FAR_BYTES_MOST) / PER_REFUSAL.powi(candidate.refusals as i32)
 }
 
+/// Returns how many slots calls can use: at a cold upstream no more than its limit of calls a second fills.
+fn usable_slots(candidate: &Candidate<'_>, now: Time) -> f64 {
+    let slots = if candidate.slots == 0 { SLOTS_GUESS } else { candidate.slots } as f64;
+    match candidate.cold {
+        Cold::No | Cold::Slow => slots,
+        Cold::Limited(calls_per_s) => {
+            let time = candidate.record.latency(now).unwrap_or(COLD_CALL).mul_f64(COLD);
+            (calls_per_s * time.as_secs_f64()).min(slots)
+        }
+    }
+}
+
 /// Returns the expected work at an upstream, in shares of its slots.
 fn expected_work(candidate: &Candidate<'_>, now: Time) -> f64 {
-    let slots = if candidate.slots == 0 { SLOTS_GUESS } else { candidate.slots };
     let record = candidate.record;
+    let slots = usable_slots(candidate, now);
     let held = record.expected_load(now) + 1.0;
     let slowness = record.slowness(now);
-    let cold = if candidate.cold { COLD } else { 1.0 };
+    let cold = if candidate.cold == Cold::No { 1.0 } else { COLD };
     let failing = record.failure_share(now);
     let answering = (1.0 - failing).max(0.1);
     let bytes = candidate.crossing as f64;
@@ -148,5 +175,5 @@
         Way::Near => before + bytes * NEAR_BYTE,
         Way::Far => FAR + before + far_bytes(candidate),
     };
-    held / slots as f64 * slowness * cold / answering + failing * FAILING + way
+    held / slots * slowness * cold / answering + failing * FAILING + way
 }
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -279,6 +279,7 @@
         | Cause::Leaving
         | Cause::Unreachable
         | Cause::Paused
+        | Cause::Evacuated
         | Cause::Replaced => true,
         Cause::UnknownService
         | Cause::Unready
--- a/crates/policy/tests/claim.rs
+++ b/crates/policy/tests/claim.rs
@@ -19,6 +19,7 @@
         wanted: true,
         leaving: false,
         own: true,
+        evacuated: false,
         quarantined: false,
     }
 }
@@ -44,6 +45,7 @@
     check(Facts { wanted: false, ..good() }, Some(Cause::Cancelled));
     check(Facts { leaving: true, ..good() }, Some(Cause::Leaving));
     check(Facts { own: false, ..good() }, Some(Cause::Replaced));
+    check(Facts { evacuated: true, ..good() }, Some(Cause::Evacuated));
 }
 
 #[test]
--- a/crates/policy/tests/placement.rs
+++ b/crates/policy/tests/placement.rs
@@ -3,7 +3,7 @@
 use model::time::Time;
 use policy::{
     health::{Load, Record, Sample},
-    placement::{Candidate, Way, choose},
+    placement::{Candidate, Cold, Way, choose},
     retry::Kind,
 };
 use rand::{SeedableRng, rngs::SmallRng};
@@ -34,7 +34,7 @@
         tried: false,
         crossing: 0,
         returning: 0,
-        cold: false,
+        cold: Cold::No,
         refusals: 0,
     }
 }
@@ -156,10 +156,10 @@
 #[test]
 fn a_cold_upstream_gets_some_and_less() {
     let (cold, warm) = (record(80, 3), record(80, 3));
-    let cold = Candidate { cold: true, ..candidate(&cold, Way::Near) };
+    let cold = Candidate { cold: Cold::Slow, ..candidate(&cold, Way::Near) };
     check(&[cold, candidate(&warm, Way::Near)], 1);
     let idle = record(80, 0);
-    let idle = Candidate { cold: true, ..candidate(&idle, Way::Near) };
+    let idle = Candidate { cold: Cold::Slow, ..candidate(&idle, Way::Near) };
     check(&[idle, candidate(&warm, Way::Near)], 0);
 }
 
--- a/crates/policy/tests/transfer.rs
+++ b/crates/policy/tests/transfer.rs
@@ -8,7 +8,7 @@
     admission::{Entry, Gate, Rank, Ticket},
     comeback::Attempt,
     health::{Load, Record, Sample},
-    placement::{self, Candidate, Way},
+    placement::{self, Candidate, Cold, Way},
     retry::Kind,
     transfer,
     urgency::{self, Clock, Origin},
@@ -155,7 +155,7 @@
         tried: false,
         crossing,
         returning: 0,
-        cold: false,
+        cold: Cold::No,
         refusals: 0,
     };
     let mut random = SmallRng::seed_from_u64(1);
--- a/crates/standins/src/served/choice.rs
+++ b/crates/standins/src/served/choice.rs
@@ -42,5 +42,14 @@
 
 fn candidate<'a>(seen: &Seen<'a>) -> Candidate<'a> {
     let Seen { record, slots, way, tried } = *seen;
-    Candidate { record, slots, way, tried, crossing: 0, returning: 0, cold: false, refusals: 0 }
+    Candidate {
+        record,
+        slots,
+        way,
+        tried,
+        crossing: 0,
+        returning: 0,
+        cold: placement::Cold::No,
+        refusals: 0,
+    }
 }
--- a/crates/traffic/src/entry/choice.rs
+++ b/crates/traffic/src/entry/choice.rs
@@ -1,7 +1,7 @@
 //! Which upstream a call is offered to.
 
 use fleet::view::Upstream;
-use model::time::Time;
+use model::{config::Snapshot, time::Time};
 use policy::{
     choice::{self, Reach},
     health::Record,
@@ -59,6 +59,7 @@
     now: Time,
 ) -> Option<usize> {
     let returning = hub.estimates.bytes(call.service, &call.terms.route);
+    let config = hub.config();
     let candidates: Vec<placement::Candidate<'_>> = able
         .iter()
         .map(|&(u, record)| placement::Candidate {
@@ -69,12 +70,26 @@
             crossing: call.payload.body.len(),
             returning,
             refusals: tried.len() as u32,
-            cold: record.age(now) < Duration::from_millis(u.cold_ms),
+            cold: cold(hub, &config, call.service, u, now),
         })
         .collect();
     placement::choose(&candidates, call.kind(), now, &mut rand::rng())
 }
 
+fn cold(
+    hub: &Hub,
+    config: &Snapshot,
+    service: &str,
+    upstream: &Upstream,
+    now: Time,
+) -> placement::Cold {
+    match hub.warm_up(config, service, upstream, now) {
+        Some(limit) => placement::Cold::Limited(limit.rate),
+        None if now < upstream.cold_until => placement::Cold::Slow,
+        None => placement::Cold::No,
+    }
+}
+
 /// Chooses among all upstreams again, where every one was tried and the last was silent.
 ///
 /// The connection may have been silent and not the upstream; the next attempt uses a new one.
--- a/crates/traffic/src/gate/turnstile.rs
+++ b/crates/traffic/src/gate/turnstile.rs
@@ -5,6 +5,7 @@
     admission::{Entry, Gate, Rank, Ticket},
     health::Load,
     outcome::{Cause, Loss, Outcome, Step, of_loss},
+    warmup::Limit,
 };
 use std::{
     collections::HashMap,
@@ -18,6 +19,13 @@
 
 use crate::{clock::Clock, lock::lock};
 
+/// Longest time between two looks of a task that waits: a limit that begins or ends meanwhile has no
+/// event of its own.
+const LOOK_AGAIN: Duration = Duration::from_millis(250);
+
+/// Least time between two looks; timers are no finer.
+const LOOK_LEAST: Duration = Duration::from_millis(1);
+
 /// Slots, and the tasks that wait for one.
 #[derive(Debug)]
 pub(crate) struct Turnstile {
@@ -30,7 +38,16 @@
 #[derive(Debug)]
 struct Queue {
     gate: Gate,
-    waiters: HashMap<Ticket, oneshot::Sender<()>>,
+    waiters: HashMap<Ticket, oneshot::Sender<Verdict>>,
+}
+
+/// How a task's waiting ends before its time is over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Verdict {
+    /// A slot is taken for it.
+    Granted,
+    /// Its work must not be done here.
+    TurnedAway,
 }
 
 /// A held slot, freed when dropped, also when the task is cancelled.
@@ -42,6 +59,18 @@
     pub(crate) service_time: Option<Duration>,
 }
 
+impl Queue {
+    /// Tells waiting tasks that their slots are taken.
+    fn wake(&mut self, granted: &[Ticket]) {
+        for ticket in granted {
+            if let Some(waiter) = self.waiters.remove(ticket) {
+                // A waiting task removes itself under the lock before it drops its receiver.
+                let _ = waiter.send(Verdict::Granted);
+            }
+        }
+    }
+}
+
 impl Turnstile {
     pub(crate) fn new(clock: Clock, slots: usize) -> Arc<Self> {
         let queue = Queue { gate: Gate::new(slots), waiters: HashMap::new() };
@@ -56,20 +85,60 @@
         queue_limit: usize,
     ) -> Result<Pass, Outcome> {
         let ticket = Ticket(self.tickets.fetch_add(1, Ordering::Relaxed));
-        let (entry, granted) = self.arrive(ticket, rank, deadline, queue_limit);
+        let (entry, verdict) = self.arrive(ticket, rank, deadline, queue_limit);
         let until = match entry {
             Entry::Run => return Ok(self.pass(ticket)),
             Entry::Refuse(after) => return Err(Outcome::NotRun(Cause::Overloaded, after)),
             Entry::Wait(until) => until,
         };
-        let mut place = Place { turnstile: self.clone(), ticket, granted, taken: false };
-        match timeout(until.since(self.clock.now()), &mut place.granted).await {
-            Ok(Ok(())) => {
-                place.taken = true;
-                Ok(self.pass(ticket))
+        let mut place = Place { turnstile: self.clone(), ticket, verdict, ended: false };
+        loop {
+            let now = self.clock.now();
+            let look = self.next_look(now).min(until);
+            match timeout(look.since(now), &mut place.verdict).await {
+                Ok(Ok(verdict)) => {
+                    place.ended = true;
+                    return match verdict {
+                        Verdict::Granted => Ok(self.pass(ticket)),
+                        Verdict::TurnedAway => Err(Cause::Evacuated.outcome()),
+                    };
+                }
+                Err(_) if self.clock.now() < until => self.release(),
+                _ if until < deadline => return Err(Cause::Overloaded.outcome()),
+                _ => return Err(of_loss(Step::Queue, Loss::Silent)),
             }
-            _ if until < deadline => Err(Cause::Overloaded.outcome()),
-            _ => Err(of_loss(Step::Queue, Loss::Silent)),
+        }
+    }
+
+    /// Lets no more calls through than `limit` says; none where the upstream is warm.
+    pub(crate) fn set_warm_up(&self, limit: Option<Limit>, now: Time) {
+        let mut queue = self.lock();
+        match limit {
+            Some(limit) => queue.gate.set_warm_up(limit, now),
+            None => queue.gate.end_warm_up(),
+        }
+    }
+
+    /// Returns when a task that waits looks whether somebody gets a token that no finished call passes on.
+    fn next_look(&self, now: Time) -> Time {
+        let token = self.lock().gate.next_token(now);
+        token.map_or(now + LOOK_AGAIN, |at| at.max(now + LOOK_LEAST).min(now + LOOK_AGAIN))
+    }
+
+    /// Wakes the tasks for which there are slots and tokens.
+    fn release(&self) {
+        let mut queue = self.lock();
+        let granted = queue.gate.release(self.clock.now());
+        queue.wake(&granted);
+    }
+
+    /// Refuses every task that waits: its work must not be done here.
+    pub(crate) fn turn_away(&self) {
+        let mut queue = self.lock();
+        for (ticket, waiter) in std::mem::take(&mut queue.waiters) {
+            queue.gate.cancel(ticket);
+            // A waiting task removes itself under this lock before it drops its receiver.
+            let _ = waiter.send(Verdict::TurnedAway);
         }
     }
 
@@ -90,12 +159,8 @@
         if queue.gate.slots() == slots {
             return;
         }
-        for ticket in queue.gate.resize(slots, self.clock.now()) {
-            if let Some(waiter) = queue.waiters.remove(&ticket) {
-                // A waiting task removes itself under this lock before it drops its receiver.
-                let _ = waiter.send(());
-            }
-        }
+        let granted = queue.gate.resize(slots, self.clock.now());
+        queue.wake(&granted);
     }
 
     fn pass(self: &Arc<Self>, ticket: Ticket) -> Pass {
@@ -110,7 +175,7 @@
         rank: Rank,
         deadline: Time,
         queue_limit: usize,
-    ) -> (Entry, oneshot::Receiver<()>) {
+    ) -> (Entry, oneshot::Receiver<Verdict>) {
         let (sender, receiver) = oneshot::channel();
         let mut queue = self.lock();
         let entry = queue.gate.arrive_ranked(ticket, rank, self.clock.now(), deadline, queue_limit);
@@ -129,7 +194,7 @@
             // A waiting task removes itself under this lock before it drops its receiver, so the
             // receiver of a waiter found here is alive.
             if let Some(waiter) = queue.waiters.remove(&ticket) {
-                let _ = waiter.send(());
+                let _ = waiter.send(Verdict::Granted);
                 return;
             }
             next = queue.gate.finish(ticket, now, None);
@@ -161,13 +226,17 @@
 struct Place {
     turnstile: Arc<Turnstile>,
     ticket: Ticket,
-    granted: oneshot::Receiver<()>,
-    taken: bool,
+    verdict: oneshot::Receiver<Verdict>,
+    /// Whether the verdict was taken.
+    ended: bool,
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        if !self.taken && !self.turnstile.cancel(self.ticket) {
+        if self.ended || self.turnstile.cancel(self.ticket) {
+            return;
+        }
+        if self.verdict.try_recv() == Ok(Verdict::Granted) {
             // The slot was granted in the moment in which the task gave up.
             self.turnstile.finish(self.ticket, None);
         }
--- a/crates/traffic/src/hub.rs
+++ b/crates/traffic/src/hub.rs
@@ -9,6 +9,7 @@
 pub(crate) mod services;
 pub(crate) mod settings;
 mod state;
+mod warmup;
 
 use arc_swap::ArcSwap;
 use fleet::{
@@ -145,6 +146,10 @@
         if let Some(slots) = own::slots(&view, &self.settings) {
             self.slots.resize(slots);
         }
+        if own::is_evacuated(&view, &self.settings) {
+            // What waits here goes to another data centre at once, not when its turn comes.
+            self.slots.turn_away();
+        }
         if !own::is_same(&before, &view, &self.settings) {
             // Connections to a process that has ended carry nothing: a payment sent on one would
             // be lost, and nobody could say whether it was made.
@@ -178,6 +183,11 @@
         own::has_left(&self.view.load(), &self.settings, identity)
     }
 
+    /// Tells whether operators had the data centre of the own upstream evacuated.
+    pub(crate) fn is_evacuated(&self) -> bool {
+        own::is_evacuated(&self.view.load(), &self.settings)
+    }
+
     /// Returns the part of the split of the route `name` that its next call goes to.
     pub(crate) fn next_part(&self, name: &str, weights: &[u32]) -> Option<usize> {
         if weights.len() == 1 {
--- a/crates/traffic/src/hub/explain.rs
+++ b/crates/traffic/src/hub/explain.rs
@@ -19,6 +19,7 @@
                 State::Leaving => (false, "it is leaving".to_owned()),
                 State::Unreachable => (false, "its node is out of reach".to_owned()),
                 State::Gone => (false, "it has stopped".to_owned()),
+                State::Evacuated => (false, "operators had its data centre evacuated".to_owned()),
                 _ if record.is_ejected(now) => {
                     let left = record.ejected_until().since(now).as_millis();
                     (false, format!("own calls to it failed; not chosen for {left} ms"))
--- a/crates/traffic/src/hub/own.rs
+++ b/crates/traffic/src/hub/own.rs
@@ -32,6 +32,11 @@
     entries(view, settings).any(|u| u.identity.as_deref() == identity && is_leaving(u))
 }
 
+/// Tells whether operators had the data centre of the own upstream evacuated.
+pub(crate) fn is_evacuated(view: &View, settings: &Settings) -> bool {
+    entries(view, settings).any(|u| u.state == member::State::Evacuated)
+}
+
 /// Tells whether the upstream `identity` beside this node has started again after `started_ms`.
 pub(crate) fn has_restarted(
     view: &View,
@@ -44,6 +49,10 @@
         && own.any(|(_, u)| u.identity.as_deref() == identity && u.started_ms > started_ms)
 }
 
-fn entries<'a>(view: &'a View, settings: &'a Settings) -> impl Iterator<Item = &'a Upstream> {
+/// Iterates over what the list says of the own upstream; more than one entry where an address is reused.
+pub(crate) fn entries<'a>(
+    view: &'a View,
+    settings: &'a Settings,
+) -> impl Iterator<Item = &'a Upstream> {
     view.upstreams(&settings.service).iter().filter(|u| u.address == settings.own)
 }
--- a/crates/traffic/src/hub/settings.rs
+++ b/crates/traffic/src/hub/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a node's traffic.
 
-use policy::{budget, pause, share::Room};
+use policy::{budget, pause, share::Room, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 
 use crate::wire;
@@ -46,11 +46,18 @@
     pub connect: Duration,
     /// Bound on repeated calls of the whole fleet; none where profiles bound each node's.
     pub budget: Option<budget::Settings>,
+    /// How far calls to a cold upstream may exceed what it bears.
+    pub cold_excess: Excess,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
-        Tuning { room: Room::default(), connect: Duration::from_millis(250), budget: None }
+        Tuning {
+            room: Room::default(),
+            connect: Duration::from_millis(250),
+            budget: None,
+            cold_excess: Excess::default(),
+        }
     }
 }
 
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -54,6 +54,7 @@
 ) -> Result<Answer, Outcome> {
     let _in_hand = Offered::new(&hub.held);
     check_claim(hub, offer)?;
+    hub.refresh_warm_up();
     let mut slot = hub.slots.enter(offer.rank, offer.deadline, profile.queue_limit).await?;
     let kept = hub.pool.take(hub.settings.upstream, idle_limit(profile), offer.kind);
     let was_kept = kept.is_some();
@@ -145,6 +146,7 @@
 /// Keeps a turn for the body of an offer that is still to come, if the call would be taken.
 pub(crate) async fn reserve(hub: &Hub, profile: &Profile, offer: &Offer) -> Result<u64, Outcome> {
     check_claim(hub, offer)?;
+    hub.refresh_warm_up();
     if !hub.slots.admits(offer.rank, offer.deadline, profile.queue_limit) {
         return Err(Cause::Overloaded.outcome());
     }
@@ -165,6 +167,7 @@
         leaving: hub.state.is_leaving() || hub.has_left(offer.identity.as_deref()),
         own: hub.settings.incarnation.is_none_or(|own| own == offer.incarnation)
             && !hub.has_restarted(offer.identity.as_deref(), offer.started_ms),
+        evacuated: hub.is_evacuated(),
         quarantined: quarantined.is_some(),
     };
     match (claim::refusal(facts), quarantined) {
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -11,6 +11,7 @@
 use model::{
     config::accept,
     document::{Delta, Document, Set},
+    time::Time,
 };
 use std::{
     io::{Read, Write},
@@ -425,7 +426,8 @@
         near: true,
         state: State::Live,
         slots,
-        cold_ms: 0,
+        cold_until: Time::default(),
+        taken_back: None,
     }
 }
 
