Calls of upstreams wait for the next free slot where calls are long

A check may wait a quarter of its objective, 30 ms; with six slots and calls of 190 ms the next slot is freed after 32.

Ruled out: too few slots for checks (they go first while they hold less than half of the slots).

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -30,6 +30,16 @@
 /// Longest time after which a refused caller is asked to come back.
 pub const RETRY_AFTER_MOST: Duration = Duration::from_secs(30);
 
+/// Times between two freed slots that a call of an upstream may wait, where that is longer than its rank
+/// allows.
+///
+/// It goes before callers, so it gets one of the next slots. With few slots or long calls the next one is
+/// freed later than a short call may usually wait, and all work that makes such calls would be lost.
+const NESTED_TURNOVERS: u32 = 2;
+
+/// Part of its time that such a call waits at most: its work holds a slot of another service meanwhile.
+const NESTED_WAIT_SHARE: u32 = 3;
+
 /// A call known to the gate.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct Ticket(pub u64);
@@ -158,7 +168,7 @@
         }
         let place = self.queue.partition_point(|w| w.priority <= rank.priority);
         // More urgent calls may yet come and go first.
-        let until = rank.start_by.unwrap_or(deadline).min(deadline);
+        let until = self.latest_start(rank, now, deadline);
         let waiter = Waiter { ticket, until, priority: rank.priority, line: rank.line };
         self.queue.insert(place, waiter);
         Entry::Wait(until)
@@ -172,10 +182,23 @@
         let wait = self.expected_wait(self.place(rank) + 1, now);
         let full = self.queue.iter().filter(|w| w.until > now).count() >= queue_limit;
         let hopeless = now + wait >= deadline;
-        let untimely = rank.start_by.is_some_and(|start_by| now + wait > start_by);
+        let untimely = now + wait > self.latest_start(rank, now, deadline);
         !full && !hopeless && !untimely
     }
 
+    /// Returns by when a call must have begun.
+    fn latest_start(&self, rank: Rank, now: Time, deadline: Time) -> Time {
+        let start_by = rank.start_by.unwrap_or(deadline).min(deadline);
+        match rank.line {
+            Line::Callers => start_by,
+            Line::Upstreams => {
+                let most = deadline.since(now) / NESTED_WAIT_SHARE;
+                let turnovers = self.expected_wait(1, now) * NESTED_TURNOVERS;
+                start_by.max(now + turnovers.min(most))
+            }
+        }
+    }
+
     /// Returns how many waiting calls go before one of `rank`, as far as can be told now.
     fn place(&self, rank: Rank) -> usize {
         let by_rank = self.queue.partition_point(|w| w.priority <= rank.priority);
--- a/crates/policy/tests/shares.rs
+++ b/crates/policy/tests/shares.rs
@@ -175,3 +175,33 @@
     (4..8).for_each(|held| assert_eq!(gate.finish(Ticket(held), now, None), None));
     assert_eq!(gate.busy(), 0);
 }
+
+/// Guards against short checks of running work that are all refused where slots are few and calls are long: the
+/// next slot is freed later than a part of a short objective, so work was begun and lost.
+#[test]
+fn a_short_check_waits_for_the_next_of_few_slots() {
+    const LONG_MS: u64 = 190;
+    let slots = 6;
+    let mut gate = Gate::new(slots);
+    let at = Time::from_millis;
+    let ticket = |n: u64| Ticket(n);
+    let mut now = 0;
+    // The gate learns how long calls take.
+    for n in 0..100 {
+        now += LONG_MS;
+        gate.arrive(ticket(n), at(now), at(now + 9_000), 64);
+        gate.finish(ticket(n), at(now), Some(Duration::from_millis(LONG_MS)));
+    }
+    for n in 100..100 + slots as u64 {
+        assert_eq!(gate.arrive(ticket(n), at(now), at(now + 9_000), 64), Entry::Run);
+    }
+    let check = Rank { priority: 1, start_by: Some(at(now + 30)), line: Line::Upstreams };
+    let entry = gate.arrive_ranked(ticket(200), check, at(now), at(now + 400), 64);
+    let Entry::Wait(until) = entry else { panic!("{entry:?}") };
+    assert!(until > at(now + LONG_MS / slots as u64), "{until:?}");
+    assert!(until <= at(now + 400 / 3 + 1), "{until:?}");
+    // A second one would wait for too long, whatever its deadline.
+    let third = gate.arrive_ranked(ticket(201), check, at(now), at(now + 60), 64);
+    assert!(matches!(third, Entry::Refuse(_)), "{third:?}");
+    assert_eq!(gate.finish(ticket(100), at(now + 32), None), Some(ticket(200)));
+}
