--- a/crates/baobabctl/src/fleet.rs
+++ b/crates/baobabctl/src/fleet.rs
@@ -51,6 +51,7 @@
         lines.extend(fleet.answered.iter().map(|node| row(node, &notes(node, newest).join(", "))));
     }
     lines.extend(rejections(fleet));
+    lines.extend(shortened(evacuated(fleet), most));
     lines.extend(shortened(quarantined(fleet), most));
     lines
 }
@@ -177,6 +178,34 @@
     held.into_iter().map(line).collect()
 }
 
+/// Returns a line for each data centre to which any node sends no work, and names the nodes that still send it.
+fn evacuated(fleet: &Fleet) -> Vec<String> {
+    let mut orders: BTreeMap<&str, u64> = BTreeMap::new();
+    for order in fleet.answered.iter().flat_map(|node| &node.evacuated) {
+        let revision = orders.entry(&order.data_centre).or_default();
+        *revision = order.revision.max(*revision);
+    }
+    let line = |(data_centre, revision): (&str, u64)| {
+        let has_heard = |node: &Node| node.evacuated.iter().any(|o| o.data_centre == data_centre);
+        let unaware: Vec<&str> = fleet
+            .answered
+            .iter()
+            .filter(|node| !has_heard(node))
+            .map(|node| node.instance.as_str())
+            .collect();
+        let heard = fleet.answered.len() - unaware.len();
+        let all = fleet.answered.len();
+        let mut line =
+            format!("evacuated at {heard} of {all} nodes: {data_centre}, by revision {revision}");
+        if !unaware.is_empty() {
+            line.push_str("; not yet at ");
+            line.push_str(&unaware[..unaware.len().min(NAMED_MOST)].join(", "));
+        }
+        line
+    };
+    orders.into_iter().map(line).collect()
+}
+
 fn state_name(state: State) -> &'static str {
     match state {
         State::Live => "live",
--- a/crates/baobabctl/tests/fleet.rs
+++ b/crates/baobabctl/tests/fleet.rs
@@ -31,6 +31,10 @@
         "source_age_ms": 100,
         "stale_source": null,
         "members": [],
+        "evacuated": match number {
+            1..NODES => vec![json!({ "data_centre": "lalitpur-b", "revision": 41 })],
+            _ => vec![],
+        },
         "quarantined": match number {
             0..10 => vec![json!({ "request": "00ff", "ends": 3, "seconds": 500 + number })],
             _ => vec![],
@@ -117,3 +121,11 @@
     let named = |n: usize| lines.iter().any(|line| line.starts_with(&format!("i-{n} ")));
     assert!((0..NODES).all(named));
 }
+
+/// An operator cannot see whether a data centre is empty: who knows of the order, and who does not yet.
+#[test]
+fn an_evacuated_data_centre_is_told_once_with_the_nodes_that_have_not_heard() {
+    let (_, lines) = status(0, 0, &[]);
+    let told: Vec<&String> = lines.iter().filter(|line| line.contains("evacuated")).collect();
+    assert_eq!(told, ["evacuated at 294 of 295 nodes: lalitpur-b, by revision 41; not yet at i-0"]);
+}
--- a/crates/fleet/src/listed/known.rs
+++ b/crates/fleet/src/listed/known.rs
@@ -6,6 +6,7 @@
 use crate::{
     clock::Now,
     directory::{Entry, Standing},
+    evacuation::Order,
     listed::{Control, peers::Reach},
     member::State,
     status,
@@ -21,7 +22,7 @@
             stamp: self.clock.stamp(now),
             rejected: self.fence.rejections(),
             quarantined: self.quarantine.status(now.time),
-            evacuated: self.directory.orders().in_force().cloned().collect(),
+            evacuated: self.directory.orders().in_force().map(evacuation).collect(),
             reader_rank: self.peers.rank(now.time),
             source_age_ms: self.watch.contact_age(now.time).map(|age| age.as_millis() as u64),
             stale_source: None,
@@ -103,3 +104,7 @@
         SocketAddr::new(entry.address.ip(), self.settings.address.port())
     }
 }
+
+fn evacuation(order: &Order) -> status::Evacuation {
+    status::Evacuation { data_centre: order.data_centre.clone(), revision: order.revision }
+}
--- a/crates/fleet/src/listed/news.rs
+++ b/crates/fleet/src/listed/news.rs
@@ -69,8 +69,8 @@
         let follows = |update: &Update| {
             update.revision > held && update.base.is_some_and(|base| (1..=held).contains(&base))
         };
-        if let Some(update) = news.list.filter(follows) {
-            self.merge(update, Some(from), Duration::ZERO, now);
+        if let Some(update) = news.list.filter(|update| follows(update)) {
+            self.merge(*update, Some(from), Duration::ZERO, now);
         }
         let in_force = self.fence.held();
         if let Some(patch) = news.config.filter(|patch| Some(patch.base) == in_force) {
@@ -88,7 +88,8 @@
 
     /// Tells `targets` what has come in since `before`, if it is little, and that it has come.
     fn tell_since(&mut self, before: Holdings, targets: Vec<SocketAddr>, now: Now) {
-        let news = News { list: self.list_since(before, now), config: self.config_since(before) };
+        let list = self.list_since(before, now).map(Box::new);
+        let news = News { list, config: self.config_since(before) };
         self.tell_news(targets, news, now);
     }
 
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -154,7 +154,7 @@
 pub struct News {
     /// Changes of the list of upstreams.
     #[serde(default, rename = "l", skip_serializing_if = "Option::is_none")]
-    pub list: Option<Update>,
+    pub list: Option<Box<Update>>,
     /// Changes of the configuration.
     #[serde(default, rename = "c", skip_serializing_if = "Option::is_none")]
     pub config: Option<Patch>,
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -4,7 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-use crate::{clock::Stamp, evacuation::Order, member::State};
+use crate::{clock::Stamp, member::State};
 
 /// State of one node.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -42,7 +42,16 @@
     pub quarantined: Vec<Quarantined>,
     /// Data centres to which it sends no work, since operators had them evacuated.
     #[serde(default)]
-    pub evacuated: Vec<Order>,
+    pub evacuated: Vec<Evacuation>,
+}
+
+/// A data centre that operators had evacuated.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuation {
+    /// Which.
+    pub data_centre: String,
+    /// The platform's revision of the order.
+    pub revision: u64,
 }
 
 /// A request that is not run for a while.
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -49,7 +49,7 @@
         leaving: false,
         heard_ms: BTreeMap::new(),
         rumours: Vec::new(),
-        news: News { list: Some(list), config: None },
+        news: News { list: Some(Box::new(list)), config: None },
         reports: Vec::new(),
     }
 }
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -5,7 +5,7 @@
 mod contest;
 mod repeat;
 
-use fleet::view::Upstream;
+use fleet::{member::State, view::Upstream};
 use policy::{
     outcome::{Cause, Outcome},
     retry,
@@ -29,7 +29,7 @@
     note_call(hub, call);
     let mut tried: Vec<Upstream> = Vec::new();
     let mut arrivals = 0;
-    let mut last = Cause::NoUpstream.outcome();
+    let mut last = without_upstream(hub, call.service).outcome();
     loop {
         if let Some(outcome) = lost_meanwhile(hub, call) {
             return Err(if tried.is_empty() { outcome } else { outcome.after(last) });
@@ -56,6 +56,16 @@
     }
 }
 
+/// Returns why a call to `service` finds no upstream, if it finds none.
+fn without_upstream(hub: &Hub, service: &str) -> Cause {
+    let view = hub.view();
+    let is_evacuated = |upstream: &Upstream| upstream.state == State::Evacuated;
+    match view.upstreams(service).iter().any(is_evacuated) {
+        true => Cause::Evacuated,
+        false => Cause::NoUpstream,
+    }
+}
+
 /// Returns why no further attempt may be made, if time is over, the caller has gone, or upstreams end under
 /// such calls.
 fn lost_meanwhile(hub: &Hub, call: &Call<'_>) -> Option<Outcome> {
--- a/crates/traffic/src/gate/turnstile.rs
+++ b/crates/traffic/src/gate/turnstile.rs
@@ -242,3 +242,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/traffic/src/gate/turnstile/tests.rs
@@ -0,0 +1,56 @@
+//! Tasks that wait for a slot.
+
+use policy::outcome::Outcome;
+use tokio::{runtime::Builder, task::yield_now};
+
+use super::*;
+
+const QUEUE: usize = 8;
+
+fn in_a_second(clock: Clock) -> Time {
+    clock.now() + Duration::from_secs(1)
+}
+
+/// Guards against a slot that is lost, or counted twice, with the tasks that an evacuation turns away.
+#[test]
+fn tasks_that_are_turned_away_leave_the_slots_as_they_are() {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
+    runtime.block_on(async {
+        let clock = Clock::default();
+        let turnstile = Turnstile::new(clock, 1);
+        let enter = || {
+            let (turnstile, deadline) = (turnstile.clone(), in_a_second(clock));
+            async move { turnstile.enter(Rank::default(), deadline, QUEUE).await }
+        };
+        let holder = enter().await.expect("the slot is free");
+        let waiting = [tokio::spawn(enter()), tokio::spawn(enter())];
+        while turnstile.load().waiting < waiting.len() {
+            yield_now().await;
+        }
+        turnstile.turn_away();
+        for task in waiting {
+            let outcome = task.await.expect("it ends").expect_err("it is turned away");
+            assert!(matches!(outcome, Outcome::NotRun(Cause::Evacuated, _)), "{outcome:?}");
+        }
+        assert_eq!((turnstile.load().busy, turnstile.load().waiting), (1, 0));
+        drop(holder);
+        assert_eq!(turnstile.load().busy, 0);
+        enter().await.expect("the slot is free again");
+    });
+}
+
+/// Guards against a task that waits for a token until its time is over, with no call to pass one on.
+#[test]
+fn a_task_gets_its_token_without_any_other_call() {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
+    runtime.block_on(async {
+        let clock = Clock::default();
+        let turnstile = Turnstile::new(clock, 4);
+        let limit = Limit { rate: 50.0, burst: 1.0, until: clock.now() + Duration::from_secs(60) };
+        turnstile.set_warm_up(Some(limit), clock.now());
+        for _ in 0..3 {
+            let deadline = clock.now() + Duration::from_secs(30);
+            turnstile.enter(Rank::default(), deadline, QUEUE).await.expect("a token comes in time");
+        }
+    });
+}
--- a/crates/traffic/tests/scene/mod.rs
+++ b/crates/traffic/tests/scene/mod.rs
@@ -354,12 +354,17 @@
     /// Shows the node `viewer` the upstream beside node `number` as a life that began at
     /// `started_ms`.
     pub(crate) fn show_life(&self, viewer: usize, number: usize, started_ms: u64) {
+        self.show(viewer, number, |upstream| upstream.started_ms = Some(started_ms));
+    }
+
+    /// Shows the node `viewer` another entry of the upstream beside node `number`.
+    pub(crate) fn show(&self, viewer: usize, number: usize, change: impl Fn(&mut Listed)) {
         let known = self.hubs[viewer].view();
         let mut view = View::default();
         for (service, upstream) in known.iter() {
             let mut upstream = upstream.clone();
             if upstream.address == own(number) {
-                upstream.started_ms = Some(started_ms);
+                change(&mut upstream);
             }
             view.add(service, upstream);
         }
--- a/crates/trail/src/cause.rs
+++ b/crates/trail/src/cause.rs
@@ -67,6 +67,7 @@
         "paused" => "the node had not run for a while and could not tell how old it was",
         "replaced" => "another upstream answers at the address",
         "quarantined" => "upstreams ended under the same request, which is not run for a while",
+        "evacuated" => "operators had the data centre of every upstream that was left evacuated",
         "saturated" => "the entry node held as many requests as it may",
         "bad-request" => "the request was cut short, too large, too slow or malformed",
         "broken" => "the connection broke after the request was passed on",
