Soak: operators have data centres evacuated and take them back, beside all faults

Orders are drawn apart from the faults, so the regression seeds play the scenarios that they played. Cold upstreams are not part of the soak yet.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -2,6 +2,7 @@
 
 use fleet::{
     directory::{Entry, Removal, Update},
+    evacuation::Order,
     source::{Bulletin, Instance, Listing},
 };
 use model::document::{DOCUMENT_LIMIT, Delta, Document, Set};
@@ -55,6 +56,8 @@
     history: Vec<Set>,
     /// Upstreams with the revision of their last write; none once they are removed.
     upstreams: BTreeMap<String, (u64, Option<Entry>)>,
+    /// The latest orders to evacuate data centres.
+    orders: BTreeMap<String, Order>,
     /// Revision of configuration and upstreams together.
     revision: u64,
     /// Revision at which the configuration was last written.
@@ -105,6 +108,7 @@
             stale: Set::default(),
             history: Vec::new(),
             upstreams: BTreeMap::new(),
+            orders: BTreeMap::new(),
             revision: 1,
             config_revision: 0,
             listing: Listing::default(),
@@ -183,6 +187,18 @@
         revision
     }
 
+    /// Has a data centre evacuated, or takes it back.
+    pub fn order(&self, data_centre: &str, evacuation: Evacuation) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let order = Order {
+            data_centre: data_centre.to_owned(),
+            revision: state.revision,
+            withdrawn: evacuation == Evacuation::Withdrawn,
+        };
+        state.orders.insert(data_centre.to_owned(), order);
+    }
+
     /// Changes how the platform behaves.
     pub fn set_mode(&self, mode: Mode) {
         let mut state = self.lock();
@@ -310,6 +326,15 @@
     }
 }
 
+/// What operators want of a data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Evacuation {
+    /// Nothing more is to be sent there.
+    Ordered,
+    /// Work may go there again.
+    Withdrawn,
+}
+
 /// Whether a reader is cut off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Cut {
@@ -377,6 +402,9 @@
                 }),
             }
         }
+        let is_new =
+            |order: &&Order| order.revision > after && (base.is_some() || !order.withdrawn);
+        news.list.orders = Some(self.orders.values().filter(is_new).cloned().collect());
         news
     }
 
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -5,7 +5,7 @@
 //! connections between nodes and to the platform are delayed, reset, cut one way or silenced by
 //! loopback proxies, the platform fails, upstreams lose and spoil answers, leave, are replaced and
 //! start again under their own names, and the configuration grows by many routes at once. In some runs callers
-//! bring requests that end every upstream that runs them.
+//! bring requests that end every upstream that runs them, or operators have data centres evacuated.
 //!
 //! Every fourth instance has a link of 5 Mbit/s for calls of other nodes and to the platform. Messages
 //! between nodes do not pass a proxy: a node knows itself and is known to the others by the address
@@ -15,6 +15,7 @@
 mod check;
 mod content;
 mod cut;
+mod evacuation;
 mod fatal;
 mod fault;
 mod history;
@@ -38,7 +39,7 @@
 };
 
 use crate::{
-    soak::{book::Book, fault::Faults, site::Site},
+    soak::{book::Book, evacuation::Orders, fault::Faults, site::Site},
     tools::{self, Failure},
 };
 
@@ -61,6 +62,16 @@
     time: Duration,
     nodes: usize,
     requests: Requests,
+    operators: Operators,
+}
+
+/// What operators do beside the faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Operators {
+    /// Nothing.
+    Idle,
+    /// They have data centres evacuated and take them back.
+    Evacuate,
 }
 
 /// What callers ask for.
@@ -93,18 +104,30 @@
         time: Duration::from_secs(14),
         nodes: 9,
         requests: Requests::Fatal(Duration::ZERO),
+        operators: Operators::Idle,
     },
 ];
 
 /// What CI plays: between them, most kinds of faults.
-const SHORT: [Plan; 3] = [
-    Plan { seed: 1, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
-    Plan { seed: 3, time: Duration::from_secs(5), nodes: 6, requests: Requests::Sound },
-    Plan { seed: 5, time: Duration::from_secs(10), nodes: 6, requests: Requests::Fatal(ANSWERED) },
+const SHORT: [Plan; 4] = [
+    short_plan(1, 5, Requests::Sound, Operators::Idle),
+    short_plan(3, 5, Requests::Sound, Operators::Idle),
+    short_plan(5, 10, Requests::Fatal(ANSWERED), Operators::Idle),
+    short_plan(7, 8, Requests::Sound, Operators::Evacuate),
 ];
 
+const fn short_plan(seed: u64, seconds: u64, requests: Requests, operators: Operators) -> Plan {
+    Plan { seed, time: Duration::from_secs(seconds), nodes: 6, requests, operators }
+}
+
 const fn regression(seed: u64) -> Plan {
-    Plan { seed, time: Duration::from_secs(6), nodes: 9, requests: Requests::Sound }
+    Plan {
+        seed,
+        time: Duration::from_secs(6),
+        nodes: 9,
+        requests: Requests::Sound,
+        operators: Operators::Idle,
+    }
 }
 
 /// Plays one seed, or a number of them.
@@ -118,7 +141,8 @@
     let programs = tools::build()?;
     let time = Duration::from_secs(seconds);
     let requests = Requests::Fatal(Duration::ZERO);
-    let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes, requests });
+    let operators = Operators::Evacuate;
+    let seeds = (seed..seed + seeds).map(|seed| Plan { seed, time, nodes, requests, operators });
     let plans: Vec<Plan> = REGRESSIONS.into_iter().chain(seeds).collect();
     play_all(&plans, &programs.join("baobabrelayd"))
 }
@@ -161,6 +185,7 @@
         callers.1.extend(fatal::start(&site, after, plan.seed, &going));
     }
     let mut faults = Faults::default();
+    let mut orders = (plan.operators == Operators::Evacuate).then(|| Orders::new(plan.seed));
     let end = Instant::now() + plan.time;
     while Instant::now() < end {
         for _ in 0..plan.nodes.div_ceil(NODES_PER_FAULT) {
@@ -168,9 +193,11 @@
         }
         thread::sleep(Duration::from_millis(random.random_range(50..700)));
         faults.end_due(&mut site)?;
+        orders.iter_mut().for_each(|orders| orders.step(&mut site));
         check::nodes(&mut site, &book, &mut random)?;
     }
     faults.end_all(&mut site)?;
+    orders.iter_mut().for_each(|orders| orders.end(&mut site));
     let recovered = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_recovered(n)));
     going.store(false, Ordering::SeqCst);
     load::finish(callers);
@@ -179,7 +206,9 @@
         Some(time) => println!("seed {}: in order after {} ms", plan.seed, time.as_millis()),
         None => findings.push(format!("not all nodes are ready and current: {}", site.states())),
     }
-    println!("seed {}: {}, {}", plan.seed, book.summary(), faults.summary());
+    let evacuations = orders.map_or(0, |orders| orders.count);
+    let counts = (book.summary(), faults.summary());
+    println!("seed {}: {}, {}, evacuation {evacuations}", plan.seed, counts.0, counts.1);
     if !findings.is_empty() {
         println!("logs are kept in {}", site.keep_logs().display());
     }
--- a/xtask/src/soak/history.rs
+++ b/xtask/src/soak/history.rs
@@ -25,6 +25,8 @@
     Gone,
     /// The platform has acknowledged that the upstream leaves.
     Leaving,
+    /// The platform has acknowledged that the upstream's data centre is evacuated.
+    Evacuated,
     /// The platform itself serves nobody.
     Outage,
 }
--- a/xtask/src/soak/leaving.rs
+++ b/xtask/src/soak/leaving.rs
@@ -1,4 +1,5 @@
-//! The promise to an upstream that leaves: nothing new from a while after it was acknowledged on.
+//! The promise to an upstream that leaves, or whose data centre is evacuated: nothing new from a while after that
+//! was acknowledged on.
 
 use std::time::{Duration, Instant};
 
@@ -19,11 +20,13 @@
     let mut findings = Vec::new();
     for (number, spot) in site.spots.iter().enumerate() {
         let starts = spot.starts();
-        for leave in spot.history.all(Trouble::Leaving) {
+        let leaving = spot.history.all(Trouble::Leaving);
+        for leave in leaving.chain(spot.history.all(Trouble::Evacuated)) {
             let late = starts.iter().filter(|(at, _)| is_late(*at, leave, spot, site));
             findings.extend(late.map(|(at, work)| {
                 let ms = (*at - leave.from).as_millis();
-                format!("{work}: an upstream that leaves gets nothing new; it began at {number} after {ms} ms")
+                let why = leave.trouble;
+                format!("{work}: an upstream gets nothing new once it is {why:?}; it began at {number} after {ms} ms")
             }));
         }
     }
--- a/xtask/src/soak/site.rs
+++ b/xtask/src/soak/site.rs
@@ -3,7 +3,7 @@
 use fleet::directory::Standing;
 use rand::{SeedableRng, rngs::SmallRng};
 use rustix::process::Signal;
-use standins::{platform, platform::Platform};
+use standins::platform::{self, Evacuation, Platform};
 use std::{
     fs, io,
     path::{Path, PathBuf},
@@ -89,6 +89,21 @@
         spot.history.begin(Trouble::Leaving);
     }
 
+    /// Has a data centre evacuated, or takes it back.
+    pub(crate) fn order(&mut self, data_centre: &str, evacuation: Evacuation) {
+        let spots = self.spots.iter_mut().filter(|spot| spot.data_centre == data_centre);
+        match evacuation {
+            Evacuation::Ordered => {
+                self.platform.order(data_centre, evacuation);
+                spots.for_each(|spot| spot.history.begin(Trouble::Evacuated));
+            }
+            Evacuation::Withdrawn => {
+                spots.for_each(|spot| spot.history.end(Trouble::Evacuated));
+                self.platform.order(data_centre, evacuation);
+            }
+        }
+    }
+
     /// Replaces an upstream by one of another identity at the same address.
     pub(crate) fn replace(&mut self, number: usize) {
         let spot = &mut self.spots[number];
--- a/xtask/src/soak/spot.rs
+++ b/xtask/src/soak/spot.rs
@@ -61,7 +61,7 @@
     /// Identity of its upstream's present life.
     pub(crate) id: String,
     service: &'static str,
-    data_centre: &'static str,
+    pub(crate) data_centre: &'static str,
     pub(crate) upstream: Upstream,
     /// Its upstream's former processes.
     former: Vec<Upstream>,
