--- a/xtask/src/reference.rs
+++ b/xtask/src/reference.rs
@@ -25,7 +25,9 @@
 | `idempotent` | true or false | `false` | whether these calls may be run more than once |
 | `deadline_ms` | 0 to 600000 ms | `0`, the profile's | time such a call may take |
 
-A service, key `services/NAME`, is `{\"profile\": \"NAME\"}` and nothing else. Names are 1 to 63 of
+A service, key `services/NAME`, is `{\"profile\": \"NAME\"}`. Where its upstreams bear few calls after a
+start, it also has `\"warm_up\": {\"calls_per_min\": 600, \"length_ms\": 3000}`: calls a minute that a cold
+upstream bears (1 to 60000000), and how long one stays cold (0 to 3600000 ms). Names are 1 to 63 of
 a-z, 0-9 and -.
 
 A document with an unknown field, a duplicate key, a value out of range or a reference to a profile
