--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -10,6 +10,7 @@
 //!
 //! Invariant *one way in*: [`Control::apply`] is the only way to change the state.
 
+mod changes;
 mod ends;
 mod known;
 mod news;
@@ -22,7 +23,7 @@
 
 pub use self::watch::Settings as Reading;
 
-use model::{service, time::Time};
+use model::time::Time;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -30,8 +31,7 @@
     catchup::{Draft, Progress},
     clock::{Clock, Now, Stamp},
     control::{Asked, Effect, Event, Machine},
-    directory::{Change, Directory, Entry},
-    evacuation::Order,
+    directory::Directory,
     fence::{Announced, Fence},
     listed::{peers::Peers, pull::Pulls, watch::Watch},
     member::State,
@@ -81,9 +81,6 @@
 /// Random time added to [`LISTEN`], so that nodes that heard nobody do not all call at once.
 const LISTEN_SPREAD: Duration = Duration::from_millis(200);
 
-/// For how long it is remembered that a data centre was taken back: no upstream stays cold longer.
-const TAKEN_BACK_KEPT: Duration = Duration::from_millis(*service::COLD_MS.end());
-
 /// Time between two looks at who is silent.
 const UPKEEP: Duration = Duration::from_millis(100);
 
@@ -435,50 +432,6 @@
         }
     }
 
-    fn note_changes(&mut self, changes: Vec<(Entry, Change)>, from: Option<SocketAddr>, now: Now) {
-        for (entry, change) in changes {
-            self.peers.list(self.node_of(&entry), &entry.data_centre, now.time);
-            self.view_stale = true;
-            self.note_cold(&entry, change, now.time);
-            if change == Change::Revised {
-                continue;
-            }
-            let kind = Kind::Upstream {
-                id: entry.id,
-                service: entry.service,
-                address: entry.address,
-                change: change.name().to_owned(),
-                revision: self.directory.revision(),
-                from,
-            };
-            self.note(kind, now);
-        }
-    }
-
-    /// Takes note of how long an upstream stays cold. What it wrote took a moment to arrive here, so it
-    /// may be warm a little sooner.
-    fn note_cold(&mut self, entry: &Entry, change: Change, now: Time) {
-        if matches!(change, Change::Gone | Change::Restarted) {
-            self.cold_until.remove(&entry.id);
-        }
-        let is_written = !matches!(change, Change::Gone | Change::Doubted);
-        if is_written && entry.cold_ms > 0 {
-            let until = now + Duration::from_millis(entry.cold_ms);
-            self.cold_until.insert(entry.id.clone(), until);
-        }
-    }
-
-    fn note_orders(&mut self, orders: Vec<Order>, from: Option<SocketAddr>, now: Now) {
-        self.taken_back.retain(|_, at| now.time.since(*at) < TAKEN_BACK_KEPT);
-        for Order { data_centre, revision, withdrawn } in orders {
-            self.view_stale = true;
-            if withdrawn {
-                self.taken_back.insert(data_centre.clone(), now.time);
-            }
-            self.note(Kind::Evacuation { data_centre, withdrawn, revision, from }, now);
-        }
-    }
-
     fn note(&mut self, kind: Kind, now: Now) {
         let stamp = self.clock.stamp(now);
         self.ring.push(Note { stamp, node: self.settings.instance.clone(), kind });
--- /dev/null
+++ b/crates/fleet/src/listed/changes.rs
@@ -0,0 +1,66 @@
+//! What changes of the list mean for a node in listed mode: events, who is cold, who was taken back.
+
+use model::{service, time::Time};
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{
+    clock::Now,
+    directory::{Change, Entry},
+    evacuation::Order,
+    listed::Control,
+    timeline::Kind,
+};
+
+/// For how long it is remembered that a data centre was taken back: no upstream stays cold longer.
+const TAKEN_BACK_KEPT: Duration = Duration::from_millis(*service::COLD_MS.end());
+
+impl Control {
+    pub(super) fn note_changes(
+        &mut self,
+        changes: Vec<(Entry, Change)>,
+        from: Option<SocketAddr>,
+        now: Now,
+    ) {
+        for (entry, change) in changes {
+            self.peers.list(self.node_of(&entry), &entry.data_centre, now.time);
+            self.view_stale = true;
+            self.note_cold(&entry, change, now.time);
+            if change == Change::Revised {
+                continue;
+            }
+            let kind = Kind::Upstream {
+                id: entry.id,
+                service: entry.service,
+                address: entry.address,
+                change: change.name().to_owned(),
+                revision: self.directory.revision(),
+                from,
+            };
+            self.note(kind, now);
+        }
+    }
+
+    /// Takes note of how long an upstream stays cold. What it wrote took a moment to arrive here, so it
+    /// may be warm a little sooner.
+    fn note_cold(&mut self, entry: &Entry, change: Change, now: Time) {
+        if matches!(change, Change::Gone | Change::Restarted) {
+            self.cold_until.remove(&entry.id);
+        }
+        let is_written = !matches!(change, Change::Gone | Change::Doubted);
+        if is_written && entry.cold_ms > 0 {
+            let until = now + Duration::from_millis(entry.cold_ms);
+            self.cold_until.insert(entry.id.clone(), until);
+        }
+    }
+
+    pub(super) fn note_orders(&mut self, orders: Vec<Order>, from: Option<SocketAddr>, now: Now) {
+        self.taken_back.retain(|_, at| now.time.since(*at) < TAKEN_BACK_KEPT);
+        for Order { data_centre, revision, withdrawn } in orders {
+            self.view_stale = true;
+            if withdrawn {
+                self.taken_back.insert(data_centre.clone(), now.time);
+            }
+            self.note(Kind::Evacuation { data_centre, withdrawn, revision, from }, now);
+        }
+    }
+}
