--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -2,7 +2,7 @@
 
 mod attempt;
 mod choice;
-mod contest;
+mod hedge;
 mod repeat;
 
 use fleet::{member::State, view::Upstream};
@@ -38,7 +38,7 @@
         let Some(upstream) = chosen else { return Err(last) };
         tried.push(upstream.clone());
         let result = match hub.tuning().budget {
-            Some(_) => contest::run(hub, call, &upstream, &mut tried, &mut arrivals).await,
+            Some(_) => hedge::run(hub, call, &upstream, &mut tried, &mut arrivals).await,
             None => attempt::run(hub, call, &upstream, patience(hub, call, tried.len())).await,
         };
         let outcome = match result {
--- a/crates/traffic/src/entry/contest.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -1,4 +1,4 @@
-//! A second attempt beside a first one that is silent.
+//! Hedged requests: a second attempt beside a first one that is silent.
 //!
 //! An upstream may run a call and lose its answer; nothing ever tells. A call that may run twice is
 //! then sent to another upstream while there is still time for an answer, and the first answer of
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -1,8 +1,8 @@
 //! Takes in requests: calls of callers and offers of other nodes.
 
-pub(crate) mod ahead;
 mod caller;
 mod open;
+pub(crate) mod pipelining;
 mod ready;
 mod refusal;
 pub(crate) mod server;
--- a/crates/traffic/src/intake/ahead.rs
+++ b/crates/traffic/src/intake/pipelining.rs
@@ -1,4 +1,4 @@
-//! Calls that a caller sends ahead, before earlier ones on the connection are answered.
+//! Pipelining: calls that a caller sends before earlier ones on the connection are answered.
 //!
 //! HTTP/1.1 answers in the order of requests, and `hyper` takes up one after the other: of five
 //! lookups of 80 ms that are sent at once, the last would be answered after 400 ms, on an idle
@@ -33,9 +33,9 @@
     wire::{self, Precision},
 };
 
-/// Most calls of one connection that are taken up ahead; the others wait for their turn. An answer
+/// Most calls of one connection that are taken up so; the others wait for their turn. An answer
 /// that is ready early is held until then.
-const AHEAD_MOST: usize = 8;
+const PIPELINED_MOST: usize = 8;
 
 /// Largest head that is read along, in bytes; `hyper` has a bound of its own.
 const HEAD_MOST: usize = 16 * 1024;
@@ -50,7 +50,7 @@
 const HEADERS_MOST: usize = 64;
 
 /// What was read along on one connection.
-pub(crate) struct Ahead {
+pub(crate) struct Pipeline {
     hub: Arc<Hub>,
     probe: Probe,
     state: Mutex<State>,
@@ -83,12 +83,12 @@
     }
 }
 
-impl Ahead {
+impl Pipeline {
     pub(crate) fn new(hub: Arc<Hub>, probe: Probe) -> Arc<Self> {
-        Arc::new(Ahead { hub, probe, state: Mutex::default() })
+        Arc::new(Pipeline { hub, probe, state: Mutex::default() })
     }
 
-    /// Answers the next request that `hyper` hands over: by what was taken up ahead, or else by
+    /// Answers the next request that `hyper` hands over: by what was taken up before its turn, or else by
     /// `request` itself.
     pub(crate) async fn answer(&self, request: Request<Inflow>) -> Response<wire::Body> {
         let has_body = !request.body().is_end_stream();
@@ -158,7 +158,7 @@
     }
 }
 
-impl Reader for Ahead {
+impl Reader for Pipeline {
     fn feed(&self, bytes: &[u8]) {
         let mut state = self.lock();
         if state.blind {
@@ -170,7 +170,7 @@
             state.read += 1;
             let is_behind = number > state.answered;
             if is_behind
-                && state.begun.len() < AHEAD_MOST
+                && state.begun.len() < PIPELINED_MOST
                 && let Some(task) = self.begin(&head)
             {
                 state.begun.push_back((number, task));
--- a/crates/traffic/src/intake/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     hub::Hub,
-    intake::{self, Door, ahead::Ahead, ready},
+    intake::{self, Door, pipelining::Pipeline, ready},
     net::stream::Stream,
 };
 
@@ -85,17 +85,17 @@
 ) {
     let Ok(mut stream) = Stream::new(socket) else { return };
     let probe = stream.probe();
-    let ahead = Ahead::new(hub.clone(), probe.clone());
+    let pipeline = Pipeline::new(hub.clone(), probe.clone());
     if door == Door::Callers {
-        stream.read_along(ahead.clone());
+        stream.read_along(pipeline.clone());
     }
     let service = service_fn(|request: Request<Incoming>| {
-        let (hub, probe, ahead) = (hub.clone(), probe.clone(), ahead.clone());
+        let (hub, probe, pipeline) = (hub.clone(), probe.clone(), pipeline.clone());
         let request = request.map(Either::Left);
         async move {
             Ok::<_, Infallible>(match door {
                 Door::Ready => ready::answer(&hub),
-                Door::Callers => ahead.answer(request).await,
+                Door::Callers => pipeline.answer(request).await,
                 Door::All | Door::Nodes => intake::handle(&hub, request, probe, door).await,
             })
         }
