An upstream that writes that it is warm counts as warm

Cause, found by reading: a time of coldness that was heard stayed until it was over, whatever the upstream wrote later; one absurd value would have limited its calls for ever. Now its latest word counts.

--- a/crates/fleet/src/listed/changes.rs
+++ b/crates/fleet/src/listed/changes.rs
@@ -43,13 +43,19 @@
     /// Takes note of how long an upstream stays cold. What it wrote took a moment to arrive here, so it
     /// may be warm a little sooner.
     fn note_cold(&mut self, entry: &Entry, change: Change, now: Time) {
-        if matches!(change, Change::Gone | Change::Restarted) {
-            self.cold_until.remove(&entry.id);
-        }
-        let is_written = !matches!(change, Change::Gone | Change::Doubted);
-        if is_written && entry.cold_ms > 0 {
-            let until = now + Duration::from_millis(entry.cold_ms);
-            self.cold_until.insert(entry.id.clone(), until);
+        match change {
+            // What it wrote before is all that is known of it.
+            Change::Doubted => {}
+            Change::Gone => {
+                self.cold_until.remove(&entry.id);
+            }
+            _ if entry.cold_ms == 0 => {
+                self.cold_until.remove(&entry.id);
+            }
+            _ => {
+                let until = now + Duration::from_millis(entry.cold_ms);
+                self.cold_until.insert(entry.id.clone(), until);
+            }
         }
     }
 
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -162,6 +162,21 @@
     assert!((begun + 3_000..=net.now + 3_000).contains(&until(&net)));
 }
 
+/// Guards against an upstream that counts as cold for ever, since it once wrote an absurd time.
+#[test]
+fn an_upstream_that_writes_that_it_is_warm_is_warm() {
+    let mut net = calm(&PLACES);
+    let is_cold = |net: &Net, node: usize| {
+        let upstreams = net.node(node).view.upstreams("shelfview");
+        let upstream = upstreams.iter().find(|u| u.instance == "i-3").expect("it is listed");
+        upstream.cold_until > Time::from_millis(net.now)
+    };
+    net.register_cold(3, "i-3", u64::MAX);
+    net.until(BOUND, |net| (0..7).all(|node| is_cold(net, node)));
+    net.register_cold(3, "i-3", 0);
+    net.until(BOUND, |net| !(0..7).any(|node| is_cold(net, node)));
+}
+
 /// Guards against hundreds of orders for names that no data centre has: they fill no memory, and the orders
 /// before them stand.
 #[test]
