Warm-up: one type for what cold upstreams bear, looked up once a choice

`policy::warmup::Terms` was a second form of `model::service::WarmUp`, with a conversion in traffic; it is gone, and the model's type gives its calls per second. The entry node looked the service up in the configuration for each upstream it weighs; it does so once for a choice now.

Behaviour is the same: the tests give the same 11 calls a second as 660 a minute and keep their assertions. Not measured.

--- a/crates/model/src/service.rs
+++ b/crates/model/src/service.rs
@@ -30,6 +30,20 @@
     pub length: Duration,
 }
 
+impl WarmUp {
+    /// Returns the calls per second.
+    ///
+    /// ```
+    /// use model::service::WarmUp;
+    /// use std::time::Duration;
+    /// let warm_up = WarmUp { calls_per_min: 690, length: Duration::from_secs(3) };
+    /// assert_eq!(warm_up.calls_per_s(), 11.5);
+    /// ```
+    pub fn calls_per_s(self) -> f64 {
+        self.calls_per_min as f64 / 60.0
+    }
+}
+
 /// A service document as read.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Draft {
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -4,19 +4,10 @@
 //! which was no trouble before keeps it crashing. Every call passes the node beside the upstream, which
 //! lets no more through than a token bucket holds.
 
-use model::time::Time;
+use model::{service::WarmUp, time::Time};
 use std::time::Duration;
 
-/// What cold upstreams of one service bear, as operators configure it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Terms {
-    /// Calls that a cold upstream bears, per second.
-    pub calls_per_s: f64,
-    /// How long an upstream stays cold.
-    pub length: Duration,
-}
-
-/// How far any second may exceed [`Terms::calls_per_s`].
+/// How far any second may exceed [`WarmUp::calls_per_s`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
     /// Factor of the configured rate.
@@ -50,16 +41,16 @@
     /// that were let through one after the other and arrive together.
     ///
     /// ```
-    /// use model::time::Time;
-    /// use policy::warmup::{Excess, Limit, Terms};
+    /// use model::{service::WarmUp, time::Time};
+    /// use policy::warmup::{Excess, Limit};
     /// use std::time::Duration;
-    /// let terms = Terms { calls_per_s: 10.0, length: Duration::from_secs(3) };
-    /// let limit = Limit::new(terms, Excess { factor: 1.5, slack: 8.0 }, Time::default());
+    /// let warm_up = WarmUp { calls_per_min: 600, length: Duration::from_secs(3) };
+    /// let limit = Limit::new(warm_up, Excess { factor: 1.5, slack: 8.0 }, Time::default());
     /// assert_eq!((limit.rate, limit.burst), (12.5, 4.0));
     /// ```
-    pub fn new(terms: Terms, excess: Excess, until: Time) -> Self {
+    pub fn new(warm_up: WarmUp, excess: Excess, until: Time) -> Self {
         let beyond = (excess.factor - 1.0).max(0.0) / 2.0;
-        let rate = terms.calls_per_s * (1.0 + beyond);
+        let rate = warm_up.calls_per_s() * (1.0 + beyond);
         Limit { rate, burst: (excess.slack / 2.0).max(1.0), until }
     }
 }
--- a/crates/policy/tests/warmup.rs
+++ b/crates/policy/tests/warmup.rs
@@ -1,14 +1,14 @@
 //! Cold upstreams: how many calls reach one, and that a fleet of cold ones warms up under load.
 
-use model::time::Time;
+use model::{service::WarmUp, time::Time};
 use policy::{
     admission::{Entry, Gate, Line, Rank, Ticket},
-    warmup::{Excess, Limit, Terms},
+    warmup::{Excess, Limit},
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::VecDeque, time::Duration};
 
-const TERMS: Terms = Terms { calls_per_s: 11.0, length: Duration::from_secs(3) };
+const WARM_UP: WarmUp = WarmUp { calls_per_min: 660, length: Duration::from_secs(3) };
 const EXCESS: Excess = Excess { factor: 1.5, slack: 8.0 };
 
 /// Calls that may reach a cold upstream in any second.
@@ -23,7 +23,7 @@
 }
 
 fn limit(until_ms: u64) -> Limit {
-    Limit::new(TERMS, EXCESS, at(until_ms))
+    Limit::new(WARM_UP, EXCESS, at(until_ms))
 }
 
 /// Returns a limit of 11 calls a second, whatever the bound leaves.
--- a/crates/traffic/src/entry/choice.rs
+++ b/crates/traffic/src/entry/choice.rs
@@ -1,7 +1,7 @@
 //! Which upstream a call is offered to.
 
 use fleet::view::Upstream;
-use model::{config::Snapshot, time::Time};
+use model::{service::WarmUp, time::Time};
 use policy::{
     choice::{self, Reach},
     health::Record,
@@ -59,7 +59,7 @@
     now: Time,
 ) -> Option<usize> {
     let returning = hub.estimates.bytes(call.service, &call.terms.route);
-    let config = hub.config();
+    let warm_up = hub.warm_up(call.service);
     let candidates: Vec<placement::Candidate<'_>> = able
         .iter()
         .map(|&(u, record)| placement::Candidate {
@@ -70,20 +70,14 @@
             crossing: call.payload.body.len(),
             returning,
             refusals: tried.len() as u32,
-            cold: cold(hub, &config, call.service, u, now),
+            cold: cold(hub, warm_up, u, now),
         })
         .collect();
     placement::choose(&candidates, call.kind(), now, &mut rand::rng())
 }
 
-fn cold(
-    hub: &Hub,
-    config: &Snapshot,
-    service: &str,
-    upstream: &Upstream,
-    now: Time,
-) -> placement::Cold {
-    match hub.warm_up(config, service, upstream, now) {
+fn cold(hub: &Hub, warm_up: Option<WarmUp>, upstream: &Upstream, now: Time) -> placement::Cold {
+    match warm_up.and_then(|warm_up| hub.limit(warm_up, upstream, now)) {
         Some(limit) => placement::Cold::Limited(limit.rate),
         None if now < upstream.cold_until => placement::Cold::Slow,
         None => placement::Cold::No,
