The longest wait of a call of an upstream is one constant

The gate had a constant of its own beside the one of `urgency`, with the same value and the same reason: what waits holds two slots. `urgency` uses the gate's.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -37,8 +37,10 @@
 /// freed later than a short call may usually wait, and all work that makes such calls would be lost.
 const NESTED_TURNOVERS: u32 = 2;
 
-/// Part of its time that such a call waits at most: its work holds a slot of another service meanwhile.
-const NESTED_WAIT_SHARE: u32 = 3;
+/// Part of its time that a call of an upstream waits at most.
+///
+/// What waits holds two slots, and two services that call each other would wait for each other's.
+pub(crate) const NESTED_WAIT_SHARE: u32 = 3;
 
 /// A call known to the gate.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use crate::{
-    admission::{Line, Rank},
+    admission::{Line, NESTED_WAIT_SHARE, Rank},
     comeback::Attempt,
     latency::Estimate,
 };
@@ -35,12 +35,6 @@
 /// that has not, later attempts of callers, first ones, hasty ones, late ones.
 const STEPS: u8 = 6;
 
-/// Part of its time that a call of an upstream may wait for a slot if another one of the same work
-/// was answered.
-///
-/// What waits holds two slots, and two services that call each other would wait for each other's.
-const ADVANCED_WAIT_SHARE: u32 = 3;
-
 /// Part of its objective that the first call of an upstream's work may wait for a slot.
 ///
 /// While it waits, its work holds a slot of another service: where one service is short, long waits
@@ -189,8 +183,8 @@
 fn nested(work: Work, clock: Clock) -> Rank {
     let left = clock.deadline.since(clock.received);
     let (step, wait) = match work.answered {
-        0 => (1, (clock.objective / BEGUN_WAIT_SHARE).min(left / ADVANCED_WAIT_SHARE)),
-        _ => (0, left / ADVANCED_WAIT_SHARE),
+        0 => (1, (clock.objective / BEGUN_WAIT_SHARE).min(left / NESTED_WAIT_SHARE)),
+        _ => (0, left / NESTED_WAIT_SHARE),
     };
     let urgency = work.rank.priority / STEPS;
     Rank {
