--- a/crates/fleet/src/listed/changes.rs
+++ b/crates/fleet/src/listed/changes.rs
@@ -46,10 +46,7 @@
         match change {
             // What it wrote before is all that is known of it.
             Change::Doubted => {}
-            Change::Gone => {
-                self.cold_until.remove(&entry.id);
-            }
-            _ if entry.cold_ms == 0 => {
+            _ if change == Change::Gone || entry.cold_ms == 0 => {
                 self.cold_until.remove(&entry.id);
             }
             _ => {
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -193,11 +193,15 @@
         }
         thread::sleep(Duration::from_millis(random.random_range(50..700)));
         faults.end_due(&mut site)?;
-        orders.iter_mut().for_each(|orders| orders.step(&mut site));
+        if let Some(orders) = &mut orders {
+            orders.step(&mut site);
+        }
         check::nodes(&mut site, &book, &mut random)?;
     }
     faults.end_all(&mut site)?;
-    orders.iter_mut().for_each(|orders| orders.end(&mut site));
+    if let Some(orders) = &mut orders {
+        orders.end(&mut site);
+    }
     let recovered = site.wait(RECOVERY, |site| (0..plan.nodes).all(|n| site.is_recovered(n)));
     going.store(false, Ordering::SeqCst);
     load::finish(callers);
