traffic: the limit that an upstream names shows in the timeline

A limit in an answer was visible nowhere: the incident's record shows it only in what the upstream itself says. The node of the upstream now records when a limit is named, changed or lifted, and a value that cannot be parsed, which leaves the previous one in force. The name of the header is a setting. No decision uses it.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -224,6 +224,16 @@
         /// The requests: fingerprint, method, host and path.
         requests: Vec<String>,
     },
+    /// This node's upstream named a limit on its calls, changed it, or lifted it.
+    UpstreamLimit {
+        /// Calls per second from all nodes together; none if the limit was lifted.
+        calls_per_s: Option<f64>,
+    },
+    /// A limit that this node's upstream named could not be parsed; the previous one stays in force.
+    UpstreamLimitRefused {
+        /// The value.
+        value: String,
+    },
     /// A request was quarantined.
     Quarantined {
         /// Its fingerprint.
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 37] = [
+pub const FIELDS: [Field; 38] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -164,6 +164,12 @@
         "\"x-stamp\"",
         "marks every answer that the upstream itself created",
     ),
+    unset(
+        "/headers/limit",
+        HEADER,
+        "\"x-limit\"",
+        "calls per second, as a decimal number, that the upstream accepts from all nodes together; in force until an answer comes without it",
+    ),
     optional(
         "/retry_after",
         "\"seconds\" or \"milliseconds\"",
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -2,6 +2,7 @@
 
 mod colocated;
 pub(crate) mod crashes;
+mod demand;
 mod estimates;
 mod explain;
 pub(crate) mod in_flight;
@@ -36,6 +37,7 @@
     net::pool::Pool,
     proxy::{
         crashes::Crashes,
+        demand::Demand,
         estimates::Estimates,
         in_flight::Usage,
         lifecycle::Lifecycle,
@@ -66,6 +68,8 @@
     pub(crate) estimates: Estimates,
     /// Crashes of the colocated upstream.
     pub(crate) crashes: Crashes,
+    /// Demands of the colocated upstream.
+    pub(crate) demand: Demand,
     /// Requests that must not run.
     quarantine: ArcSwap<Quarantine>,
     /// Concurrency limit of the colocated upstream.
@@ -106,6 +110,7 @@
             services: Services::default(),
             estimates: Estimates::default(),
             crashes: Crashes::default(),
+            demand: Demand::default(),
             quarantine: ArcSwap::default(),
             lifecycle: Lifecycle::default(),
             splits: Mutex::default(),
@@ -262,6 +267,7 @@
         self.meter.set_in_flight(self.in_flight.calls() as u64);
         let mut events = self.events.take();
         events.extend(self.log.take_dropped());
+        events.extend(self.demand.take_events());
         events
     }
 
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One exchange with the colocated upstream.
 
 pub(crate) mod crash;
+mod demand;
 mod validation;
 
 use hyper::{Request, Response, header::HeaderValue};
@@ -126,6 +127,7 @@
     if !matches_request(proxy, offer, &head) || !is_authentic(proxy, &head) {
         return Err(Outcome::Unknown(Uncertainty::BadAnswer));
     }
+    demand::record(proxy, head.headers());
     let (parts, incoming) = head.into_parts();
     let body = body::receive(incoming, profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -104,6 +104,9 @@
     pub refused: Option<HeaderName>,
     /// Marks every answer produced by an upstream itself.
     pub stamp: Option<HeaderName>,
+    /// Calls per second that an upstream accepts from all nodes together, for as long as its answers
+    /// say so.
+    pub limit: Option<HeaderName>,
     /// Precision of `Retry-After`.
     pub precision: Precision,
 }
@@ -117,6 +120,7 @@
             identity: None,
             refused: None,
             stamp: None,
+            limit: None,
             precision: Precision::Seconds,
         }
     }
@@ -220,6 +224,18 @@
     parsed.map(Some).ok_or(Malformed)
 }
 
+/// Reads the limit that an answer of an upstream names, in calls per second; `None` if it names none.
+///
+/// Fails with the value if that is not a number of at least 0.
+pub fn read_limit(headers: &HeaderMap, names: &Names) -> Result<Option<f64>, String> {
+    let Some(value) = names.limit.as_ref().and_then(|name| headers.get(name)) else {
+        return Ok(None);
+    };
+    let text = String::from_utf8_lossy(value.as_bytes());
+    let limit = text.trim().parse().ok();
+    limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0).map(Some).ok_or(text.into())
+}
+
 /// Returns whether a status guarantees that the request was not run and never will be.
 pub fn promises_not_run(status: StatusCode) -> bool {
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -85,6 +85,8 @@
 pub(crate) struct Upstream {
     pub(crate) address: SocketAddr,
     behaviour: Arc<Mutex<Behaviour>>,
+    /// Headers added to every answer.
+    extra: Arc<Mutex<String>>,
     received: Arc<Mutex<Vec<Received>>>,
     /// Open connections; `None` after a crash.
     open: Arc<Mutex<Option<Vec<TcpStream>>>>,
@@ -98,6 +100,7 @@
         let upstream = Upstream {
             address: listener.local_addr().expect("the listener has an address"),
             behaviour: Arc::new(Mutex::new(Behaviour::Answer)),
+            extra: Arc::default(),
             received: Arc::default(),
             open: Arc::default(),
             held: Arc::default(),
@@ -177,17 +180,27 @@
         *self.behaviour.lock().expect("the lock is not poisoned") = behaviour;
     }
 
+    /// Sets the limit that every answer names; `None` names none.
+    pub(crate) fn name_limit(&self, limit: Option<&str>) {
+        let header = limit.map(|limit| format!("x-limit: {limit}\r\n")).unwrap_or_default();
+        *self.extra.lock().expect("the lock is not poisoned") = header;
+    }
+
     pub(crate) fn received(&self) -> Vec<Received> {
         self.received.lock().expect("the lock is not poisoned").clone()
     }
 
+    fn answer(&self, request: &Received, behaviour: Behaviour) -> Vec<u8> {
+        answer(request, behaviour, &self.extra.lock().expect("the lock is not poisoned"))
+    }
+
     fn serve(&self, stream: &mut TcpStream) {
         let mut buffer = Vec::new();
         while let Some(head) = read_head(stream, &mut buffer) {
             let behaviour = *self.behaviour.lock().expect("the lock is not poisoned");
             let request = Received { head, body: Vec::new() };
             if behaviour == Behaviour::Early {
-                let _ = stream.write_all(&answer(&request, behaviour));
+                let _ = stream.write_all(&self.answer(&request, behaviour));
             }
             let length = request.header("content-length").and_then(|t| t.parse().ok()).unwrap_or(0);
             let Some(body) = read_body(stream, &mut buffer, length) else { return };
@@ -206,7 +219,7 @@
                 _ => {}
             }
             if behaviour != Behaviour::Early
-                && stream.write_all(&answer(&request, behaviour)).is_err()
+                && stream.write_all(&self.answer(&request, behaviour)).is_err()
             {
                 return;
             }
@@ -217,7 +230,7 @@
     }
 }
 
-fn answer(request: &Received, behaviour: Behaviour) -> Vec<u8> {
+fn answer(request: &Received, behaviour: Behaviour, extra: &str) -> Vec<u8> {
     let id = request.header("x-id").unwrap_or_default();
     let stamp = "x-stamp: s1\r\n";
     let head = match behaviour {
@@ -239,7 +252,7 @@
         }
     };
     let length = if behaviour == Behaviour::Unframed { "" } else { "content-length: 4\r\n" };
-    format!("HTTP/1.1 {head}{length}\r\nbody").into_bytes()
+    format!("HTTP/1.1 {head}{extra}{length}\r\nbody").into_bytes()
 }
 
 /// Nodes of service "paydesk", each with a colocated upstream; all are entry nodes as well.
@@ -283,6 +296,7 @@
         identity: Some(name("x-expect")),
         refused: Some(name("x-refused")),
         stamp: Some(name("x-stamp")),
+        limit: Some(name("x-limit")),
         precision: traffic::wire::Precision::Millis,
     }
 }
