policy, traffic: the limit that an upstream names holds for all nodes together

What callers saw: an upstream in need named the calls per second that it accepts, and got three times as many, which is how it stays in need.

Cause: no node read the limit. Class: a decision without the fact that it needs, although one node, the serving node, passes every answer on and every call in.

Change: the serving node reads the limit from each validated answer and applies it as a token bucket in its limiter, beside the one of cold upstreams (the bucket is now one type for both). A call that gets no token in time is refused at once as `limited`, not run, with the time of the next token; the entry node offers it to other upstreams, and adds that time to the Retry-After of the caller. The load that serving nodes report carries the limit, which lowers the share of calls that entry nodes choose the upstream for; a report older than 2 s no longer does, so that a lifted limit is noticed by a call. A value that cannot be parsed changes nothing. Ruled out: shares of the limit for each entry node. With a limit of 4.5 and 24 nodes each share is below one call in five seconds, and a node that has not heard of the limit takes as many as it likes.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -4,13 +4,15 @@
 //! that have given up. Nested calls go before external ones while they hold at most half of the slots,
 //! since without them the work of their parents is lost.
 
+mod tokens;
+
 use model::time::Time;
 use std::{
     collections::{HashSet, VecDeque},
     time::Duration,
 };
 
-use crate::warmup::{Bucket, Limit};
+use crate::{admission::tokens::Tokens, bucket::Rate, outcome::Cause, warmup::Limit};
 
 /// Weight of a new sample in the moving average of service times.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -87,8 +89,7 @@
     /// Nested calls that hold a slot.
     nested: HashSet<Ticket>,
     service_time: Duration,
-    /// Rate limit during warm-up; `None` once the upstream is warm.
-    warm_up: Option<Bucket>,
+    tokens: Tokens,
 }
 
 impl Limiter {
@@ -100,21 +101,23 @@
             queue: VecDeque::new(),
             nested: HashSet::new(),
             service_time: Duration::from_millis(1),
-            warm_up: None,
+            tokens: Tokens::default(),
         }
     }
 
     /// Applies the warm-up rate `limit` until the upstream is warm.
     pub fn set_warm_up(&mut self, limit: Limit, now: Time) {
-        match &mut self.warm_up {
-            Some(bucket) if bucket.is_active(now) => bucket.set_limit(limit, now),
-            bucket => *bucket = Some(Bucket::new(limit, now)),
-        }
+        self.tokens.set_warm_up(limit, now);
     }
 
     /// Removes the warm-up rate limit.
     pub fn end_warm_up(&mut self) {
-        self.warm_up = None;
+        self.tokens.end_warm_up();
+    }
+
+    /// Applies the rate of a limit that the upstream named; `None` removes it.
+    pub fn set_named_limit(&mut self, rate: Option<Rate>, now: Time) {
+        self.tokens.set_named(rate, now);
     }
 
     /// Admits, queues or refuses a call that must be answered by `deadline`; at most `queue_limit`
@@ -149,7 +152,7 @@
         queue_limit: usize,
     ) -> Decision {
         // If calls wait although a slot is free, they wait for a token; a new call must not overtake them.
-        if self.busy < self.slots && self.queue.is_empty() && self.take_token(now) {
+        if self.busy < self.slots && self.queue.is_empty() && self.tokens.take(now) {
             self.busy += 1;
             self.track_nested(ticket, rank.class);
             return Decision::Run;
@@ -171,7 +174,7 @@
     pub fn would_admit(&self, rank: Rank, now: Time, deadline: Time, queue_limit: usize) -> bool {
         let waiting = self.queue.iter().filter(|w| w.until > now).count();
         let full = waiting >= queue_limit;
-        if self.busy < self.slots && self.token_wait(1, now).is_zero() {
+        if self.busy < self.slots && self.tokens.wait(1, now).is_zero() {
             return waiting == 0 || !full;
         }
         let wait = self.expected_wait(self.position(rank) + 1, now);
@@ -249,7 +252,7 @@
             return None;
         }
         self.drop_expired(now);
-        if self.queue.is_empty() || !self.take_token(now) {
+        if self.queue.is_empty() || !self.tokens.take(now) {
             return None;
         }
         let waiter = self.pop_next()?;
@@ -268,7 +271,7 @@
 
     /// Returns when the next waiting call gets a token, if calls wait for one.
     pub fn next_token(&self, now: Time) -> Option<Time> {
-        let wait = self.token_wait(1, now);
+        let wait = self.tokens.wait(1, now);
         (!self.queue.is_empty() && !wait.is_zero()).then(|| now + wait)
     }
 
@@ -290,7 +293,7 @@
         self.nested.remove(&ticket);
         match service_time {
             Some(sample) => self.service_time = average(self.service_time, sample),
-            None => self.return_token(),
+            None => self.tokens.give_back(),
         }
         self.busy = self.busy.saturating_sub(1);
         self.grant_next(now)
@@ -312,6 +315,16 @@
         wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
+    /// Returns why a call is refused now: for the limit that the upstream named, or for its slots.
+    pub fn refusal_cause(&self, now: Time) -> Cause {
+        let position = self.queue.len() + 1;
+        let named_wait = self.tokens.named_wait(position, now);
+        match !named_wait.is_zero() && named_wait >= self.slot_wait(position) {
+            true => Cause::Limited,
+            false => Cause::Overloaded,
+        }
+    }
+
     /// Returns the number of calls that hold a slot.
     pub fn busy(&self) -> usize {
         self.busy
@@ -323,25 +336,11 @@
     }
 
     fn expected_wait(&self, position: usize, now: Time) -> Duration {
-        let slot_wait = self.service_time.mul_f64(position as f64 / self.slots.max(1) as f64);
-        slot_wait.max(self.token_wait(position, now))
-    }
-
-    /// Returns how long the call at `position` in the queue, from 1, waits for a token.
-    fn token_wait(&self, position: usize, now: Time) -> Duration {
-        let bucket = self.warm_up.filter(|bucket| bucket.is_active(now));
-        bucket.map_or(Duration::ZERO, |bucket| bucket.wait(position, now))
+        self.slot_wait(position).max(self.tokens.wait(position, now))
     }
 
-    fn take_token(&mut self, now: Time) -> bool {
-        let bucket = self.warm_up.as_mut().filter(|bucket| bucket.is_active(now));
-        bucket.is_none_or(|bucket| bucket.take(now))
-    }
-
-    fn return_token(&mut self) {
-        if let Some(bucket) = &mut self.warm_up {
-            bucket.give_back();
-        }
+    fn slot_wait(&self, position: usize) -> Duration {
+        self.service_time.mul_f64(position as f64 / self.slots.max(1) as f64)
     }
 }
 
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -22,6 +22,10 @@
 /// Half-life of the load reported by a serving node.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(500);
 
+/// Age of a load report from which its limit no longer diverts calls; a call then shows whether the limit
+/// still holds.
+const LIMIT_TTL: Duration = Duration::from_secs(2);
+
 /// Consecutive failures after which an upstream is ejected.
 const FAILURE_LIMIT: u32 = 3;
 
@@ -99,11 +103,13 @@
     other_calls: f64,
     /// Large bodies in transfer or waiting for it, as of the last load report.
     bodies: f64,
+    /// Limit that the upstream named, as of the last load report.
+    limit: Option<f64>,
     load_at: Time,
 }
 
 /// Load of a serving node, reported with each answer.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
     /// Calls being processed by its upstream.
     pub busy: usize,
@@ -111,6 +117,8 @@
     pub waiting: usize,
     /// Large bodies in transfer on its link or waiting for it.
     pub bodies: usize,
+    /// Calls per second that its upstream accepts from all nodes together; none without a limit.
+    pub limit: Option<f64>,
 }
 
 impl Record {
@@ -132,6 +140,7 @@
             unreachable: false,
             other_calls: 0.0,
             bodies: 0.0,
+            limit: None,
             load_at: now,
         }
     }
@@ -193,6 +202,7 @@
         let calls = load.busy + load.waiting;
         self.other_calls = calls.saturating_sub(self.in_flight) as f64;
         self.bodies = load.bodies as f64;
+        self.limit = load.limit;
         self.load_at = now;
     }
 
@@ -208,6 +218,16 @@
         self.bodies * weight(self.load_at, now, LOAD_HALF_LIFE)
     }
 
+    /// Returns the limit that the upstream named as of the last load report, in calls per second.
+    pub fn last_limit(&self) -> Option<f64> {
+        self.limit
+    }
+
+    /// Returns the limit that the upstream named, in calls per second, unless the report is too old.
+    pub fn limit(&self, now: Time) -> Option<f64> {
+        self.limit.filter(|_| now.since(self.load_at) < LIMIT_TTL)
+    }
+
     /// Returns the moving share of failed calls; it decays by half in each [`HALF_LIFE`] without a
     /// sample.
     pub fn failure_share(&self, now: Time) -> f64 {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! the peer protocol. It is not an API boundary.
 
 pub mod admission;
+pub mod bucket;
 pub mod budget;
 pub mod choice;
 pub mod claim;
@@ -13,6 +14,7 @@
 pub mod drain;
 pub mod health;
 pub mod latency;
+pub mod named_limit;
 pub mod outcome;
 pub mod pause;
 pub mod placement;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -18,6 +18,8 @@
     NoUpstream,
     /// No slot of the upstream will be free before the deadline, or its queue is full.
     Overloaded,
+    /// The limit that the upstream named leaves no call in time.
+    Limited,
     /// The upstream refused the call before running it.
     Refused,
     /// The upstream is leaving the fleet.
@@ -180,6 +182,7 @@
             | Cause::Outdated
             | Cause::Unreachable
             | Cause::Overloaded
+            | Cause::Limited
             | Cause::Refused
             | Cause::Saturated => MEDIUM_DELAY,
             Cause::UnknownService
@@ -203,12 +206,13 @@
 const LONG_DELAY: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 16] = [
+const CAUSES: [(Cause, &str); 17] = [
     (Cause::Unready, "unready"),
     (Cause::Outdated, "outdated"),
     (Cause::UnknownService, "unknown-service"),
     (Cause::NoUpstream, "no-upstream"),
     (Cause::Overloaded, "overloaded"),
+    (Cause::Limited, "limited"),
     (Cause::Refused, "refused"),
     (Cause::Leaving, "leaving"),
     (Cause::Unreachable, "unreachable"),
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -47,6 +47,9 @@
 /// Slots assumed if the number is unknown.
 const DEFAULT_SLOTS: usize = 8;
 
+/// Smallest number of slots that calls can use, under a rate limit near 0.
+const MIN_USABLE_SLOTS: f64 = 0.001;
+
 /// Latency factor assumed of an upstream that is cold after its start, before its answers show it.
 const COLD_FACTOR: f64 = 2.0;
 
@@ -128,17 +131,17 @@
         / REFUSAL_DISCOUNT.powi(candidate.refusals as i32)
 }
 
-/// Returns the slots that calls can use; the rate limit of a cold upstream bounds them.
+/// Returns the slots that calls can use; rate limits of the upstream bound them.
 fn usable_slots(candidate: &Candidate<'_>, now: Time) -> f64 {
     let slots = if candidate.slots == 0 { DEFAULT_SLOTS } else { candidate.slots } as f64;
-    match candidate.cold {
-        Cold::No | Cold::Slow => slots,
-        Cold::Limited(calls_per_s) => {
-            let time =
-                candidate.record.latency(now).unwrap_or(DEFAULT_CALL_TIME).mul_f64(COLD_FACTOR);
-            (calls_per_s * time.as_secs_f64()).min(slots)
-        }
-    }
+    let time = candidate.record.latency(now).unwrap_or(DEFAULT_CALL_TIME);
+    let named = candidate.record.limit(now).map(|calls_per_s| calls_per_s * time.as_secs_f64());
+    let warm_up = match candidate.cold {
+        Cold::No | Cold::Slow => None,
+        Cold::Limited(calls_per_s) => Some(calls_per_s * time.mul_f64(COLD_FACTOR).as_secs_f64()),
+    };
+    let limited = [named, warm_up].into_iter().flatten().fold(slots, f64::min);
+    limited.max(MIN_USABLE_SLOTS)
 }
 
 /// Returns the cost of an upstream, in shares of its slots.
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -272,6 +272,7 @@
 fn is_retryable(cause: Cause) -> bool {
     match cause {
         Cause::Overloaded
+        | Cause::Limited
         | Cause::Refused
         | Cause::Leaving
         | Cause::Unreachable
@@ -296,7 +297,9 @@
 /// budget.
 fn adds_load(outcome: Outcome) -> bool {
     match outcome {
-        Outcome::NotRun(cause, _) => matches!(cause, Cause::Overloaded | Cause::Refused),
+        Outcome::NotRun(cause, _) => {
+            matches!(cause, Cause::Overloaded | Cause::Limited | Cause::Refused)
+        }
         Outcome::Unknown(_) => true,
     }
 }
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -6,6 +6,8 @@
 use model::{service::WarmUp, time::Time};
 use std::time::Duration;
 
+use crate::bucket;
+
 /// How far the calls in any second may exceed [`WarmUp::calls_per_s`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
@@ -52,68 +54,49 @@
         let rate = warm_up.calls_per_s() * (1.0 + excess_rate);
         Limit { rate, burst: (excess.slack / 2.0).max(1.0), until }
     }
+
+    fn tokens(&self) -> bucket::Rate {
+        bucket::Rate { per_s: self.rate, burst: self.burst }
+    }
 }
 
 /// Token bucket of one cold upstream.
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
-    limit: Limit,
-    tokens: f64,
-    refilled: Time,
+    tokens: bucket::Bucket,
+    until: Time,
 }
 
 impl Bucket {
-    /// Creates a bucket with one token, since calls of the last second may be unknown after a
-    /// restart.
+    /// Creates a bucket with one token.
     pub fn new(limit: Limit, now: Time) -> Self {
-        Bucket { limit, tokens: 1.0, refilled: now }
+        Bucket { tokens: bucket::Bucket::new(limit.tokens(), now), until: limit.until }
     }
 
     /// Replaces the limit; tokens beyond its burst are dropped.
     pub fn set_limit(&mut self, limit: Limit, now: Time) {
-        self.refill(now);
-        self.limit = limit;
-        self.tokens = self.tokens.min(limit.burst);
+        self.tokens.set_rate(limit.tokens(), now);
+        self.until = limit.until;
     }
 
     /// Returns whether the warm-up lasts at `now`.
     pub fn is_active(&self, now: Time) -> bool {
-        now < self.limit.until
+        now < self.until
     }
 
     /// Takes a token; returns false if there is none.
     pub fn take(&mut self, now: Time) -> bool {
-        self.refill(now);
-        let has_token = self.tokens >= 1.0;
-        if has_token {
-            self.tokens -= 1.0;
-        }
-        has_token
+        self.tokens.take(now)
     }
 
     /// Returns the token of a call that did not reach the upstream.
     pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.limit.burst);
+        self.tokens.give_back();
     }
 
-    /// Returns how long the call at `position` in a queue, from 1, waits for a token.
+    /// Returns how long the call at `position` in a queue, from 1, waits for a token or for the end of
+    /// the warm-up.
     pub fn wait(&self, position: usize, now: Time) -> Duration {
-        let missing = position as f64 - self.tokens_at(now);
-        let until_warm = self.limit.until.since(now);
-        if missing <= 0.0 {
-            return Duration::ZERO;
-        }
-        Duration::try_from_secs_f64(missing / self.limit.rate)
-            .map_or(until_warm, |wait| wait.min(until_warm))
-    }
-
-    fn tokens_at(&self, now: Time) -> f64 {
-        let added = now.since(self.refilled).as_secs_f64() * self.limit.rate;
-        (self.tokens + added).min(self.limit.burst)
-    }
-
-    fn refill(&mut self, now: Time) {
-        self.tokens = self.tokens_at(now);
-        self.refilled = self.refilled.max(now);
+        self.tokens.wait(position, now).min(self.until.since(now))
     }
 }
--- a/crates/policy/tests/transfer.rs
+++ b/crates/policy/tests/transfer.rs
@@ -148,7 +148,7 @@
         let mut record = Record::new(at(0));
         record.begin();
         record.end(at(9_000), Sample::Answered(ms(300)));
-        record.update_load(Load { busy: 3, waiting: 0, bodies }, at(9_000));
+        record.update_load(Load { busy: 3, bodies, ..Load::default() }, at(9_000));
         record
     };
     let (busy, free) = (reported(3), reported(0));
--- a/crates/standins/src/queueing/simulation.rs
+++ b/crates/standins/src/queueing/simulation.rs
@@ -398,7 +398,7 @@
     fn reply(&mut self, key: OfferKey, reply: Reply) {
         let Offer { call, upstream, .. } = self.offers[key.0];
         let limiter = &self.upstreams[upstream].limiter;
-        let load = Load { busy: limiter.busy(), waiting: limiter.waiting(), bodies: 0 };
+        let load = Load { busy: limiter.busy(), waiting: limiter.waiting(), ..Load::default() };
         self.offers[key.0].state = State::Ended;
         self.offers[key.0].load = load;
         let entry = self.calls[call.0].entry;
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -4,6 +4,7 @@
 use policy::{
     admission::{Decision, Limiter, Rank, Ticket},
     health::Load,
+    named_limit,
     outcome::{Cause, Loss, Outcome, Step, of_loss},
     warmup::Limit,
 };
@@ -87,7 +88,7 @@
         let (decision, verdict) = self.enqueue(ticket, rank, deadline, queue_limit);
         let until = match decision {
             Decision::Run => return Ok(self.permit(ticket)),
-            Decision::Refuse(after) => return Err(Outcome::NotRun(Cause::Overloaded, after)),
+            Decision::Refuse(_) => return Err(self.refusal()),
             Decision::Wait(until) => until,
         };
         let mut waiter = Waiter { semaphore: self.clone(), ticket, verdict, resolved: false };
@@ -103,7 +104,7 @@
                     };
                 }
                 Err(_) if self.clock.now() < until => self.grant_ready(),
-                _ if until < deadline => return Err(Cause::Overloaded.outcome()),
+                _ if until < deadline => return Err(self.refusal()),
                 _ => return Err(of_loss(Step::Queue, Loss::Timeout)),
             }
         }
@@ -118,6 +119,16 @@
         }
     }
 
+    /// Sets the limit that the upstream named, in calls per second, and wakes tasks that it now admits;
+    /// `None` removes it.
+    pub(crate) fn set_named_limit(&self, limit: Option<f64>) {
+        let now = self.clock.now();
+        let mut queue = self.lock();
+        queue.limiter.set_named_limit(limit.map(named_limit::rate), now);
+        let granted = queue.limiter.grant_waiting(now);
+        queue.wake(&granted);
+    }
+
     /// Returns when a waiting task should check for tokens that became available without a release.
     fn next_poll(&self, now: Time) -> Time {
         let token = self.lock().limiter.next_token(now);
@@ -126,6 +137,13 @@
         })
     }
 
+    /// Returns the outcome of a task that is not admitted in time.
+    fn refusal(&self) -> Outcome {
+        let now = self.clock.now();
+        let limiter = &self.lock().limiter;
+        Outcome::NotRun(limiter.refusal_cause(now), limiter.retry_after(now))
+    }
+
     /// Grants free slots and tokens to waiting tasks.
     fn grant_ready(&self) {
         let mut queue = self.lock();
@@ -151,7 +169,7 @@
     /// Returns the number of held slots and of waiting tasks.
     pub(crate) fn load(&self) -> Load {
         let queue = self.lock();
-        Load { busy: queue.limiter.busy(), waiting: queue.limiter.waiting(), bodies: 0 }
+        Load { busy: queue.limiter.busy(), waiting: queue.limiter.waiting(), ..Load::default() }
     }
 
     /// Sets the number of slots and wakes tasks that fit.
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -79,6 +79,8 @@
     pub(crate) identity: Option<Arc<str>>,
     /// Start of the intended upstream process, in ms of Unix time, if known.
     pub(crate) started_ms: Option<u64>,
+    /// Limit of the upstream that the entry node knows, in calls per second.
+    pub(crate) limit: Option<f64>,
     /// Connection that the request arrived on.
     pub(crate) origin: Probe,
     /// Id of the attempt.
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -99,6 +99,7 @@
     kind: Kind,
     rank: Rank,
     lineage: Lineage,
+    limit: Option<f64>,
 }
 
 fn read_metadata(headers: &HeaderMap, received: Time) -> Result<Metadata, wire::Malformed> {
@@ -115,6 +116,7 @@
         kind: if idempotent { Kind::Idempotent } else { Kind::Once },
         rank: read_rank(headers, received)?,
         lineage: read_lineage(headers)?,
+        limit: wire::header_text(headers, wire::LIMIT).and_then(wire::parse_limit),
     })
 }
 
@@ -136,7 +138,7 @@
 }
 
 fn offer(head: Parts, metadata: Metadata, body: Bytes, origin: Probe, received: Time) -> Offer {
-    let Metadata { id, incarnation, identity, started_ms, deadline, kind, rank, lineage } =
+    let Metadata { id, incarnation, identity, started_ms, deadline, kind, rank, lineage, limit } =
         metadata;
     let mut headers = head.headers;
     wire::strip(&mut headers);
@@ -151,6 +153,7 @@
         incarnation,
         identity,
         started_ms,
+        limit,
         origin,
         id,
     }
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -35,6 +35,7 @@
     give_up_at: Time,
 ) -> Result<Answer, Outcome> {
     let now = proxy.clock.now();
+    let limit = proxy.services.with(call.service, |s| s.record(upstream, now).last_limit());
     let offer = Offer {
         payload: call.payload.clone(),
         received: call.received,
@@ -45,6 +46,7 @@
         incarnation: upstream.incarnation,
         identity: upstream.identity.clone(),
         started_ms: upstream.started_ms,
+        limit,
         origin: call.origin.clone(),
         id,
     };
@@ -234,5 +236,8 @@
     if let Some(started_ms) = offer.started_ms {
         headers.insert(wire::STARTED, wire::number(started_ms));
     }
+    if let Some(limit) = offer.limit {
+        headers.insert(wire::LIMIT, wire::decimal(limit));
+    }
     request
 }
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -7,7 +7,7 @@
     outcome::{Cause, Outcome},
     urgency::{self, Origin},
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 use trace::Step;
 
 use crate::{
@@ -167,9 +167,11 @@
     match (outcome, timing) {
         // The retry-after time is the end of the quarantine.
         (Outcome::NotRun(Cause::Quarantined, _), _) => outcome,
-        (Outcome::NotRun(cause, _), Some(timing)) => {
-            let timing = timing.at(proxy.clock.now());
-            Outcome::NotRun(cause, urgency::retry_after(timing, &mut rand::rng()))
+        (Outcome::NotRun(cause, after), Some(timing)) => {
+            let spread = urgency::retry_after(timing.at(proxy.clock.now()), &mut rand::rng());
+            // Before that time, the limit of the upstream has no room.
+            let earliest = if cause == Cause::Limited { after } else { Duration::ZERO };
+            Outcome::NotRun(cause, earliest + spread)
         }
         _ => outcome,
     }
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -158,6 +158,7 @@
         if !colocated::is_same(&before, &view, &self.settings) {
             // A call sent on a connection to the previous process would have an unknown outcome.
             self.pool.close_idle(self.settings.upstream);
+            self.reset_demand();
         }
     }
 
@@ -209,9 +210,10 @@
         work(&mut lock(&self.refused))
     }
 
-    /// Returns the load of the colocated upstream, including body transfers.
+    /// Returns the load of the colocated upstream, including body transfers, and its limit.
     pub(crate) fn load(&self) -> health::Load {
-        health::Load { bodies: self.transfers.pending(), ..self.slots.load() }
+        let (bodies, limit) = (self.transfers.pending(), self.named_limit());
+        health::Load { bodies, limit, ..self.slots.load() }
     }
 
     /// Returns the number of nodes that share the retry budget of the fleet.
--- a/crates/traffic/src/proxy/demand.rs
+++ b/crates/traffic/src/proxy/demand.rs
@@ -1,9 +1,11 @@
 //! What the colocated upstream demands in its answers: a limit on the calls that it gets.
+//!
+//! It is known and applied at the serving node, which all calls to the upstream pass.
 
 use fleet::timeline::Kind;
 use std::sync::Mutex;
 
-use crate::lock::lock;
+use crate::{lock::lock, proxy::Proxy};
 
 /// Maximum number of events kept until they are collected.
 const MAX_EVENTS: usize = 64;
@@ -18,24 +20,12 @@
 struct State {
     /// Calls per second that the upstream accepts; `None` without a limit.
     limit: Option<f64>,
+    /// Whether an answer of this upstream was seen.
+    heard: bool,
     events: Vec<Kind>,
 }
 
 impl Demand {
-    /// Records the limit that an answer names, in calls per second.
-    pub(crate) fn set_limit(&self, limit: Option<f64>) {
-        let mut state = lock(&self.state);
-        if state.limit != limit {
-            state.limit = limit;
-            state.push(Kind::UpstreamLimit { calls_per_s: limit });
-        }
-    }
-
-    /// Records a limit that cannot be parsed.
-    pub(crate) fn refuse_limit(&self, value: String) {
-        lock(&self.state).push(Kind::UpstreamLimitRefused { value });
-    }
-
     /// Takes the events since the last call.
     pub(crate) fn take_events(&self) -> Vec<Kind> {
         std::mem::take(&mut lock(&self.state).events)
@@ -43,9 +33,60 @@
 }
 
 impl State {
+    /// Sets the limit; returns whether it has changed.
+    fn set_limit(&mut self, limit: Option<f64>) -> bool {
+        let changed = self.limit != limit;
+        self.limit = limit;
+        if changed {
+            self.push(Kind::UpstreamLimit { calls_per_s: limit });
+        }
+        changed
+    }
+
     fn push(&mut self, event: Kind) {
         if self.events.len() < MAX_EVENTS && self.events.last() != Some(&event) {
             self.events.push(event);
         }
     }
 }
+
+impl Proxy {
+    /// Returns the limit that the colocated upstream named, in calls per second.
+    pub(crate) fn named_limit(&self) -> Option<f64> {
+        lock(&self.demand.state).limit
+    }
+
+    /// Applies the limit in an answer of the colocated upstream, in calls per second.
+    pub(crate) fn set_named_limit(&self, limit: Option<f64>) {
+        let mut state = lock(&self.demand.state);
+        state.heard = true;
+        self.apply_limit(&mut state, limit);
+    }
+
+    /// Applies the limit that an entry node knows until the first answer of the colocated upstream: a
+    /// restarted node would else send it a burst.
+    pub(crate) fn adopt_named_limit(&self, limit: Option<f64>) {
+        let mut state = lock(&self.demand.state);
+        if !state.heard && limit.is_some() {
+            self.apply_limit(&mut state, limit);
+        }
+    }
+
+    /// Records a limit that cannot be parsed; the previous one stays in force.
+    pub(crate) fn refuse_named_limit(&self, value: String) {
+        lock(&self.demand.state).push(Kind::UpstreamLimitRefused { value });
+    }
+
+    /// Discards the demands of a previous upstream.
+    pub(super) fn reset_demand(&self) {
+        let mut state = lock(&self.demand.state);
+        state.heard = false;
+        self.apply_limit(&mut state, None);
+    }
+
+    fn apply_limit(&self, state: &mut State, limit: Option<f64>) {
+        if state.set_limit(limit) {
+            self.slots.set_named_limit(limit);
+        }
+    }
+}
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -59,6 +59,7 @@
         return Err(Cause::Overloaded.outcome());
     }
     proxy.refresh_warm_up();
+    proxy.adopt_named_limit(offer.limit);
     let mut slot = proxy.slots.acquire(offer.rank, offer.deadline, profile.queue_limit).await?;
     let idle = proxy.pool.take(proxy.settings.upstream, idle_timeout(profile), offer.kind);
     let was_reused = idle.is_some();
@@ -157,6 +158,7 @@
 ) -> Result<u64, Outcome> {
     check_claim(proxy, offer)?;
     proxy.refresh_warm_up();
+    proxy.adopt_named_limit(offer.limit);
     if !proxy.slots.admits(offer.rank, offer.deadline, profile.queue_limit) {
         return Err(Cause::Overloaded.outcome());
     }
--- a/crates/traffic/src/upstream/demand.rs
+++ b/crates/traffic/src/upstream/demand.rs
@@ -4,10 +4,10 @@
 
 use crate::{proxy::Proxy, wire};
 
-/// Records the demands in the head of a validated answer; without a limit header, none is in force.
-pub(super) fn record(proxy: &Proxy, headers: &HeaderMap) {
+/// Applies the demands in the head of a validated answer; without a limit header, none is in force.
+pub(super) fn apply(proxy: &Proxy, headers: &HeaderMap) {
     match wire::read_limit(headers, &proxy.settings.names) {
-        Ok(limit) => proxy.demand.set_limit(limit),
-        Err(value) => proxy.demand.refuse_limit(value),
+        Ok(limit) => proxy.set_named_limit(limit),
+        Err(value) => proxy.refuse_named_limit(value),
     }
 }
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -63,7 +63,10 @@
 /// Ticket of a transfer grant.
 pub const TICKET: HeaderName = HeaderName::from_static("baobab-ticket");
 
-/// Load of the serving node: `BUSY,WAITING,BODIES`.
+/// Limit that the upstream of an offer named to the entry node, in calls per second.
+pub const LIMIT: HeaderName = HeaderName::from_static("baobab-limit");
+
+/// Load of the serving node: `BUSY,WAITING,BODIES`, and `,LIMIT` if its upstream named one.
 pub const LOAD: HeaderName = HeaderName::from_static("baobab-load");
 
 /// Prefix of all internal headers; removed from requests of callers and answers of upstreams, so that
@@ -217,6 +220,11 @@
     HeaderValue::from(value)
 }
 
+/// Returns `value` as a header value.
+pub fn decimal(value: f64) -> HeaderValue {
+    HeaderValue::from_str(&value.to_string()).expect("a number makes a header")
+}
+
 /// Reads an unsigned integer; `None` if the header is absent.
 pub fn read_number(headers: &HeaderMap, name: HeaderName) -> Result<Option<u64>, Malformed> {
     let Some(value) = headers.get(name) else { return Ok(None) };
@@ -232,8 +240,13 @@
         return Ok(None);
     };
     let text = String::from_utf8_lossy(value.as_bytes());
+    parse_limit(&text).map(Some).ok_or(text.into())
+}
+
+/// Parses a limit in calls per second; `None` if it is not a number of at least 0.
+pub(crate) fn parse_limit(text: &str) -> Option<f64> {
     let limit = text.trim().parse().ok();
-    limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0).map(Some).ok_or(text.into())
+    limit.filter(|limit: &f64| limit.is_finite() && *limit >= 0.0)
 }
 
 /// Returns whether a status guarantees that the request was not run and never will be.
@@ -264,17 +277,20 @@
 
 /// Formats the load of a serving node.
 pub fn load(load: Load) -> HeaderValue {
-    let text = format!("{},{},{}", load.busy, load.waiting, load.bodies);
+    let limit = load.limit.map(|limit| format!(",{limit}")).unwrap_or_default();
+    let text = format!("{},{},{}{limit}", load.busy, load.waiting, load.bodies);
     HeaderValue::from_str(&text).expect("digits and commas make a header")
 }
 
 /// Reads the load of a serving node; `None` if the header is absent or cannot be parsed.
 pub fn read_load(headers: &HeaderMap) -> Option<Load> {
-    let mut parts = headers.get(LOAD)?.to_str().ok()?.split(',').map(str::parse);
-    let mut next = || parts.next()?.ok();
+    let mut parts = headers.get(LOAD)?.to_str().ok()?.split(',');
+    let mut next = || parts.next()?.parse().ok();
     let (busy, waiting) = (next()?, next()?);
     // Older nodes don't send the number of bodies.
-    Some(Load { busy, waiting, bodies: next().unwrap_or(0) })
+    let bodies = next().unwrap_or(0);
+    let limit = parts.next().and_then(parse_limit);
+    Some(Load { busy, waiting, bodies, limit })
 }
 
 /// Returns the value of a header as text; `None` if absent or not ASCII.
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -373,6 +373,20 @@
         addresses
     }
 
+    /// Replaces the process of node `number`; its upstream and the other nodes keep running.
+    pub(crate) fn restart(&mut self, number: usize, slots: usize) {
+        let view = self.proxies[number].view();
+        let (caller, node) = self.start(number, slots);
+        let restarted = self.proxies.pop().expect("the node was just started");
+        restarted.set_config(configuration());
+        restarted.set_view(view);
+        self.proxies[number] = restarted;
+        self.callers[number] = caller;
+        for viewer in 0..self.proxies.len() {
+            self.show(viewer, number, |upstream| upstream.traffic = node);
+        }
+    }
+
     /// Sets the start of the upstream of node `number` in the view of node `viewer`.
     pub(crate) fn show_incarnation(&self, viewer: usize, number: usize, started_ms: u64) {
         self.show(viewer, number, |upstream| upstream.started_ms = Some(started_ms));
--- a/crates/traffic/tests/named_limit.rs
+++ b/crates/traffic/tests/named_limit.rs
@@ -2,7 +2,8 @@
 
 mod cluster;
 
-use cluster::{Cluster, header, request, status};
+use cluster::{Behaviour, Cluster, header, request, status};
+use fleet::timeline::Kind;
 use std::{
     thread,
     time::{Duration, Instant},
@@ -18,15 +19,22 @@
     request("GET", "/read/a", "", "").replace("x-id: r1", &format!("x-id: {id}"))
 }
 
-/// Calls every node in turn, without a pause, for [`RUN`]; returns all responses and the time.
-fn call_without_pause(cluster: &Cluster) -> (Vec<String>, Duration) {
+/// Calls every node in turn, without a pause, for [`RUN`]; returns the ids and responses of all calls, and the
+/// time.
+fn call_without_pause(cluster: &Cluster) -> (Vec<(String, String)>, Duration) {
+    call_nodes(cluster, cluster.callers.len())
+}
+
+/// Calls the first `nodes` nodes in turn, as [`call_without_pause`] does.
+fn call_nodes(cluster: &Cluster, nodes: usize) -> (Vec<(String, String)>, Duration) {
     let started = Instant::now();
     let call = |caller: usize| {
         let mut responses = Vec::new();
         let mut node = caller;
         while started.elapsed() < RUN {
             let id = format!("c{caller}-{}", responses.len());
-            responses.push(cluster.exchange(node % cluster.callers.len(), &read(&id)));
+            let response = cluster.exchange(node % nodes, &read(&id));
+            responses.push((id, response));
             node += CALLERS;
         }
         responses
@@ -59,10 +67,11 @@
                 "{nodes} nodes: upstream {number} got {got}, allowed {allowed}"
             );
         }
-        let answered = responses.iter().filter(|response| status(response) == "200").count();
-        assert_eq!(answered, cluster.received().len(), "what is refused was not run");
-        for refused in responses.iter().filter(|response| status(response) != "200") {
+        let ran = cluster.received();
+        let has_run = |id: &str| ran.iter().any(|received| received.header("x-id") == Some(id));
+        for (id, refused) in responses.iter().filter(|(_, response)| status(response) != "200") {
             assert_eq!(status(refused), "503", "{refused}");
+            assert!(!has_run(id), "{id} was refused and has run");
             let delay = header(refused, "retry-after").and_then(|text| text.parse::<f64>().ok());
             assert!(delay.is_some_and(|seconds| seconds > 0.0), "{refused}");
         }
@@ -85,3 +94,55 @@
         assert!(got <= allowed, "got {got}, allowed {allowed}");
     }
 }
+
+/// Guards against an upstream that stays limited after it has lifted its limit.
+#[test]
+fn a_lifted_limit_is_gone_with_the_answer_that_names_none() {
+    let cluster = Cluster::new(2, 8);
+    cluster.upstreams.iter().for_each(|upstream| upstream.name_limit(Some("0")));
+    let call = |id: String| status(&cluster.exchange(0, &read(&id))) == "200";
+    cluster.wait(|| !call("limited".to_owned()));
+    cluster.upstreams.iter().for_each(|upstream| upstream.name_limit(None));
+    cluster.wait(|| (0..100).all(|number| call(format!("lifted{number}"))));
+}
+
+/// Guards against refusals of calls that another upstream has room for.
+#[test]
+fn calls_above_the_limit_go_to_other_upstreams() {
+    let cluster = Cluster::new(2, 8);
+    cluster.upstreams[0].name_limit(Some("1"));
+    for number in 0..60 {
+        let id = format!("r{number}");
+        assert_eq!(status(&cluster.exchange(number % 2, &read(&id))), "200");
+    }
+}
+
+/// Guards against a limit that cannot be parsed and lifts the previous one.
+#[test]
+fn a_malformed_limit_leaves_the_previous_one_in_force() {
+    for malformed in ["many", "-3", "NaN", "inf", ""] {
+        let cluster = Cluster::new(1, 8);
+        cluster.upstreams[0].name_limit(Some("0"));
+        assert_eq!(status(&cluster.exchange(0, &read("first"))), "200");
+        cluster.upstreams[0].name_limit(Some(malformed));
+        cluster.wait(|| status(&cluster.exchange(0, &read("second"))) == "200");
+        let events = cluster.proxies[0].collect_events();
+        let refused = |kind: &Kind| matches!(kind, Kind::UpstreamLimitRefused { .. });
+        assert!(events.iter().any(refused), "{malformed:?}: {events:?}");
+        assert_eq!(status(&cluster.exchange(0, &read("third"))), "503", "{malformed:?}");
+    }
+}
+
+/// Guards against a burst from a node that has restarted and knows no limit yet.
+#[test]
+fn a_restarted_node_learns_the_limit_from_the_nodes_that_call_it() {
+    let mut cluster = Cluster::new(2, 8);
+    cluster.upstreams[1].name_limit(Some("0"));
+    cluster.upstreams[0].set(Behaviour::Refuse);
+    cluster.wait(|| status(&cluster.exchange(0, &read("first"))) == "200");
+    cluster.restart(1, 8);
+    let before = cluster.upstreams[1].received().len();
+    let (_, time) = call_nodes(&cluster, 1);
+    let got = cluster.upstreams[1].received().len() - before;
+    assert!(got <= allowed(0.25, time) - CALLERS, "got {got}");
+}
