soak: upstreams name limits, lower and lift them

Stand-in upstreams name a limit in their answers, and the soak checks in every window of up to 4 s that an upstream got no more than one and a half times of it and five calls, unless its node lost its state meanwhile.

--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -22,6 +22,9 @@
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
 
+/// Response header with the limit that an upstream names, in requests per second.
+pub const LIMIT_HEADER: &str = "x-limit";
+
 /// Path suffix of a poison request: one that crashes every upstream that runs it.
 pub const POISON_SUFFIX: &str = "/fatal";
 
@@ -118,10 +121,15 @@
     pub crashes: Vec<Instant>,
     /// Start time and path of each poison request, oldest first.
     pub poison_requests: Vec<(Instant, String)>,
+    /// Times of the first responses with each limit, in requests per second, oldest first; `None` where it
+    /// was lifted.
+    pub limits: Vec<(Instant, Option<f64>)>,
 }
 
 struct State {
     mode: Mode,
+    /// Limit that responses name, in requests per second.
+    limit: Option<f64>,
     service_time: Duration,
     nested: Option<Nested>,
     busy: usize,
@@ -147,6 +155,7 @@
         let address = socket.local_addr()?;
         let state = State {
             mode: Mode::Normal,
+            limit: None,
             service_time: settings.service_time,
             nested: None,
             busy: 0,
@@ -171,6 +180,11 @@
         self.lock().mode = mode;
     }
 
+    /// Sets the limit that responses name from now on, in requests per second; `None` lifts it.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.lock().limit = limit;
+    }
+
     /// Sets the time to run one request.
     pub fn set_service_time(&self, service_time: Duration) {
         self.lock().service_time = service_time;
@@ -242,7 +256,7 @@
                 Mode::Frozen => std::future::pending().await,
                 Mode::CloseBefore => return Ok(()),
                 Mode::Refuse => {
-                    respond(&mut stream, &request, "503 Busy", 0, 0).await?;
+                    self.respond(&mut stream, &request, "503 Busy", 0, 0).await?;
                     continue;
                 }
                 _ => {}
@@ -253,18 +267,18 @@
                 Mode::Silent => std::future::pending().await,
                 Mode::CloseAfter => return Ok(()),
                 Mode::Truncate => {
-                    respond(&mut stream, &request, status, size, size / 2).await?;
+                    self.respond(&mut stream, &request, status, size, size / 2).await?;
                     return Ok(());
                 }
                 Mode::Duplicate => {
-                    respond(&mut stream, &request, status, size, size).await?;
-                    respond(&mut stream, &request, status, size, size).await?;
+                    self.respond(&mut stream, &request, status, size, size).await?;
+                    self.respond(&mut stream, &request, status, size, size).await?;
                 }
                 Mode::WrongId => {
                     let other = Request { id: Some("0".to_owned()), ..request };
-                    respond(&mut stream, &other, status, size, size).await?;
+                    self.respond(&mut stream, &other, status, size, size).await?;
                 }
-                _ => respond(&mut stream, &request, status, size, size).await?,
+                _ => self.respond(&mut stream, &request, status, size, size).await?,
             }
         }
         Ok(())
@@ -295,11 +309,43 @@
         status
     }
 
+    /// Writes a response with `content-length: declared` and `written` bytes of body.
+    async fn respond(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        status: &str,
+        declared: usize,
+        written: usize,
+    ) -> io::Result<()> {
+        let id = request.id.as_ref().map(|id| format!("baobab-id: {id}\r\n")).unwrap_or_default();
+        let work = request.work.as_deref().unwrap_or("");
+        let limit = self.lock().name_limit();
+        let limit = limit.map(|l| format!("{LIMIT_HEADER}: {l}\r\n")).unwrap_or_default();
+        let head = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {declared}\r\n{id}{limit}{WORK_HEADER}: {work}\r\n\r\n"
+        );
+        let mut answer = head.into_bytes();
+        answer.resize(answer.len() + written, b'x');
+        stream.write_all(&answer).await
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl State {
+    /// Returns the limit for a response and records its first use.
+    fn name_limit(&mut self) -> Option<f64> {
+        let last = self.ledger.limits.last().and_then(|(_, limit)| *limit);
+        if last != self.limit {
+            self.ledger.limits.push((Instant::now(), self.limit));
+        }
+        self.limit
+    }
+}
+
 /// Guard of a request in flight; it occupies a slot until dropped.
 struct Run<'a> {
     upstream: &'a Upstream,
@@ -371,21 +417,3 @@
     };
     Ok(Some((request, end + body)))
 }
-
-/// Writes a response with `content-length: declared` and `written` bytes of body.
-async fn respond(
-    stream: &mut TcpStream,
-    request: &Request,
-    status: &str,
-    declared: usize,
-    written: usize,
-) -> io::Result<()> {
-    let id = request.id.as_ref().map(|id| format!("baobab-id: {id}\r\n")).unwrap_or_default();
-    let work = request.work.as_deref().unwrap_or("");
-    let head = format!(
-        "HTTP/1.1 {status}\r\ncontent-length: {declared}\r\n{id}{WORK_HEADER}: {work}\r\n\r\n"
-    );
-    let mut answer = head.into_bytes();
-    answer.resize(answer.len() + written, b'x');
-    stream.write_all(&answer).await
-}
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -6,6 +6,7 @@
 
 mod cluster;
 mod content;
+mod demands;
 mod evacuation;
 mod fault;
 mod history;
@@ -32,7 +33,10 @@
 };
 
 use crate::{
-    soak::{cluster::Cluster, evacuation::Orders, fault::Injector, observations::Observations},
+    soak::{
+        cluster::Cluster, demands::Demands, evacuation::Orders, fault::Injector,
+        observations::Observations,
+    },
     tools::{self, Failure},
 };
 
@@ -56,6 +60,16 @@
     nodes: usize,
     requests: Requests,
     operators: Operators,
+    upstreams: Upstreams,
+}
+
+/// What upstreams demand during the faults.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Upstreams {
+    /// Nothing.
+    Quiet,
+    /// They name limits on their calls, lower and lift them.
+    Demanding,
 }
 
 /// What operators do during the faults.
@@ -100,24 +114,21 @@
         nodes: 9,
         requests: Requests::Poison(Duration::ZERO),
         operators: Operators::Idle,
+        upstreams: Upstreams::Quiet,
     },
 ];
 
 /// Scenarios of CI; together they inject most kinds of faults.
-const SHORT: [Scenario; 4] = [
-    short_scenario(1, 5, Requests::Valid, Operators::Idle),
-    short_scenario(3, 5, Requests::Valid, Operators::Idle),
-    short_scenario(5, 10, Requests::Poison(POISON_DELAY), Operators::Idle),
-    short_scenario(7, 8, Requests::Valid, Operators::Evacuate),
+const SHORT: [Scenario; 5] = [
+    short_scenario(1, 5),
+    short_scenario(3, 5),
+    Scenario { requests: Requests::Poison(POISON_DELAY), ..short_scenario(5, 10) },
+    Scenario { operators: Operators::Evacuate, ..short_scenario(7, 8) },
+    Scenario { upstreams: Upstreams::Demanding, ..short_scenario(9, 10) },
 ];
 
-const fn short_scenario(
-    seed: u64,
-    seconds: u64,
-    requests: Requests,
-    operators: Operators,
-) -> Scenario {
-    Scenario { seed, duration: Duration::from_secs(seconds), nodes: 6, requests, operators }
+const fn short_scenario(seed: u64, seconds: u64) -> Scenario {
+    Scenario { duration: Duration::from_secs(seconds), nodes: 6, ..regression(seed) }
 }
 
 const fn regression(seed: u64) -> Scenario {
@@ -127,6 +138,7 @@
         nodes: 9,
         requests: Requests::Valid,
         operators: Operators::Idle,
+        upstreams: Upstreams::Quiet,
     }
 }
 
@@ -141,9 +153,9 @@
     let programs = tools::build()?;
     let duration = Duration::from_secs(seconds);
     let requests = Requests::Poison(Duration::ZERO);
-    let operators = Operators::Evacuate;
-    let seeds =
-        (seed..seed + seeds).map(|seed| Scenario { seed, duration, nodes, requests, operators });
+    let (operators, upstreams) = (Operators::Evacuate, Upstreams::Demanding);
+    let scenario = |seed| Scenario { seed, duration, nodes, requests, operators, upstreams };
+    let seeds = (seed..seed + seeds).map(scenario);
     let scenarios: Vec<Scenario> = REGRESSIONS.into_iter().chain(seeds).collect();
     run_all(&scenarios, &programs.join("baobabrelayd"))
 }
@@ -192,6 +204,8 @@
     let mut injector = Injector::default();
     let mut orders =
         (scenario.operators == Operators::Evacuate).then(|| Orders::new(scenario.seed));
+    let mut demands =
+        (scenario.upstreams == Upstreams::Demanding).then(|| Demands::new(scenario.seed));
     let end = Instant::now() + scenario.duration;
     while Instant::now() < end {
         for _ in 0..scenario.nodes.div_ceil(NODES_PER_FAULT) {
@@ -202,12 +216,18 @@
         if let Some(orders) = &mut orders {
             orders.step(&mut cluster);
         }
+        if let Some(demands) = &mut demands {
+            demands.step(&mut cluster);
+        }
         invariants::check_nodes(&mut cluster, &observations, &mut random)?;
     }
     injector.repair_all(&mut cluster)?;
     if let Some(orders) = &mut orders {
         orders.end(&mut cluster);
     }
+    if let Some(demands) = &mut demands {
+        demands.end(&mut cluster);
+    }
     let recovered = cluster
         .wait(RECOVERY_LIMIT, |cluster| (0..scenario.nodes).all(|n| cluster.is_recovered(n)));
     running.store(false, Ordering::SeqCst);
@@ -224,8 +244,12 @@
         }
     }
     let evacuations = orders.map_or(0, |orders| orders.count);
+    let limits = demands.map_or(0, |demands| demands.count);
     let counts = (observations.summary(), injector.summary());
-    println!("seed {}: {}, {}, evacuation {evacuations}", scenario.seed, counts.0, counts.1);
+    println!(
+        "seed {}: {}, {}, evacuation {evacuations}, limit {limits}",
+        scenario.seed, counts.0, counts.1
+    );
     if !violations.is_empty() {
         println!("seed {}: logs kept in {}", scenario.seed, cluster.keep_logs().display());
     }
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -4,7 +4,7 @@
 use rustix::process::Signal;
 use standins::{
     mesh,
-    upstream::{self, Upstream},
+    upstream::{self, LIMIT_HEADER, Upstream},
 };
 use std::{
     collections::HashMap,
@@ -120,6 +120,7 @@
             "discovery": "list",
             "link_mbps": mbps,
             "traffic_threads": 1,
+            "headers": { "limit": LIMIT_HEADER },
             "repeats": { "percent": 20, "slack": 60 },
             "stop": { "linger_ms": 300, "finish_ms": 1_500, "limit_ms": 4_000 },
         });
@@ -208,7 +209,7 @@
     }
 
     /// Returns all processes of its upstream, the current one last.
-    fn processes(&self) -> impl Iterator<Item = &Upstream> {
+    pub(crate) fn processes(&self) -> impl Iterator<Item = &Upstream> {
         self.previous.iter().chain([&self.upstream])
     }
 
--- a/xtask/src/soak/invariants.rs
+++ b/xtask/src/soak/invariants.rs
@@ -9,6 +9,7 @@
 
 use crate::soak::{
     cluster::Cluster,
+    demands,
     history::Condition,
     interruption, leaving,
     observations::{Kind, Observations, Outcome, Record},
@@ -92,6 +93,7 @@
     }
     violations.extend(interruption::late_stops(cluster));
     violations.extend(leaving::violations(cluster));
+    violations.extend(demands::violations(cluster));
     violations.extend(poison::violations(cluster));
     violations
 }
