--- a/crates/traffic/src/proxy/explain.rs
+++ b/crates/traffic/src/proxy/explain.rs
@@ -36,7 +36,7 @@
                     (false, "upstreams are available in this data centre".to_owned())
                 }
                 State::Suspect => (true, "suspected, not yet unreachable".to_owned()),
-                State::Live => (true, "live".to_owned()),
+                State::Live => (true, live_reason(record.limit(now))),
             };
             all.push(Candidate {
                 instance: upstream.instance.clone(),
@@ -55,3 +55,8 @@
         config.service(service).is_none_or(|s| config.profile(s).spill)
     }
 }
+
+/// Returns the reason for a live upstream, with the limit that it named in calls per second.
+fn live_reason(limit: Option<f64>) -> String {
+    limit.map_or("live".to_owned(), |limit| format!("live; accepts {limit} calls per second"))
+}
