fleet: a whole copy that is older than what is held shows in the timeline

In list mode nothing told that the store's revisions had gone back: the incident's logs show reads of an old revision and silence after them. The event of gossip mode, source-stale, is now recorded there too. No decision uses it.

--- a/crates/fleet/src/listed/updates.rs
+++ b/crates/fleet/src/listed/updates.rs
@@ -50,6 +50,10 @@
         for fault in changeset.faults {
             self.record(Kind::SourceFault { fault }, now);
         }
+        let revision = changeset.revision;
+        if changeset.list.base.is_none() && revision < self.directory.revision() {
+            self.record(Kind::SourceStale { revision }, now);
+        }
         let grace = self.watch.removal_grace(REMOVAL_GRACE, now.time);
         let before = self.holdings();
         let mut is_new = self.merge_list(changeset.list, None, grace, now);
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -66,7 +66,7 @@
         /// The other version.
         offered: Version,
     },
-    /// The platform serves a revision below the one in force.
+    /// The platform serves a revision below the one that this node holds.
     SourceStale {
         /// Its revision.
         revision: u64,
