--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -15,7 +15,7 @@
     source::{Answer, Failure, Query, Topic},
     view::View,
 };
-use model::time::Time;
+use model::{config::Snapshot, time::Time};
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::{IpAddr, SocketAddr},
@@ -53,6 +53,8 @@
     control: Option<Control>,
     incarnation: u64,
     pub(crate) in_force: u64,
+    /// Number of the configuration in force.
+    pub(crate) number: u64,
     /// Expected revision, as the node last announced it.
     pub(crate) expected: u64,
     pub(crate) view: Arc<View>,
@@ -133,6 +135,7 @@
             control: None,
             incarnation: 0,
             in_force: 0,
+            number: 0,
             expected: 0,
             view: Arc::default(),
             quarantine: Arc::default(),
@@ -182,12 +185,22 @@
         };
         self.nodes[node].control = Some(Control::new(settings, self.timestamp()));
         self.nodes[node].in_force = 0;
+        self.nodes[node].number = 0;
         self.nodes[node].expected = 0;
         self.nodes[node].open = false;
         self.nodes[node].view = Arc::default();
         self.nodes[node].quarantine = Arc::default();
     }
 
+    /// Takes the store away for `away_ms` and brings it back from its copy of `revision`.
+    pub(crate) fn restore(&mut self, revision: u64, away_ms: u64) {
+        let treatment = self.treatment.clone();
+        self.treat_all(Treatment::Silent);
+        self.run(away_ms);
+        self.store.restore(revision);
+        self.treatment = treatment;
+    }
+
     /// Crashes a process without any announcement.
     pub(crate) fn kill(&mut self, node: usize) {
         self.nodes[node].control = None;
@@ -458,6 +471,11 @@
                     self.regressions.push((node, before, revision));
                 }
                 self.nodes[node].in_force = revision;
+                let number = number(&snapshot);
+                let before = std::mem::replace(&mut self.nodes[node].number, number);
+                if number < before {
+                    self.regressions.push((node, before, number));
+                }
             }
             Effect::View(view) => self.nodes[node].view = view,
             Effect::Open => self.nodes[node].open = true,
@@ -537,7 +555,7 @@
             return self.fail(node, incarnation, CALL_TIMEOUT_MS, failure);
         }
         let Query::Changes { after, .. } = query else { return };
-        let compacted = after.is_some_and(|after| self.store.is_compacted(after));
+        let compacted = after.is_some_and(|after| self.store.lacks_history(after));
         if compacted {
             return self.fail(node, incarnation, 1, Failure::Compacted);
         }
@@ -574,6 +592,12 @@
     }
 }
 
+/// Returns the number of a configuration of [`Store`].
+fn number(snapshot: &Snapshot) -> u64 {
+    let service = snapshot.service("shelfview").expect("every configuration has the service");
+    snapshot.profile(service).deadline_ms - store::FIRST_DEADLINE_MS
+}
+
 fn method(request: &Request) -> Method {
     match request {
         Request::Fetch(_) => Method::Fetch,
--- a/crates/fleet/tests/net/store.rs
+++ b/crates/fleet/tests/net/store.rs
@@ -9,6 +9,10 @@
 use std::collections::BTreeMap;
 
 const CONFIG: &str = "config";
+
+/// Deadline of the profile in configuration 0; each further one adds 1 ms.
+pub(crate) const FIRST_DEADLINE_MS: u64 = 1_000;
+
 const SERVERS: &str = "servers/";
 const EVACUATIONS: &str = "evacuations/";
 
@@ -25,16 +29,21 @@
     Entry(Entry),
     Deleted,
     Malformed,
-    Config(Content),
+    /// A configuration and its number.
+    Config(Content, u64),
     /// An order to evacuate the data centre that the key names.
     Evacuation,
 }
 
 pub(crate) struct Store {
     revision: u64,
+    /// Number of the operators' newest configuration; a restore does not change it.
+    version: u64,
     values: BTreeMap<String, (u64, Value)>,
-    /// Writes since the last compaction, in order.
-    history: Vec<(u64, String)>,
+    /// All writes, in order.
+    log: Vec<(u64, String, Value)>,
+    /// Revision up to which the history is compacted.
+    compacted: u64,
     /// Number of routes in the configuration.
     pub(crate) routes: usize,
     /// Number of routes that each version changes.
@@ -45,8 +54,10 @@
     fn default() -> Self {
         Store {
             revision: 1,
+            version: 0,
             values: BTreeMap::new(),
-            history: Vec::new(),
+            log: Vec::new(),
+            compacted: 1,
             routes: 0,
             changed_routes: 0,
         }
@@ -59,9 +70,30 @@
         self.revision + 1
     }
 
+    /// Returns the revision of the last write.
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the number of the operators' newest configuration.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns to the state at `revision`, as from a copy; later revisions are given out again.
+    pub(crate) fn restore(&mut self, revision: u64) {
+        self.log.retain(|(at, ..)| *at <= revision);
+        self.revision = revision;
+        self.values.clear();
+        for (at, key, value) in &self.log {
+            self.values.insert(key.clone(), (*at, value.clone()));
+        }
+    }
+
     /// Publishes a new configuration; returns its revision.
     pub(crate) fn publish(&mut self, content: Content) -> u64 {
-        self.put(CONFIG.to_owned(), Value::Config(content))
+        self.version += 1;
+        self.put(CONFIG.to_owned(), Value::Config(content, self.version))
     }
 
     /// Writes the value of the upstream `id`; returns the revision.
@@ -76,20 +108,19 @@
 
     fn put(&mut self, key: String, value: Value) -> u64 {
         self.revision += 1;
-        self.values.insert(key.clone(), (self.revision, value));
-        self.history.push((self.revision, key));
+        self.values.insert(key.clone(), (self.revision, value.clone()));
+        self.log.push((self.revision, key, value));
         self.revision
     }
 
     /// Removes all history, as a compaction does.
     pub(crate) fn compact(&mut self) {
-        self.history.clear();
+        self.compacted = self.revision;
     }
 
-    /// Returns whether writes after revision `after` were compacted.
-    pub(crate) fn is_compacted(&self, after: u64) -> bool {
-        let oldest = self.history.first().map_or(self.revision, |(first, _)| first - 1);
-        after < oldest
+    /// Returns whether there is no history from revision `after`: it was compacted, or was lost.
+    pub(crate) fn lacks_history(&self, after: u64) -> bool {
+        after < self.compacted || after > self.revision
     }
 
     /// Returns the changes after revision `after`, or a full copy.
@@ -116,7 +147,9 @@
                 Value::Malformed => {
                     changeset.list.removed.push(Removal { reason: Reason::Unusable, ..removal });
                 }
-                Value::Config(content) => changeset.config = Some(self.config(*revision, *content)),
+                Value::Config(content, number) => {
+                    changeset.config = Some(self.config(*revision, *number, *content));
+                }
                 Value::Evacuation => {}
             }
         }
@@ -124,8 +157,8 @@
         changeset
     }
 
-    fn config(&self, revision: u64, content: Content) -> Delta {
-        let mut delta = documents(revision, revision, self.routes, self.changed_routes);
+    fn config(&self, revision: u64, number: u64, content: Content) -> Delta {
+        let mut delta = documents(revision, number, self.routes, self.changed_routes);
         if content == Content::Invalid {
             delta.documents[0].text = "{\"deadline_ms\": -1}".into();
         }
@@ -142,7 +175,7 @@
         text: text.into(),
     };
     let mut documents = vec![
-        document("profiles/p", format!("{{\"deadline_ms\": {}}}", 1_000 + number)),
+        document("profiles/p", format!("{{\"deadline_ms\": {}}}", FIRST_DEADLINE_MS + number)),
         document("services/shelfview", "{\"profile\": \"p\"}".to_owned()),
     ];
     documents.extend((0..routes).map(|route| {
