fleet, platform: revisions are ordered by the store's era, then by number

What callers saw: after the store had come back from a copy some seconds old, an upstream that had said that it leaves got calls for more than 2 s, and a version that had been acknowledged was not in force.

Cause: a node keeps the highest revision that it has seen, continues its watch from it, and drops what is lower. After the return the store counts on from an earlier number: each watch was answered 410, each whole copy taken for older than what was held, and once the numbers had caught up, the writes that had got used numbers were skipped for good. Class: a number compared outside the history that it counts.

Change: - The adapter reads the era of every answer. List, digests, pulls, fences of the list, removals and evacuation orders carry revisions packed from era and number (`model::revision`), so every comparison orders by both. A watch that is answered in another era, and pages of two eras, lead to a full read. - The revision of a configuration is the operators' version, not the store's number: the copy's older configuration is not newer in any era, so what is in force never goes back. What ordered reads of both by one number (`held_revision`) now knows up to which revision the configuration is the newest, also from other nodes' digests. - A new era says nothing by omission until writers had 2.2 s to write again: entries and orders that the copy lacks stay that long. What had left, was removed or withdrawn before does not come back with the copy; an entry that the store still lists 10 s later is that of a live upstream. An update of an earlier era changes nothing. Ruled out: taking any lower whole copy as the truth (versions would go back, and an upstream that had left would get calls), and continuing from the lower number (a copy of unknown age tells nothing about what it lacks).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,15 +3,22 @@
 //! Entries and removals carry the platform's revision of their write. Copies merge in any order: the
 //! higher revision of an identity wins, and the later start time of a restarted upstream. A copy is
 //! *complete* up to a revision if it holds all earlier writes: a holder of revision N lacks exactly
-//! [`Directory::since`] N.
+//! [`Directory::since`] N. Revisions are packed ones of [`model::revision`]: the store may come back from an older
+//! copy and begin a new era.
 //!
 //! Invariant *single entry point*: only [`Directory::apply`] and [`Directory::expire`] change the list.
 
-use model::time::Time;
+mod restore;
+
+use model::{revision, time::Time};
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
-use crate::evacuation::{Order, Orders};
+use crate::{
+    directory::restore::Restore,
+    era::Era,
+    evacuation::{Order, Orders},
+};
 
 /// How long a removal is kept for nodes that were unreachable.
 ///
@@ -120,6 +127,9 @@
     /// version without evacuation.
     #[serde(default, rename = "e", skip_serializing_if = "Option::is_none")]
     pub orders: Option<Vec<Order>>,
+    /// First revision that the sender of a whole list knows of the store's era; none in the first era.
+    #[serde(default, rename = "o", skip_serializing_if = "Option::is_none")]
+    pub origin: Option<u64>,
 }
 
 impl Update {
@@ -132,6 +142,27 @@
     pub fn changes(&self) -> usize {
         self.entries.len() + self.removed.len() + self.orders.as_ref().map_or(0, Vec::len)
     }
+
+    /// Returns the update with its revisions, which are numbers of `era`, packed; `None` if one of them is too
+    /// large.
+    ///
+    /// ```
+    /// use fleet::directory::Update;
+    /// use model::revision::pack;
+    /// let update = Update { revision: 83, base: Some(80), ..Update::default() };
+    /// let packed = update.in_era(1).unwrap();
+    /// assert_eq!((Some(packed.revision), packed.base), (pack(1, 83), pack(1, 80)));
+    /// ```
+    pub fn in_era(mut self, era: u64) -> Option<Update> {
+        let pack = |number: &mut u64| revision::pack(era, *number).map(|packed| *number = packed);
+        pack(&mut self.revision)?;
+        self.base.iter_mut().try_for_each(pack)?;
+        self.entries.iter_mut().try_for_each(|entry| pack(&mut entry.revision))?;
+        self.removed.iter_mut().try_for_each(|removal| pack(&mut removal.revision))?;
+        let mut orders = self.orders.iter_mut().flatten();
+        orders.try_for_each(|order| pack(&mut order.revision))?;
+        Some(self)
+    }
 }
 
 /// How an update changed an upstream.
@@ -196,6 +227,8 @@
     revision: u64,
     /// Lowest revision since which all removals are still held.
     floor: u64,
+    era: Era,
+    restore: Restore,
 }
 
 impl Directory {
@@ -243,8 +276,20 @@
         if update.base.is_some_and(|base| base > self.revision) {
             return Err(Gap);
         }
+        if revision::era(update.revision) < revision::era(self.revision) {
+            // It may tell of writes that the store has lost.
+            return Ok(Vec::new());
+        }
         let mut changes = Vec::new();
-        let mut removed = update.removed;
+        let is_current =
+            |removal: &Removal| revision::era(removal.revision) == revision::era(update.revision);
+        let (mut removed, before): (Vec<Removal>, Vec<Removal>) =
+            update.removed.into_iter().partition(is_current);
+        // What was removed in an earlier era must be known before the entries of the copy.
+        for removal in before {
+            changes.extend(self.remove(&removal, grace, now));
+        }
+        self.enter_era(update.revision, update.origin, now);
         if update.base.is_none() {
             removed.extend(self.missing(&update.entries, update.revision));
             if update.revision > self.revision {
@@ -259,15 +304,18 @@
         }
         // Orders do not lapse in an outage, so their withdrawal needs no grace period.
         match update.orders {
-            Some(orders) if update.base.is_none() => self.orders.replace(orders, update.revision),
-            orders => self.orders.merge(orders.unwrap_or_default()),
+            Some(orders) if update.base.is_none() => {
+                self.orders.replace(orders, update.revision, self.era);
+            }
+            orders => self.orders.merge(orders.unwrap_or_default(), self.era),
         }
         self.revision = self.revision.max(update.revision);
         self.prune_tombstones(now);
         Ok(changes)
     }
 
-    /// Completes the removals whose grace period is over.
+    /// Completes the removals whose grace period is over, and what is pending since the store came back from
+    /// a copy.
     pub fn expire(&mut self, now: Time) -> Vec<(Entry, Change)> {
         let removal = |(id, pending): (&String, &Pending)| Removal {
             id: id.clone(),
@@ -276,7 +324,15 @@
         };
         let due = self.pending.iter().filter(|(_, pending)| pending.until <= now);
         let due: Vec<Removal> = due.map(removal).collect();
-        due.iter().filter_map(|removal| self.delete(removal, now)).collect()
+        let mut changes = Vec::new();
+        for removal in &due {
+            let entry = self.entries.get(&removal.id);
+            let copy = entry.filter(|entry| entry.revision > removal.revision).cloned();
+            changes.extend(self.delete(removal, now));
+            copy.into_iter().for_each(|entry| self.restore.keep(entry));
+        }
+        changes.extend(self.settle(now));
+        changes
     }
 
     /// Returns the changes after revision `held`, or the whole list if that is none or too old.
@@ -296,19 +352,24 @@
             reason: tombstone.reason,
             started_ms: tombstone.started_ms,
         });
+        let entries = self.entries.values().chain(self.restore.removed_before());
         Update {
             revision: self.revision,
             base,
-            entries: self.entries.values().filter(|e| newer(e.revision)).cloned().collect(),
+            entries: entries.filter(|e| newer(e.revision)).cloned().collect(),
             removed: pending.chain(removed).filter(|r| newer(r.revision)).collect(),
             orders: Some(self.orders.since(base)),
+            origin: Some(self.era.origin()).filter(|&origin| base.is_none() && origin > 0),
         }
     }
 
     /// Returns the removals that a whole list implies by omission.
+    ///
+    /// That it lacks entries of an earlier era says nothing until their upstreams had time to register again.
     fn missing(&self, present: &[Entry], revision: u64) -> Vec<Removal> {
         self.entries
             .values()
+            .filter(|e| revision::era(e.revision) == revision::era(revision))
             .filter(|e| e.revision <= revision && !present.iter().any(|p| p.id == e.id))
             .filter(|e| !self.pending.contains_key(&e.id))
             .map(|e| Removal { id: e.id.clone(), revision, ..Removal::default() })
@@ -324,6 +385,10 @@
             return None;
         }
         let started = self.started(&entry.id);
+        let is_copy = latest.is_some_and(|latest| self.era.is_copy(entry.revision, latest));
+        if is_copy && entry.started_ms <= started {
+            return self.put_copy(entry);
+        }
         match entry.started_ms {
             // A writer that provides start times always does so. This is another writer's value, so
             // the upstream's incarnation cannot be identified.
@@ -341,6 +406,7 @@
         };
         self.pending.remove(&entry.id);
         self.tombstones.remove(&entry.id);
+        self.restore.forget(&entry.id, entry.revision);
         self.entries.insert(entry.id.clone(), entry.clone());
         Some((entry, change))
     }
@@ -352,6 +418,7 @@
         };
         match self.entries.get(&removal.id) {
             Some(entry) if entry.revision >= removal.revision => None,
+            Some(entry) if self.era.is_copy(removal.revision, entry.revision) => None,
             Some(entry) if !grace.is_zero() => {
                 let until = now + grace;
                 let pending = self.pending.entry(removal.id.clone());
@@ -367,6 +434,7 @@
         let Removal { id, revision, reason, .. } = removal;
         let started_ms = self.started(id).max(removal.started_ms);
         self.pending.remove(id);
+        self.restore.forget(id, *revision);
         let fresh = Tombstone { revision: *revision, since: now, reason: *reason, started_ms };
         let tombstone = self.tombstones.entry(id.clone()).or_insert(fresh);
         tombstone.revision = tombstone.revision.max(*revision);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod control;
 pub mod directory;
 pub mod dissemination;
+pub mod era;
 pub mod evacuation;
 pub mod fence;
 pub mod listed;
--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -43,11 +43,6 @@
     view::View,
 };
 
-/// Grace period of removals after a platform outage.
-///
-/// Live upstreams register again within two seconds once their entries expired during the outage.
-const REMOVAL_GRACE: Duration = Duration::from_millis(2_200);
-
 /// Nodes of each other data centre that get changes from the platform at once.
 const FAR_FANOUT: usize = 2;
 
@@ -123,6 +118,10 @@
     readmitted_at: BTreeMap<String, Time>,
     /// Revision of the latest platform answer that this node read itself.
     read_revision: Option<u64>,
+    /// Revision of the platform up to which the configuration in force is known to be the newest one.
+    ///
+    /// Configurations have revisions of their own, which do not go back when the platform's do.
+    config_as_of: u64,
     started: Time,
     leaving: bool,
     ready: bool,
@@ -154,6 +153,7 @@
             cold_until: BTreeMap::new(),
             readmitted_at: BTreeMap::new(),
             read_revision: None,
+            config_as_of: 0,
             started: now.time,
             leaving: false,
             ready: false,
@@ -219,7 +219,9 @@
         if now.time >= self.maintenance_due {
             self.maintenance_due = now.time + MAINTENANCE_INTERVAL;
             let changes = self.directory.expire(now.time);
+            let orders = self.directory.take_changed_orders();
             self.record_changes(changes, None, now);
+            self.record_orders(orders, None, now);
             self.peers.prune(now.time);
             self.fence.reset_observed(self.peers.highest_config(now.time));
             // No event reports a missed digest, so liveness is polled.
@@ -272,7 +274,7 @@
     /// A watch that starts here does not return again what peers already sent. It is the lower of the two
     /// because peers send configuration and list separately.
     fn held_revision(&self) -> u64 {
-        self.directory.revision().min(self.fence.version().revision)
+        self.directory.revision().min(self.config_as_of)
     }
 
     fn resume(&mut self, pause: Duration, now: Now) {
@@ -287,12 +289,18 @@
         }
         self.fence.observe(digest.config);
         let (from, piggyback) = (digest.from.address, std::mem::take(&mut digest.piggyback));
+        let newest = digest.config_is_newest.then_some((digest.config, digest.list));
         let reports = std::mem::take(&mut digest.reports);
         let is_joiner = digest.from.incarnation > self.peers.incarnation(from);
         if self.peers.receive(digest, now.time) {
             self.view_stale = true;
         }
         self.apply_piggyback(piggyback, from, now);
+        if let Some((config, list)) = newest
+            && self.fence.held() == Some(config)
+        {
+            self.config_as_of = self.config_as_of.max(list);
+        }
         self.quarantine.merge(&reports, now.time);
         if is_joiner {
             self.send_reports_to_joiner(from, now);
@@ -417,6 +425,7 @@
             data_centre: self.settings.data_centre.clone(),
             config: self.fence.version().revision,
             list: self.directory.revision(),
+            config_is_newest: self.config_as_of >= self.directory.revision(),
             contact_ms: self.watch.contact_age(now.time).map(|age| age.as_millis() as u64),
             link_mbps: self.settings.link_mbps,
             failing: self.watch.is_failing(),
--- a/crates/fleet/src/listed/updates.rs
+++ b/crates/fleet/src/listed/updates.rs
@@ -1,16 +1,15 @@
 //! Applies changes of configuration and list from the platform and from peers, and forwards them.
 
+use model::revision;
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     clock::Now,
     control::Effect,
     directory::Update,
+    era,
     fence::Verdict,
-    listed::{
-        Control, FAR_FANOUT, FORWARD_FANOUT, MAX_PIGGYBACK_BYTES, MAX_PIGGYBACK_CHANGES,
-        REMOVAL_GRACE,
-    },
+    listed::{Control, FAR_FANOUT, FORWARD_FANOUT, MAX_PIGGYBACK_BYTES, MAX_PIGGYBACK_CHANGES},
     message::{Patch, Piggyback},
     source::{Answer, Changeset, Failure, Query},
     timeline::Kind,
@@ -54,7 +53,10 @@
         if changeset.list.base.is_none() && revision < self.directory.revision() {
             self.record(Kind::SourceStale { revision }, now);
         }
-        let grace = self.watch.removal_grace(REMOVAL_GRACE, now.time);
+        if revision::era(revision) > revision::era(self.directory.revision()) {
+            self.watch.record_restore(now.time);
+        }
+        let grace = self.watch.removal_grace(era::GRACE, now.time);
         let before = self.holdings();
         let mut is_new = self.merge_list(changeset.list, None, grace, now);
         if let Some(delta) = changeset.config {
@@ -62,7 +64,8 @@
             let set = self.fence.with(delta);
             is_new |= self.offer_config(set, None, now);
         }
-        self.read_revision = self.read_revision.max(Some(changeset.revision));
+        self.read_revision = self.read_revision.max(Some(revision));
+        self.config_as_of = self.config_as_of.max(revision);
         if is_new {
             let targets = self.peers.fanout(FAR_FANOUT, &mut self.random);
             self.gossip_since(before, targets, now);
@@ -132,6 +135,7 @@
         let before = self.holdings();
         match self.directory.apply(update, grace, now.time) {
             Ok(changes) => {
+                self.record_era(before.list, now);
                 let orders = self.directory.take_changed_orders();
                 let is_new = !changes.is_empty() || !orders.is_empty();
                 self.record_changes(changes, from, now);
@@ -149,6 +153,14 @@
         }
     }
 
+    /// Records a return of the platform's store to an older copy since revision `before` was held.
+    fn record_era(&mut self, before: u64, now: Now) {
+        let era = revision::era(self.directory.revision());
+        if before > 0 && era > revision::era(before) {
+            self.record(Kind::SourceRestored { era }, now);
+        }
+    }
+
     /// Offers a configuration to the fence; returns whether it is now in force.
     pub(super) fn offer_config(
         &mut self,
--- a/crates/fleet/src/listed/watch.rs
+++ b/crates/fleet/src/listed/watch.rs
@@ -72,7 +72,7 @@
     failures: u32,
     /// First of the current consecutive failures.
     failing_since: Option<Time>,
-    /// First known contact after the latest outage.
+    /// First known contact after the latest outage, or since the platform came back from an older copy.
     recovered_at: Option<Time>,
     /// Latest known answer of the platform to any node.
     contact: Option<Time>,
@@ -169,6 +169,11 @@
         self.contact = Some(at);
     }
 
+    /// Records that the platform came back from an older copy: registrations may lapse as in an outage.
+    pub(super) fn record_restore(&mut self, now: Time) {
+        self.recovered_at = Some(now);
+    }
+
     /// Returns the age of the latest known contact; none if there was no contact.
     pub(super) fn contact_age(&self, now: Time) -> Option<Duration> {
         self.contact.map(|contact| now.since(contact))
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -111,6 +111,9 @@
     /// Revision up to which the sender's list of upstreams is complete; 0 for none.
     #[serde(rename = "l")]
     pub list: u64,
+    /// Whether `config` is known to be the newest configuration as of revision `list`.
+    #[serde(default, rename = "k", skip_serializing_if = "Not::not")]
+    pub config_is_newest: bool,
     /// Time since the platform last replied to any node that the sender knows of, in ms.
     #[serde(default, rename = "p", skip_serializing_if = "Option::is_none")]
     pub contact_ms: Option<u64>,
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -83,6 +83,11 @@
     },
     /// Calls of this node to the platform succeed again.
     SourceBack,
+    /// The platform's store came back from an older copy; what it lost has to be written again.
+    SourceRestored {
+        /// The store's era.
+        era: u64,
+    },
     /// A node joined, or restarted with a new incarnation.
     Joined {
         /// Its address.
--- a/crates/fleet/tests/evacuation.rs
+++ b/crates/fleet/tests/evacuation.rs
@@ -4,6 +4,7 @@
 
 use fleet::{
     directory::{Directory, Update},
+    era::Era,
     evacuation::{MAX_ORDERS, Order, Orders},
 };
 use model::time::Time;
@@ -188,16 +189,16 @@
 #[test]
 fn the_number_of_orders_is_bounded() {
     let mut orders = Orders::default();
-    orders.merge([order("b", 1, false)]);
+    orders.merge([order("b", 1, false)], Era::default());
     for number in 0..2 * MAX_ORDERS as u64 {
-        orders.merge([order(&format!("junk-{number}"), number + 2, false)]);
+        orders.merge([order(&format!("junk-{number}"), number + 2, false)], Era::default());
     }
     assert_eq!(orders.in_force().count(), MAX_ORDERS);
     assert!(orders.is_evacuated("b"));
     // A withdrawal is evicted for a later order, and an earlier order does not undo it.
-    orders.merge([order("junk-0", 10_000, true), order("c", 10_001, false)]);
+    orders.merge([order("junk-0", 10_000, true), order("c", 10_001, false)], Era::default());
     assert!(orders.is_evacuated("c"));
-    orders.merge([order("junk-0", 9_999, false)]);
+    orders.merge([order("junk-0", 9_999, false)], Era::default());
     assert!(!orders.is_evacuated("junk-0"));
 }
 
@@ -207,12 +208,12 @@
     let received =
         [order("a", 3, false), order("a", 5, true), order("b", 4, false), order("a", 7, false)];
     let mut expect = Orders::default();
-    expect.merge(received.clone());
+    expect.merge(received.clone(), Era::default());
     for first in 0..received.len() {
         for second in 0..received.len() {
             let mut orders = Orders::default();
-            orders.merge([received[first].clone(), received[second].clone()]);
-            orders.merge(received.iter().rev().cloned());
+            orders.merge([received[first].clone(), received[second].clone()], Era::default());
+            orders.merge(received.iter().rev().cloned(), Era::default());
             assert_eq!(orders.since(None), expect.since(None));
         }
     }
--- a/crates/fleet/tests/large_fleet.rs
+++ b/crates/fleet/tests/large_fleet.rs
@@ -258,6 +258,7 @@
             data_centre: "e".to_owned(),
             config: 0,
             list: 0,
+            config_is_newest: false,
             contact_ms: Some(u64::MAX),
             link_mbps: u32::MAX,
             failing: false,
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -581,6 +581,7 @@
         data_centre: digest.data_centre.clone(),
         config,
         list,
+        config_is_newest: false,
         contact_ms,
         link_mbps,
         failing,
--- a/crates/fleet/tests/net/store.rs
+++ b/crates/fleet/tests/net/store.rs
@@ -5,7 +5,10 @@
     evacuation::Order,
     source::Changeset,
 };
-use model::document::{Delta, Document};
+use model::{
+    document::{Delta, Document},
+    revision,
+};
 use std::collections::BTreeMap;
 
 const CONFIG: &str = "config";
@@ -36,6 +39,8 @@
 }
 
 pub(crate) struct Store {
+    /// Rises with each return to an older copy.
+    era: u64,
     revision: u64,
     /// Number of the operators' newest configuration; a restore does not change it.
     version: u64,
@@ -53,6 +58,7 @@
 impl Default for Store {
     fn default() -> Self {
         Store {
+            era: 0,
             revision: 1,
             version: 0,
             values: BTreeMap::new(),
@@ -82,6 +88,7 @@
 
     /// Returns to the state at `revision`, as from a copy; later revisions are given out again.
     pub(crate) fn restore(&mut self, revision: u64) {
+        self.era += 1;
         self.log.retain(|(at, ..)| *at <= revision);
         self.revision = revision;
         self.values.clear();
@@ -90,10 +97,11 @@
         }
     }
 
-    /// Publishes a new configuration; returns its revision.
+    /// Publishes a new configuration; returns its number, which is its revision.
     pub(crate) fn publish(&mut self, content: Content) -> u64 {
         self.version += 1;
-        self.put(CONFIG.to_owned(), Value::Config(content, self.version))
+        self.put(CONFIG.to_owned(), Value::Config(content, self.version));
+        self.version
     }
 
     /// Writes the value of the upstream `id`; returns the revision.
@@ -118,13 +126,20 @@
         self.compacted = self.revision;
     }
 
-    /// Returns whether there is no history from revision `after`: it was compacted, or was lost.
+    /// Returns whether there is no history from revision `after`: it was compacted, or is of another era.
     pub(crate) fn lacks_history(&self, after: u64) -> bool {
-        after < self.compacted || after > self.revision
+        let (era, number) = (revision::era(after), revision::number(after));
+        era != self.era || number < self.compacted || number > self.revision
     }
 
     /// Returns the changes after revision `after`, or a full copy.
     pub(crate) fn changeset(&self, after: Option<u64>) -> Changeset {
+        let changeset = self.numbered_changeset(after.map(revision::number));
+        let list = changeset.list.in_era(self.era).expect("the revisions are small");
+        Changeset { revision: list.revision, list, ..changeset }
+    }
+
+    fn numbered_changeset(&self, after: Option<u64>) -> Changeset {
         let list = Update { revision: self.revision, base: after, ..Update::default() };
         let mut changeset = Changeset { revision: self.revision, list, ..Changeset::default() };
         let is_new = |revision: u64| after.is_none_or(|after| revision > after);
@@ -148,7 +163,7 @@
                     changeset.list.removed.push(Removal { reason: Reason::Unusable, ..removal });
                 }
                 Value::Config(content, number) => {
-                    changeset.config = Some(self.config(*revision, *number, *content));
+                    changeset.config = Some(self.config(*number, *content));
                 }
                 Value::Evacuation => {}
             }
@@ -157,8 +172,8 @@
         changeset
     }
 
-    fn config(&self, revision: u64, number: u64, content: Content) -> Delta {
-        let mut delta = documents(revision, number, self.routes, self.changed_routes);
+    fn config(&self, number: u64, content: Content) -> Delta {
+        let mut delta = documents(number, self.routes, self.changed_routes);
         if content == Content::Invalid {
             delta.documents[0].text = "{\"deadline_ms\": -1}".into();
         }
@@ -168,10 +183,10 @@
 
 /// Returns the documents of a configuration with `routes` routes; `number` makes the profile and the first
 /// `changed_routes` routes unique to this version.
-fn documents(revision: u64, number: u64, routes: usize, changed_routes: usize) -> Delta {
+fn documents(number: u64, routes: usize, changed_routes: usize) -> Delta {
     let document = |key: &str, text: String| Document {
         key: key.to_owned(),
-        modified: revision,
+        modified: number,
         text: text.into(),
     };
     let mut documents = vec![
@@ -187,5 +202,5 @@
         );
         document(&format!("routes/r-{route}"), text)
     }));
-    Delta { revision, full: true, documents, ..Delta::default() }
+    Delta { revision: number, full: true, documents, ..Delta::default() }
 }
--- a/crates/fleet/tests/restore.rs
+++ b/crates/fleet/tests/restore.rs
@@ -87,3 +87,172 @@
         }
     });
 }
+
+/// Guards against an upstream that left, or was removed, before the return and gets calls because the copy
+/// lists it as ready.
+#[test]
+fn what_had_left_does_not_come_back_with_the_copy() {
+    for count in [2, 24] {
+        for away_ms in AWAY_MS {
+            let mut net = converged(count);
+            let copy = net.store.revision();
+            net.register(0, "i-0", Standing::Leaving);
+            net.unregister("i-1");
+            net.run(600);
+            net.restore(copy, away_ms);
+            for _ in 0..60 {
+                net.run(50);
+                for node in 0..count {
+                    for id in ["i-0", "i-1"] {
+                        assert!(!net.is_target(node, id), "{id} at node {node}, {}", net.now);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Guards against an upstream that is refused for ever because it was removed before the return.
+#[test]
+fn what_the_store_still_lists_long_after_its_return_gets_calls() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        net.unregister("i-1");
+        net.run(600);
+        net.restore(copy, 400);
+        net.until(12_000, |net| (0..count).all(|node| net.is_target(node, "i-1")));
+        net.unregister("i-1");
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| !net.is_target(node, "i-1")));
+    }
+}
+
+/// Guards against calls that stop for live upstreams because the copy lacks their registration, and against
+/// those that go on for ever to dead ones.
+#[test]
+fn an_upstream_that_the_copy_lacks_is_kept_until_it_could_register_again() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        net.unregister("i-0");
+        net.unregister("i-1");
+        net.register(0, "i-live", Standing::Ready);
+        net.register(1, "i-dead", Standing::Ready);
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| net.is_target(node, "i-dead")));
+        net.restore(copy, 400);
+        net.run(1_500);
+        assert!((0..count).all(|node| net.is_target(node, "i-live")));
+        net.register(0, "i-live", Standing::Ready);
+        net.run(3_000);
+        assert!((0..count).all(|node| net.is_target(node, "i-live")));
+        assert!((0..count).all(|node| !net.is_target(node, "i-dead")));
+    }
+}
+
+/// Guards against a restarted node that stays at the copy's version, and against one that spreads it.
+#[test]
+fn a_node_that_restarts_beside_an_older_copy_gets_the_newest_version() {
+    for count in [2, 24] {
+        for restarted in [0, 1] {
+            let mut net = converged(count);
+            lose_versions(&mut net, 2, 400);
+            net.run(50);
+            net.kill(restarted);
+            net.run(200);
+            net.start(restarted);
+            net.until(2_000, |net| net.node(restarted).open && knows_newest(net));
+            assert!(net.regressions.iter().all(|(node, ..)| *node == restarted));
+        }
+    }
+}
+
+/// Guards against changes of an earlier era that a node which was cut off brings back.
+#[test]
+fn a_node_that_was_cut_off_meanwhile_learns_the_new_era_and_spreads_nothing_old() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        net.register(1, "i-lost", Standing::Ready);
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| net.is_target(node, "i-lost")));
+        net.treat(1, net::Treatment::Silent);
+        (0..count).for_each(|node| net.set_cut(1, node, node != 1));
+        net.restore(copy, 400);
+        net.treat(1, net::Treatment::Silent);
+        net.register(1, "i-1", Standing::Ready);
+        net.publish();
+        net.run(4_000);
+        (0..count).for_each(|node| net.set_cut(1, node, false));
+        net.run(6_000);
+        assert!((0..count).all(|node| !net.is_target(node, "i-lost")));
+        assert!(knows_newest(&net));
+    }
+}
+
+/// Guards against standbys that continue from a revision of an earlier era once the readers are gone.
+#[test]
+fn a_standby_that_takes_over_after_a_restore_reads_the_new_era() {
+    let mut net = converged(24);
+    lose_versions(&mut net, 3, 400);
+    net.run(500);
+    let calls = net.store_calls;
+    for node in 0..20 {
+        net.kill(node);
+    }
+    net.run(2_500);
+    net.publish();
+    net.register(23, "i-23", Standing::Leaving);
+    net.until(IN_FORCE_WITHIN_MS, |net| knows_newest(net) && !net.is_target(22, "i-23"));
+    assert!(net.store_calls - calls < 60, "{}", net.store_calls - calls);
+}
+
+/// Guards against two returns in a row, the second to a copy from before the first.
+#[test]
+fn two_returns_in_a_row_lose_nothing_that_is_written_again() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        lose_versions(&mut net, 2, 400);
+        net.run(700);
+        net.publish();
+        net.register(0, "i-0", Standing::Leaving);
+        net.run(100);
+        net.restore(copy, 400);
+        net.run(300);
+        net.publish();
+        net.register(1, "i-1", Standing::Leaving);
+        net.register(0, "i-0", Standing::Leaving);
+        let left = |net: &Net, node| net.is_target(node, "i-0") || net.is_target(node, "i-1");
+        net.until(IN_FORCE_WITHIN_MS, |net| {
+            knows_newest(net) && (0..count).all(|node| !left(net, node))
+        });
+        assert!(net.regressions.is_empty(), "{:?}", net.regressions);
+    }
+}
+
+/// Guards against an evacuation that ends, or comes back, because the copy is older than the order.
+#[test]
+fn evacuations_neither_end_nor_come_back_with_the_copy() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        net.evacuate("a");
+        net.run(600);
+        let copy = net.store.revision();
+        net.withdraw("a");
+        net.evacuate("b");
+        net.run(600);
+        net.restore(copy, 400);
+        let holds = |net: &Net| {
+            (0..count).all(|node| net.is_target(node, "i-0") && !net.is_target(node, "i-1"))
+        };
+        for _ in 0..20 {
+            net.run(50);
+            assert!(holds(&net), "{}", net.now);
+        }
+        net.withdraw("a");
+        net.evacuate("b");
+        net.run(3_000);
+        assert!(holds(&net));
+        net.withdraw("b");
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| net.is_target(node, "i-1")));
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod profile;
 pub mod read;
 pub mod request;
+pub mod revision;
 pub mod route;
 pub mod service;
 mod table;
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -5,7 +5,7 @@
     message::{Digest, Piggyback, Rumour, Sender},
     quarantine::{CrashId, REPORTS_PER_DIGEST, REPORTS_PER_MESSAGE, Report},
 };
-use model::request::Fingerprint;
+use model::{request::Fingerprint, revision};
 use peer::datagram::Socket;
 use std::{
     collections::BTreeMap,
@@ -26,23 +26,28 @@
         standing: Standing::Ready,
         cold_ms: 3_000,
         started_ms: Some(1_700_000_000_000),
-        revision: number,
+        revision: packed(number),
     }
 }
 
+/// Returns a revision of an era, which takes more digits than one of the first era.
+fn packed(number: u64) -> u64 {
+    revision::pack(9, number).expect("the number is small")
+}
+
 fn digest(entries: u64) -> Digest {
     let list = Update {
-        revision: entries,
-        base: Some(1),
+        revision: packed(entries),
+        base: Some(packed(1)),
         entries: (0..entries).map(entry).collect(),
-        removed: Vec::new(),
-        orders: None,
+        ..Update::default()
     };
     Digest {
         from: Sender { address: SocketAddr::from(([10, 0, 0, 2], 7_000)), incarnation: 1 },
         data_centre: "ktm-a".to_owned(),
         config: 12,
-        list: 34,
+        list: packed(34),
+        config_is_newest: true,
         contact_ms: Some(250),
         link_mbps: 10,
         failing: false,
@@ -95,7 +100,7 @@
 #[track_caller]
 fn check(entries: u64, expect: Option<usize>) {
     let received = round_trip(&digest(entries));
-    assert_eq!(received.list, 34);
+    assert_eq!(received.list, packed(34));
     assert_eq!(received.piggyback.list.map(|list| list.entries.len()), expect);
 }
 
--- a/crates/source/src/lib.rs
+++ b/crates/source/src/lib.rs
@@ -9,7 +9,9 @@
 //! | `GET /v1/instances?after=A&wait_ms=W` | the same with a [`Listing`] |
 //! | `GET /v1/news?after=A&wait_ms=W` | the same with a [`Changeset`]: configuration and instances at one revision, for nodes in list mode |
 //!
-//! Status 429 means that the platform's rate limit for reads is exceeded.
+//! Status 429 means that the platform's rate limit for reads is exceeded, 410 that it does not have the changes
+//! after A. The header `platform-era` of `/v1/news` rises each time the platform comes back from an older copy and
+//! gives revisions out again; the revisions of configurations are the operators' own and do not go back.
 
 use fleet::{
     directory::Update,
@@ -18,14 +20,18 @@
 use model::{
     document::{Delta, MAX_DOCUMENT_BYTES, MAX_DOCUMENTS, MAX_SET_BYTES},
     fault::Fault,
+    revision,
 };
 use serde::de::DeserializeOwned;
-use snafu::{ResultExt, Snafu};
+use snafu::{OptionExt, ResultExt, Snafu};
 use std::{io::Read, net::SocketAddr, time::Duration};
 
 /// Header with the platform's current revision in a 204 response.
 pub const REVISION_HEADER: &str = "platform-revision";
 
+/// Header with the platform's era in a response with changes of configuration and list.
+pub const ERA_HEADER: &str = "platform-era";
+
 /// Maximum size of a response body, in bytes; leaves room for JSON escapes.
 const MAX_RESPONSE_BYTES: u64 = 3 * MAX_SET_BYTES as u64;
 
@@ -54,6 +60,8 @@
     Body { source: std::io::Error },
     #[snafu(display("rate limit exceeded"))]
     RateLimited,
+    #[snafu(display("the changes after the requested revision are not available"))]
+    Compacted,
     #[snafu(display("unexpected status {status}"))]
     Status { status: u16 },
     #[snafu(display("the response exceeds {MAX_RESPONSE_BYTES} bytes"))]
@@ -72,6 +80,12 @@
     Unchanged(u64),
 }
 
+/// A successful response, with the platform's era.
+struct Dated {
+    era: u64,
+    response: Response,
+}
+
 impl Http {
     /// Creates a client of the platform at `address` that identifies itself as `reader`.
     pub fn new(address: SocketAddr, reader: impl Into<String>) -> Self {
@@ -79,6 +93,10 @@
     }
 
     fn get(&self, path: &str, wait: Duration) -> Result<Response, Error> {
+        self.get_dated(path, wait).map(|dated| dated.response)
+    }
+
+    fn get_dated(&self, path: &str, wait: Duration) -> Result<Dated, Error> {
         let response = attohttpc::get(format!("http://{}{path}", self.address))
             .header("baobab-reader", &self.reader)
             .connect_timeout(TIMEOUT)
@@ -86,35 +104,44 @@
             .timeout(wait + TIMEOUT * 2)
             .send()
             .context(ReachSnafu)?;
-        match response.status().as_u16() {
+        let era = number_in(&response, ERA_HEADER);
+        let response = match response.status().as_u16() {
             200 => read_body(response),
-            204 => Ok(Response::Unchanged(revision_of(&response))),
+            204 => Ok(Response::Unchanged(number_in(&response, REVISION_HEADER))),
+            410 => CompactedSnafu.fail(),
             429 => RateLimitedSnafu.fail(),
             status => StatusSnafu { status }.fail(),
+        };
+        Ok(Dated { era, response: response? })
+    }
+
+    /// Reads the changes after the packed revision `after`, or everything without a revision.
+    fn changes(&self, after: Option<u64>, wait: Duration) -> Result<Changeset, Error> {
+        // The first call requests everything, without waiting for a change.
+        let wait = after.map_or(Duration::ZERO, |_| wait);
+        let number = revision::number(after.unwrap_or(0));
+        let path = format!("/v1/news?after={number}&wait_ms={}", wait.as_millis());
+        let Dated { era, response } = self.get_dated(&path, wait)?;
+        if after.is_some_and(|after| revision::era(after) != era) {
+            return CompactedSnafu.fail();
         }
+        let changeset = match response {
+            Response::Unchanged(revision) => unchanged_changeset(revision, number),
+            Response::Body(text) => parse::<Changeset>(&text)?,
+        };
+        let reason = format!("era {era} or a revision of it is too large");
+        let list = changeset.list.in_era(era).context(ContentSnafu { reason })?;
+        Ok(Changeset { revision: list.revision, list, ..changeset })
     }
 }
 
 impl Source for Http {
     fn read(&self, query: Query) -> Answer {
         match query {
-            Query::Changes { after, wait } => {
-                // The first call requests everything, without waiting for a change.
-                let wait = after.map_or(Duration::ZERO, |_| wait);
-                let after = after.unwrap_or(0);
-                let path = format!("/v1/news?after={after}&wait_ms={}", wait.as_millis());
-                let unchanged = |revision| Answer::Changes(unchanged_changeset(revision, after));
-                match self.get(&path, wait) {
-                    Ok(Response::Unchanged(revision)) => unchanged(revision),
-                    Ok(Response::Body(text)) => {
-                        let answer = parse::<Changeset>(&text).map(Answer::Changes);
-                        answer.unwrap_or_else(|error| {
-                            Answer::Failed(Topic::Changes, to_failure(error))
-                        })
-                    }
-                    Err(error) => Answer::Failed(Topic::Changes, to_failure(error)),
-                }
-            }
+            Query::Changes { after, wait } => match self.changes(after, wait) {
+                Ok(changeset) => Answer::Changes(changeset),
+                Err(error) => Answer::Failed(Topic::Changes, to_failure(error)),
+            },
             Query::Config { base, after, wait } => {
                 let base = base.map(|b| format!("&base={b}")).unwrap_or_default();
                 let path = format!("/v1/config?after={after}&wait_ms={}{base}", wait.as_millis());
@@ -153,6 +180,7 @@
 fn to_failure(error: Error) -> Failure {
     match error {
         Error::RateLimited => Failure::RateLimited,
+        Error::Compacted => Failure::Compacted,
         Error::Json { .. } | Error::Content { .. } | Error::Large => {
             Failure::Malformed(Fault::new("platform", "", error.to_string()))
         }
@@ -172,8 +200,9 @@
     Ok(Response::Body(text))
 }
 
-fn revision_of(response: &attohttpc::Response) -> u64 {
-    let value = response.headers().get(REVISION_HEADER);
+/// Returns the number in a header; 0 if it is absent or none.
+fn number_in(response: &attohttpc::Response, header: &str) -> u64 {
+    let value = response.headers().get(header);
     value.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok()).unwrap_or(0)
 }
 
