traffic: an upstream that says in an answer that it leaves gets no more calls

What callers may see: calls that go to an upstream until it exits, while the store is away or has lost the entry that it is draining. The upstream says so in each of its answers, and no node read it.

Cause: the same class as the limit, a fact that passes through the node which decides. Change: the serving node records the identity that said so and refuses all offers to it, also queued ones, as it does for the list; the entry node that passes the answer on marks its record of that incarnation, which outlives a restart of the serving node. Not used without an identity: in gossip mode the next process at the address could not be told from the one that left. The name of the header is a setting.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -234,6 +234,11 @@
         /// Calls per second from all nodes together; none if the limit was lifted.
         calls_per_s: Option<f64>,
     },
+    /// This node's upstream said in an answer that it is leaving.
+    UpstreamLeaving {
+        /// Its identity.
+        id: String,
+    },
     /// A limit that this node's upstream named could not be parsed; the previous one stays in force.
     UpstreamLimitRefused {
         /// The value.
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -262,6 +262,7 @@
         identity: header(headers, "identity"),
         refused: header(headers, "refused"),
         stamp: header(headers, "stamp"),
+        leaving: header(headers, "leaving"),
         limit: header(headers, "limit"),
         precision: default.precision,
     });
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 38] = [
+pub const FIELDS: [Field; 39] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -164,6 +164,12 @@
         "\"x-stamp\"",
         "marks every answer that the upstream itself created",
     ),
+    unset(
+        "/headers/leaving",
+        HEADER,
+        "\"x-leaving\"",
+        "marks, with the value 1, every answer of an upstream that is leaving; it gets no calls from then on, in list mode",
+    ),
     unset(
         "/headers/limit",
         HEADER,
--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -106,6 +106,8 @@
     /// Limit that the upstream named, as of the last load report.
     limit: Option<f64>,
     load_at: Time,
+    /// Whether an answer of the upstream said that it is leaving.
+    leaving: bool,
 }
 
 /// Load of a serving node, reported with each answer.
@@ -142,6 +144,7 @@
             bodies: 0.0,
             limit: None,
             load_at: now,
+            leaving: false,
         }
     }
 
@@ -218,6 +221,16 @@
         self.bodies * weight(self.load_at, now, LOAD_HALF_LIFE)
     }
 
+    /// Records that an answer of the upstream said that it is leaving; that is final.
+    pub fn mark_leaving(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether an answer of the upstream said that it is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns the limit that the upstream named as of the last load report, in calls per second.
     pub fn last_limit(&self) -> Option<f64> {
         self.limit
--- a/crates/traffic/src/entry/attempt.rs
+++ b/crates/traffic/src/entry/attempt.rs
@@ -32,6 +32,12 @@
     let remaining = call.deadline.since(begun);
     let result = sender::attempt(proxy, call, upstream, lineage, id, deadline).await;
     let elapsed = proxy.clock.now().since(begun);
+    if let Ok(answer) = &result
+        && wire::says_leaving(answer.head.headers(), &proxy.settings.names)
+    {
+        // Its node may restart and forget it.
+        proxy.services.with(call.service, |s| s.record(upstream, begun).mark_leaving());
+    }
     trace_end(proxy, call, id, &result, elapsed);
     if result.is_ok() && elapsed > remaining / 2 {
         proxy.events.add(Event::Slow(call.service.to_owned(), upstream.address));
--- a/crates/traffic/src/entry/choice.rs
+++ b/crates/traffic/src/entry/choice.rs
@@ -30,8 +30,9 @@
             service.record(upstream, now);
         }
         let observe = |upstream| Some((upstream, service.existing_record(upstream)?));
-        let available: Vec<Observed<'_>> =
+        let mut available: Vec<Observed<'_>> =
             available.into_iter().map(observe).collect::<Option<_>>()?;
+        available.retain(|(_, record)| !record.is_leaving());
         let chosen = match proxy.settings.incarnation {
             Some(_) => choose_by_health(call, &available, tried, now),
             None => choose_by_capacity(proxy, call, &available, tried, now),
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -182,9 +182,10 @@
         self.lifecycle.is_ready()
     }
 
-    /// Returns whether the colocated upstream `identity` is listed as leaving.
+    /// Returns whether the colocated upstream `identity` is listed as leaving, or said so itself.
     pub(crate) fn has_left(&self, identity: Option<&str>) -> bool {
         colocated::has_left(&self.view.load(), &self.settings, identity)
+            || self.said_leaving(identity)
     }
 
     /// Returns whether the data centre of the colocated upstream is evacuated.
--- a/crates/traffic/src/proxy/demand.rs
+++ b/crates/traffic/src/proxy/demand.rs
@@ -1,9 +1,10 @@
-//! What the colocated upstream demands in its answers: a limit on the calls that it gets.
+//! What the colocated upstream demands in its answers: a limit on the calls that it gets, or none at all because
+//! it is leaving.
 //!
 //! It is known and applied at the serving node, which all calls to the upstream pass.
 
 use fleet::timeline::Kind;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use crate::{lock::lock, proxy::Proxy};
 
@@ -22,6 +23,8 @@
     limit: Option<f64>,
     /// Whether an answer of this upstream was seen.
     heard: bool,
+    /// Identity of the latest upstream that said that it is leaving.
+    leaving: Option<Arc<str>>,
     events: Vec<Kind>,
 }
 
@@ -77,6 +80,21 @@
         lock(&self.demand.state).push(Kind::UpstreamLimitRefused { value });
     }
 
+    /// Records that the colocated upstream `identity` says that it is leaving.
+    pub(crate) fn set_upstream_leaving(&self, identity: &Arc<str>) {
+        let mut state = lock(&self.demand.state);
+        if state.leaving.as_ref() != Some(identity) {
+            state.leaving = Some(identity.clone());
+            state.push(Kind::UpstreamLeaving { id: identity.to_string() });
+        }
+    }
+
+    /// Returns whether the colocated upstream `identity` said that it is leaving.
+    pub(super) fn said_leaving(&self, identity: Option<&str>) -> bool {
+        let state = lock(&self.demand.state);
+        state.leaving.is_some() && state.leaving.as_deref() == identity
+    }
+
     /// Discards the demands of a previous upstream.
     pub(super) fn reset_demand(&self) {
         let mut state = lock(&self.demand.state);
--- a/crates/traffic/src/proxy/explain.rs
+++ b/crates/traffic/src/proxy/explain.rs
@@ -20,6 +20,7 @@
                 State::Unreachable => (false, "node unreachable".to_owned()),
                 State::Gone => (false, "stopped".to_owned()),
                 State::Evacuated => (false, "data centre evacuated by operators".to_owned()),
+                _ if record.is_leaving() => (false, "said in an answer that it leaves".to_owned()),
                 _ if record.is_ejected(now) => {
                     let left = record.ejected_until().since(now).as_millis();
                     (
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -107,6 +107,8 @@
     pub refused: Option<HeaderName>,
     /// Marks every answer produced by an upstream itself.
     pub stamp: Option<HeaderName>,
+    /// Marks every answer of an upstream that is leaving, with the value 1.
+    pub leaving: Option<HeaderName>,
     /// Calls per second that an upstream accepts from all nodes together, for as long as its answers
     /// say so.
     pub limit: Option<HeaderName>,
@@ -123,6 +125,7 @@
             identity: None,
             refused: None,
             stamp: None,
+            leaving: None,
             limit: None,
             precision: Precision::Seconds,
         }
@@ -232,6 +235,12 @@
     parsed.map(Some).ok_or(Malformed)
 }
 
+/// Returns whether an answer says that its upstream is leaving.
+pub fn says_leaving(headers: &HeaderMap, names: &Names) -> bool {
+    let value = names.leaving.as_ref().and_then(|name| headers.get(name));
+    value.is_some_and(|value| value.as_bytes().trim_ascii() == b"1")
+}
+
 /// Reads the limit that an answer of an upstream names, in calls per second; `None` if it names none.
 ///
 /// Fails with the value if that is not a number of at least 0.
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -186,6 +186,16 @@
         *self.extra.lock().expect("the lock is not poisoned") = header;
     }
 
+    /// Makes every answer say that the upstream is leaving.
+    pub(crate) fn say_leaving(&self) {
+        self.add_header("x-leaving: 1");
+    }
+
+    /// Adds `header` to every answer, in place of an earlier one.
+    pub(crate) fn add_header(&self, header: &str) {
+        *self.extra.lock().expect("the lock is not poisoned") = format!("{header}\r\n");
+    }
+
     pub(crate) fn received(&self) -> Vec<Received> {
         self.received.lock().expect("the lock is not poisoned").clone()
     }
@@ -296,6 +306,7 @@
         identity: Some(name("x-expect")),
         refused: Some(name("x-refused")),
         stamp: Some(name("x-stamp")),
+        leaving: Some(name("x-leaving")),
         limit: Some(name("x-limit")),
         precision: traffic::wire::Precision::Millis,
     }
