traffic: a leave that an upstream says in an answer ends with its process

An upstream may start again under its identity. Its node took the earlier process's word for the new one's, so that it got no calls (503 in the new test without this change). The word now holds for the identity and its start, as everywhere else.

--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -182,10 +182,11 @@
         self.lifecycle.is_ready()
     }
 
-    /// Returns whether the colocated upstream `identity` is listed as leaving, or said so itself.
-    pub(crate) fn has_left(&self, identity: Option<&str>) -> bool {
+    /// Returns whether the colocated upstream `identity`, started at `started_ms`, is listed as leaving or said
+    /// so itself.
+    pub(crate) fn has_left(&self, identity: Option<&str>, started_ms: Option<u64>) -> bool {
         colocated::has_left(&self.view.load(), &self.settings, identity)
-            || self.said_leaving(identity)
+            || self.said_leaving(identity, started_ms)
     }
 
     /// Returns whether the data centre of the colocated upstream is evacuated.
--- a/crates/traffic/src/proxy/demand.rs
+++ b/crates/traffic/src/proxy/demand.rs
@@ -23,8 +23,8 @@
     limit: Option<f64>,
     /// Whether an answer of this upstream was seen.
     heard: bool,
-    /// Identity of the latest upstream that said that it is leaving.
-    leaving: Option<Arc<str>>,
+    /// Identity and start of the latest upstream that said that it is leaving.
+    leaving: Option<(Arc<str>, Option<u64>)>,
     events: Vec<Kind>,
 }
 
@@ -80,19 +80,23 @@
         lock(&self.demand.state).push(Kind::UpstreamLimitRefused { value });
     }
 
-    /// Records that the colocated upstream `identity` says that it is leaving.
-    pub(crate) fn set_upstream_leaving(&self, identity: &Arc<str>) {
+    /// Records that the colocated upstream `identity`, started at `started_ms`, says that it is leaving.
+    pub(crate) fn set_upstream_leaving(&self, identity: &Arc<str>, started_ms: Option<u64>) {
         let mut state = lock(&self.demand.state);
-        if state.leaving.as_ref() != Some(identity) {
-            state.leaving = Some(identity.clone());
+        let leaving = (identity.clone(), started_ms);
+        if state.leaving.as_ref() != Some(&leaving) {
+            state.leaving = Some(leaving);
             state.push(Kind::UpstreamLeaving { id: identity.to_string() });
         }
     }
 
-    /// Returns whether the colocated upstream `identity` said that it is leaving.
-    pub(super) fn said_leaving(&self, identity: Option<&str>) -> bool {
+    /// Returns whether the colocated upstream `identity`, started at `started_ms`, said that it is leaving.
+    pub(super) fn said_leaving(&self, identity: Option<&str>, started_ms: Option<u64>) -> bool {
         let state = lock(&self.demand.state);
-        state.leaving.is_some() && state.leaving.as_deref() == identity
+        // It may start again under its identity.
+        state.leaving.as_ref().is_some_and(|(leaving, started)| {
+            Some(leaving.as_ref()) == identity && started_ms <= *started
+        })
     }
 
     /// Discards the demands of a previous upstream.
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -176,7 +176,8 @@
         deadline: offer.deadline,
         paused: proxy.may_be_stale(offer.received, now),
         connected: offer.origin.socket_state() != SocketState::Closed,
-        leaving: proxy.lifecycle.is_leaving() || proxy.has_left(offer.identity.as_deref()),
+        leaving: proxy.lifecycle.is_leaving()
+            || proxy.has_left(offer.identity.as_deref(), offer.started_ms),
         current_incarnation: proxy
             .settings
             .incarnation
--- a/crates/traffic/src/upstream/demand.rs
+++ b/crates/traffic/src/upstream/demand.rs
@@ -10,7 +10,7 @@
     if let Some(identity) = &offer.identity
         && wire::says_leaving(headers, &proxy.settings.names)
     {
-        proxy.set_upstream_leaving(identity);
+        proxy.set_upstream_leaving(identity, offer.started_ms);
     }
     match wire::read_limit(headers, &proxy.settings.names) {
         Ok(limit) => proxy.set_named_limit(limit),
--- a/crates/traffic/tests/leaving_answers.rs
+++ b/crates/traffic/tests/leaving_answers.rs
@@ -80,6 +80,19 @@
     assert_eq!(status(&cluster.exchange(0, &read("next"))), "200");
 }
 
+/// Guards against an upstream that gets no calls because its previous process had left under the same identity.
+#[test]
+fn an_upstream_that_starts_again_under_its_identity_gets_calls() {
+    let cluster = Cluster::new(1, 8);
+    cluster.show_incarnation(0, 0, 100);
+    cluster.upstreams[0].say_leaving();
+    assert_eq!(status(&cluster.exchange(0, &read("told"))), "200");
+    assert_eq!(status(&cluster.exchange(0, &read("left"))), "503");
+    cluster.upstreams[0].name_limit(None);
+    cluster.show_incarnation(0, 0, 200);
+    assert_eq!(status(&cluster.exchange(0, &read("next"))), "200");
+}
+
 /// Guards against taking another value of the header for a leave.
 #[test]
 fn only_the_value_one_says_that_an_upstream_leaves() {
