soak: leaves told in answers only, and a platform that comes back from older copies

Stand-in upstreams say in their answers that they leave, without an entry at the platform; they are replaced 2.5 to 5 s later. Both overlap with all faults and have their own random generators.

--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -19,6 +19,7 @@
 mod poison;
 mod port;
 mod proxy;
+mod restores;
 
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -35,7 +36,7 @@
 use crate::{
     soak::{
         cluster::Cluster, demands::Demands, evacuation::Orders, fault::Injector,
-        observations::Observations,
+        observations::Observations, restores::Restores,
     },
     tools::{self, Failure},
 };
@@ -61,6 +62,7 @@
     requests: Requests,
     operators: Operators,
     upstreams: Upstreams,
+    store: Store,
 }
 
 /// What upstreams demand during the faults.
@@ -68,10 +70,19 @@
 enum Upstreams {
     /// Nothing.
     Quiet,
-    /// They name limits on their calls, lower and lift them.
+    /// They name limits on their calls, lower and lift them, and say in their answers that they leave.
     Demanding,
 }
 
+/// What happens to the content of the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Store {
+    /// It is kept.
+    Durable,
+    /// The platform comes back from older copies.
+    Restored,
+}
+
 /// What operators do during the faults.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Operators {
@@ -115,16 +126,18 @@
         requests: Requests::Poison(Duration::ZERO),
         operators: Operators::Idle,
         upstreams: Upstreams::Quiet,
+        store: Store::Durable,
     },
 ];
 
 /// Scenarios of CI; together they inject most kinds of faults.
-const SHORT: [Scenario; 5] = [
+const SHORT: [Scenario; 6] = [
     short_scenario(1, 5),
     short_scenario(3, 5),
     Scenario { requests: Requests::Poison(POISON_DELAY), ..short_scenario(5, 10) },
     Scenario { operators: Operators::Evacuate, ..short_scenario(7, 8) },
     Scenario { upstreams: Upstreams::Demanding, ..short_scenario(9, 10) },
+    Scenario { store: Store::Restored, ..short_scenario(11, 10) },
 ];
 
 const fn short_scenario(seed: u64, seconds: u64) -> Scenario {
@@ -139,6 +152,7 @@
         requests: Requests::Valid,
         operators: Operators::Idle,
         upstreams: Upstreams::Quiet,
+        store: Store::Durable,
     }
 }
 
@@ -154,7 +168,8 @@
     let duration = Duration::from_secs(seconds);
     let requests = Requests::Poison(Duration::ZERO);
     let (operators, upstreams) = (Operators::Evacuate, Upstreams::Demanding);
-    let scenario = |seed| Scenario { seed, duration, nodes, requests, operators, upstreams };
+    let store = Store::Restored;
+    let scenario = |seed| Scenario { seed, duration, nodes, requests, operators, upstreams, store };
     let seeds = (seed..seed + seeds).map(scenario);
     let scenarios: Vec<Scenario> = REGRESSIONS.into_iter().chain(seeds).collect();
     run_all(&scenarios, &programs.join("baobabrelayd"))
@@ -206,6 +221,7 @@
         (scenario.operators == Operators::Evacuate).then(|| Orders::new(scenario.seed));
     let mut demands =
         (scenario.upstreams == Upstreams::Demanding).then(|| Demands::new(scenario.seed));
+    let mut restores = (scenario.store == Store::Restored).then(|| Restores::new(scenario.seed));
     let end = Instant::now() + scenario.duration;
     while Instant::now() < end {
         for _ in 0..scenario.nodes.div_ceil(NODES_PER_FAULT) {
@@ -219,6 +235,9 @@
         if let Some(demands) = &mut demands {
             demands.step(&mut cluster);
         }
+        if let Some(restores) = &mut restores {
+            restores.step(&mut cluster);
+        }
         invariants::check_nodes(&mut cluster, &observations, &mut random)?;
     }
     injector.repair_all(&mut cluster)?;
@@ -228,6 +247,9 @@
     if let Some(demands) = &mut demands {
         demands.end(&mut cluster);
     }
+    if let Some(restores) = &mut restores {
+        restores.end(&mut cluster);
+    }
     let recovered = cluster
         .wait(RECOVERY_LIMIT, |cluster| (0..scenario.nodes).all(|n| cluster.is_recovered(n)));
     running.store(false, Ordering::SeqCst);
@@ -244,10 +266,11 @@
         }
     }
     let evacuations = orders.map_or(0, |orders| orders.count);
-    let limits = demands.map_or(0, |demands| demands.count);
+    let demands = demands.map_or_else(String::new, |demands| format!(", {}", demands.summary()));
+    let restores = restores.map_or(0, |restores| restores.count);
     let counts = (observations.summary(), injector.summary());
     println!(
-        "seed {}: {}, {}, evacuation {evacuations}, limit {limits}",
+        "seed {}: {}, {}, evacuation {evacuations}{demands}, restore {restores}",
         scenario.seed, counts.0, counts.1
     );
     if !violations.is_empty() {
--- a/xtask/src/soak/cluster.rs
+++ b/xtask/src/soak/cluster.rs
@@ -113,6 +113,7 @@
     pub(crate) fn replace(&mut self, number: usize) {
         let instance = &mut self.instances[number];
         self.platform.register(&instance.id, None);
+        instance.upstream.replace();
         instance.rename_upstream();
         self.begin_incarnation(number);
     }
--- a/xtask/src/soak/demands.rs
+++ b/xtask/src/soak/demands.rs
@@ -1,4 +1,5 @@
-//! Random limits that upstreams name, lower and lift; they overlap with each other and with all faults.
+//! Random demands that upstreams make in their answers: limits, which they lower and lift, and leaves that the
+//! platform does not know of. They overlap with each other and with all faults.
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use standins::upstream::Ledger;
@@ -15,13 +16,19 @@
 /// Range of the limits, in calls per second.
 const LIMIT_PER_S: std::ops::Range<f64> = 0.0..25.0;
 
+/// Range of the time from a leave until the upstream is replaced, in ms.
+const LEAVE_MS: std::ops::Range<u64> = 2_500..5_000;
+
+/// Share of the demands that are leaves.
+const LEAVE_SHARE: f64 = 0.2;
+
 /// Divides a limit that is lowered.
 const LOWERED_BY: f64 = 4.0;
 
 /// Length of the window in which calls are counted.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Time from the first answer that names a limit until it must hold.
+/// Time from the first answer with a demand until it must be met.
 const PROPAGATION: Duration = Duration::from_millis(500);
 
 /// Factor of the limit, and calls in addition to it, that an upstream may get in a window.
@@ -36,37 +43,49 @@
     Condition::Crashed,
 ];
 
-/// Limits in force and the time of the next one.
+/// A demand in force.
+#[derive(Clone, Copy, Debug)]
+enum Demand {
+    /// Calls per second.
+    Limit(f64),
+    /// The upstream gets no calls.
+    Leave,
+}
+
+/// Demands in force and the time of the next one.
 ///
 /// They have their own random generator, so that a seed yields the same faults with and without them.
 #[derive(Debug)]
 pub(crate) struct Demands {
     random: SmallRng,
-    /// When the next limit is named.
+    /// When the next demand is made.
     due: Instant,
-    /// When each limit changes next, the instance and the limit.
-    limits: Vec<(Instant, usize, f64)>,
+    /// When each demand changes next, and its instance.
+    in_force: Vec<(Instant, usize, Demand)>,
     /// Number of limits so far.
-    pub(crate) count: usize,
+    limits: usize,
+    /// Number of leaves so far.
+    leaves: usize,
 }
 
 impl Demands {
     pub(crate) fn new(seed: u64) -> Self {
         let random = SmallRng::seed_from_u64(seed.rotate_left(32));
-        Demands { random, due: Instant::now(), limits: Vec::new(), count: 0 }
+        Demands { random, due: Instant::now(), in_force: Vec::new(), limits: 0, leaves: 0 }
     }
 
-    /// Lowers or lifts the limits whose time is over, and names the next one if it is due.
+    /// Lowers or lifts the demands whose time is over, and makes the next one if it is due.
     pub(crate) fn step(&mut self, cluster: &mut Cluster) {
         let now = Instant::now();
         let (expired, rest): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.limits).into_iter().partition(|(at, ..)| *at <= now);
-        self.limits = rest;
-        for (_, number, limit) in expired {
-            if self.random.random_bool(0.5) {
-                self.name(cluster, number, limit / LOWERED_BY);
-            } else {
-                cluster.instances[number].upstream.set_limit(None);
+            std::mem::take(&mut self.in_force).into_iter().partition(|(at, ..)| *at <= now);
+        self.in_force = rest;
+        for (_, number, demand) in expired {
+            match demand {
+                Demand::Limit(limit) if self.random.random_bool(0.5) => {
+                    self.limit(cluster, number, limit / LOWERED_BY);
+                }
+                demand => end(cluster, number, demand),
             }
         }
         if now < self.due {
@@ -75,38 +94,77 @@
         self.due = now + Duration::from_millis(self.random.random_range(INTERVAL_MS));
         let number = self.random.random_range(0..cluster.instances.len());
         let limit = self.random.random_range(LIMIT_PER_S);
-        if self.limits.iter().all(|(_, known, _)| *known != number) {
-            self.name(cluster, number, limit);
+        let leaves = self.random.random_bool(LEAVE_SHARE);
+        if self.in_force.iter().any(|(_, known, _)| *known == number) {
+            return;
+        }
+        match leaves {
+            true => self.leave(cluster, number),
+            false => self.limit(cluster, number, limit),
         }
     }
 
-    /// Lifts all limits.
+    /// Ends all demands.
     pub(crate) fn end(&mut self, cluster: &mut Cluster) {
-        for (_, number, _) in std::mem::take(&mut self.limits) {
-            cluster.instances[number].upstream.set_limit(None);
+        for (_, number, demand) in std::mem::take(&mut self.in_force) {
+            end(cluster, number, demand);
         }
     }
 
-    fn name(&mut self, cluster: &mut Cluster, number: usize, limit: f64) {
+    pub(crate) fn summary(&self) -> String {
+        format!("limit {}, leave in answers {}", self.limits, self.leaves)
+    }
+
+    fn limit(&mut self, cluster: &mut Cluster, number: usize, limit: f64) {
         cluster.instances[number].upstream.set_limit(Some(limit));
-        let duration = Duration::from_millis(self.random.random_range(DURATION_MS));
-        self.limits.push((Instant::now() + duration, number, limit));
-        self.count += 1;
+        self.limits += 1;
+        self.keep(number, Demand::Limit(limit), DURATION_MS);
+    }
+
+    fn leave(&mut self, cluster: &mut Cluster, number: usize) {
+        cluster.instances[number].upstream.leave();
+        self.leaves += 1;
+        self.keep(number, Demand::Leave, LEAVE_MS);
+    }
+
+    fn keep(&mut self, number: usize, demand: Demand, duration_ms: std::ops::Range<u64>) {
+        let duration = Duration::from_millis(self.random.random_range(duration_ms));
+        self.in_force.push((Instant::now() + duration, number, demand));
+    }
+}
+
+fn end(cluster: &mut Cluster, number: usize, demand: Demand) {
+    match demand {
+        Demand::Limit(_) => cluster.instances[number].upstream.set_limit(None),
+        Demand::Leave => cluster.replace(number),
     }
 }
 
-/// Returns a violation for each window in which an upstream got more calls than it had named.
+/// Returns a violation for each process of an upstream that got more calls than it had demanded.
 pub(crate) fn violations(cluster: &Cluster) -> Vec<String> {
     let mut violations = Vec::new();
     for (number, instance) in cluster.instances.iter().enumerate() {
         for process in instance.processes() {
-            let found = excess(instance, &process.ledger());
+            let ledger = process.ledger();
+            let found = excess(instance, &ledger).or_else(|| late_call(instance, &ledger));
             violations.extend(found.map(|text| format!("instance {number}: {text}")));
         }
     }
     violations
 }
 
+/// Returns the first call that an upstream got after an answer that said that it was leaving.
+fn late_call(instance: &Instance, ledger: &Ledger) -> Option<String> {
+    ledger.leaves.iter().find_map(|&(told, end)| {
+        let is_late = |at: &Instant| *at > told + PROPAGATION && end.is_none_or(|end| *at < end);
+        let is_excused = |at: Instant| instance.history.overlaps(&DISRUPTIONS, told, at);
+        let mut starts = ledger.starts.iter().map(|(at, _)| *at);
+        let late = starts.find(|at| is_late(at) && !is_excused(*at))?;
+        let ms = (late - told).as_millis();
+        Some(format!("an upstream gets no calls after an answer that said that it leaves; one came {ms} ms later"))
+    })
+}
+
 /// Returns the first excess of an upstream's process over a limit that it named.
 fn excess(instance: &Instance, ledger: &Ledger) -> Option<String> {
     for (index, (named, limit)) in ledger.limits.iter().enumerate() {
--- a/xtask/src/soak/history.rs
+++ b/xtask/src/soak/history.rs
@@ -29,6 +29,8 @@
     Evacuated,
     /// The platform serves no node.
     Outage,
+    /// The platform came back from an older copy, and what it lost is not written again.
+    Restored,
 }
 
 /// A period in which a condition held; without an end, it still holds.
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -4,7 +4,7 @@
 use rustix::process::Signal;
 use standins::{
     mesh,
-    upstream::{self, LIMIT_HEADER, Upstream},
+    upstream::{self, LEAVING_HEADER, LIMIT_HEADER, Upstream},
 };
 use std::{
     collections::HashMap,
@@ -120,7 +120,10 @@
             "discovery": "list",
             "link_mbps": mbps,
             "traffic_threads": 1,
-            "headers": { "limit": LIMIT_HEADER },
+            "headers": {
+                "limit": LIMIT_HEADER,
+                "leaving": LEAVING_HEADER,
+            },
             "repeats": { "percent": 20, "slack": 60 },
             "stop": { "linger_ms": 300, "finish_ms": 1_500, "limit_ms": 4_000 },
         });
--- a/xtask/src/soak/leaving.rs
+++ b/xtask/src/soak/leaving.rs
@@ -42,6 +42,6 @@
     }
     let Some(since) = at.checked_sub(PROPAGATION) else { return true };
     let may_be_outdated = instance.history.overlaps(&[Condition::Paused], since, at)
-        || cluster.history.overlaps(&[Condition::Outage], since, at);
+        || cluster.history.overlaps(&[Condition::Outage, Condition::Restored], since, at);
     !may_be_outdated
 }
