fleet, baobabctl: operators see a revision as the store numbers it

Packed revisions would show as fifteen digits from the second era on. Events carry the number within the store's era; `status` shows ERA.NUMBER.

--- a/crates/baobabctl/src/fleet.rs
+++ b/crates/baobabctl/src/fleet.rs
@@ -5,6 +5,7 @@
     source::READERS,
     status::{Fleet, Member, Node},
 };
+use model::revision;
 use std::collections::BTreeMap;
 
 /// Nodes or requests listed one by one without `--all`; with the table of data centres they fit on a
@@ -195,6 +196,7 @@
             .map(|node| node.instance.as_str())
             .collect();
         let aware = fleet.answered.len() - unaware.len();
+        let revision = revision::text(revision);
         let all = fleet.answered.len();
         let mut line =
             format!("evacuated at {aware} of {all} nodes: {data_centre}, by revision {revision}");
--- a/crates/fleet/src/listed/changes.rs
+++ b/crates/fleet/src/listed/changes.rs
@@ -1,6 +1,6 @@
 //! Effects of list changes: timeline events, cold upstreams and readmitted data centres.
 
-use model::{service, time::Time};
+use model::{revision, service, time::Time};
 use std::{net::SocketAddr, time::Duration};
 
 use crate::{
@@ -33,7 +33,7 @@
                 service: entry.service,
                 address: entry.address,
                 change: change.name().to_owned(),
-                revision: self.directory.revision(),
+                revision: revision::number(self.directory.revision()),
                 from,
             };
             self.record(kind, now);
@@ -63,6 +63,7 @@
             if withdrawn {
                 self.readmitted_at.insert(data_centre.clone(), now.time);
             }
+            let revision = revision::number(revision);
             self.record(Kind::Evacuation { data_centre, withdrawn, revision, from }, now);
         }
     }
--- a/crates/fleet/src/listed/updates.rs
+++ b/crates/fleet/src/listed/updates.rs
@@ -51,7 +51,7 @@
         }
         let revision = changeset.revision;
         if changeset.list.base.is_none() && revision < self.directory.revision() {
-            self.record(Kind::SourceStale { revision }, now);
+            self.record(Kind::SourceStale { revision: revision::number(revision) }, now);
         }
         if revision::era(revision) > revision::era(self.directory.revision()) {
             self.watch.record_restore(now.time);
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -50,7 +50,7 @@
 pub struct Evacuation {
     /// The data centre.
     pub data_centre: String,
-    /// The platform's revision of the order.
+    /// The platform's revision of the order, packed as in [`model::revision`].
     pub revision: u64,
 }
 
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -150,7 +150,7 @@
         address: SocketAddr,
         /// What changed: `listed`, `restarted`, `leaving`, `doubted` (removal pending) or `gone`.
         change: String,
-        /// Revision up to which the list is held now.
+        /// Revision up to which the list is held now, within the store's era.
         revision: u64,
         /// The peer that sent the change; none if it came from the platform.
         from: Option<SocketAddr>,
@@ -161,7 +161,7 @@
         data_centre: String,
         /// Whether the order was withdrawn.
         withdrawn: bool,
-        /// Revision of the order.
+        /// Revision of the order, within the store's era.
         revision: u64,
         /// The peer that sent the order; none if it came from the platform.
         from: Option<SocketAddr>,
