fleet: the later upstream of an address keeps its calls after a restore

The copy may list the previous upstream of an address, under a revision of the new era, while the entry of the present one is lost until it registers again. Of two entries for one address the one with the higher packed revision won, so that calls went to the upstream that was gone. The order of writes of different keys now takes the copy into account too.

A node that learns of the new era from another node now has the grace period of removals too; only nodes that read the store had it.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -242,6 +242,11 @@
         self.entries.values()
     }
 
+    /// Returns the current era of the store.
+    pub fn era(&self) -> Era {
+        self.era
+    }
+
     /// Returns the evacuation orders.
     pub fn orders(&self) -> &Orders {
         &self.orders
--- a/crates/fleet/src/era.rs
+++ b/crates/fleet/src/era.rs
@@ -47,4 +47,22 @@
             && written <= self.origin
             && revision::number(written) <= revision::number(latest)
     }
+
+    /// Returns whether a write with revision `a` is later than one of another key with revision `b`.
+    ///
+    /// ```
+    /// use fleet::era::Era;
+    /// use model::revision::pack;
+    /// let at = |era, number| pack(era, number).unwrap();
+    /// let era = Era::new(at(1, 83));
+    /// assert!(era.is_later(at(0, 95), at(1, 50)));
+    /// assert!(era.is_later(at(1, 84), at(0, 95)));
+    /// ```
+    pub fn is_later(self, a: u64, b: u64) -> bool {
+        match (self.is_copy(a, b), self.is_copy(b, a)) {
+            (true, _) => false,
+            (_, true) => true,
+            _ => a > b,
+        }
+    }
 }
--- a/crates/fleet/src/listed/updates.rs
+++ b/crates/fleet/src/listed/updates.rs
@@ -53,9 +53,6 @@
         if changeset.list.base.is_none() && revision < self.directory.revision() {
             self.record(Kind::SourceStale { revision: revision::number(revision) }, now);
         }
-        if revision::era(revision) > revision::era(self.directory.revision()) {
-            self.watch.record_restore(now.time);
-        }
         let grace = self.watch.removal_grace(era::GRACE, now.time);
         let before = self.holdings();
         let mut is_new = self.merge_list(changeset.list, None, grace, now);
@@ -157,6 +154,7 @@
     fn record_era(&mut self, before: u64, now: Now) {
         let era = revision::era(self.directory.revision());
         if before > 0 && era > revision::era(before) {
+            self.watch.record_restore(now.time);
             self.record(Kind::SourceRestored { era }, now);
         }
     }
--- a/crates/fleet/src/listed/view.rs
+++ b/crates/fleet/src/listed/view.rs
@@ -48,11 +48,14 @@
 
     pub(super) fn build_view(&self, now: Now) -> View {
         // The entry of a dead upstream stays until it expires; a replacement may already use the same
-        // address, and its entry has the higher revision.
+        // address, and its entry was written later.
+        let era = self.directory.era();
         let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
         for entry in self.directory.entries() {
             let revision = latest.entry(entry.address).or_default();
-            *revision = entry.revision.max(*revision);
+            if era.is_later(entry.revision, *revision) {
+                *revision = entry.revision;
+            }
         }
         let mut view = View::default();
         for entry in self.directory.entries() {
--- a/crates/fleet/tests/restore.rs
+++ b/crates/fleet/tests/restore.rs
@@ -256,3 +256,25 @@
         net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| net.is_target(node, "i-1")));
     }
 }
+
+/// Guards against calls to the previous upstream of an address, whose entry the copy still has.
+#[test]
+fn the_later_upstream_of_an_address_keeps_its_calls() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        net.register(0, "i-new", Standing::Ready);
+        let has_moved = |net: &Net| {
+            (0..count).all(|node| net.is_target(node, "i-new") && !net.is_target(node, "i-0"))
+        };
+        net.until(IN_FORCE_WITHIN_MS, has_moved);
+        net.restore(copy, 400);
+        for _ in 0..30 {
+            net.run(50);
+            assert!(has_moved(&net), "{}", net.now);
+        }
+        net.register(0, "i-new", Standing::Ready);
+        net.run(3_000);
+        assert!(has_moved(&net));
+    }
+}
