fleet: what only an earlier copy had does not come back after a second return

An entry or an evacuation of the first copy, removed or withdrawn before it, waited to be listed if the store still showed it later. After a second return to a copy without it, it came into force and nothing removed it any more. Found by reading; the new test fails without the change. What waits now ends with the era.

--- a/crates/fleet/src/directory/restore.rs
+++ b/crates/fleet/src/directory/restore.rs
@@ -48,8 +48,12 @@
         let origin = origin.unwrap_or(revision);
         if revision::era(revision) > revision::era(self.revision) {
             self.era = Era::new(origin);
-            self.restore.settles = Some(now + GRACE);
-            self.restore.relists = Some(now + RELIST_AFTER);
+            // What only the copy of an earlier return had is not kept.
+            self.restore = Restore {
+                settles: Some(now + GRACE),
+                relists: Some(now + RELIST_AFTER),
+                removed_before: BTreeMap::new(),
+            };
         } else if origin < self.era.origin() {
             // Another node has read the store earlier in this era.
             self.era = Era::new(origin);
--- a/crates/fleet/src/evacuation.rs
+++ b/crates/fleet/src/evacuation.rs
@@ -91,7 +91,8 @@
         let withdrawal =
             |order: &Order| Order { withdrawn: true, revision: origin, ..order.clone() };
         let mut settled: Vec<Order> = earlier.map(withdrawal).collect();
-        settled.extend(std::mem::take(&mut self.withdrawn_before).into_values());
+        let copies = std::mem::take(&mut self.withdrawn_before).into_values();
+        settled.extend(copies.filter(|o| revision::era(o.revision) == revision::era(origin)));
         settled.into_iter().for_each(|order| self.put(order));
     }
 
--- a/crates/fleet/tests/restore.rs
+++ b/crates/fleet/tests/restore.rs
@@ -278,3 +278,30 @@
         assert!(has_moved(&net));
     }
 }
+
+/// Guards against an upstream, or an evacuation, that only the copy of an earlier return had and that comes into
+/// force after the next one.
+#[test]
+fn what_only_an_earlier_copy_had_does_not_come_back() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let first = net.store.revision();
+        net.register(0, "i-x", Standing::Ready);
+        net.evacuate("b");
+        net.run(600);
+        let second = net.store.revision();
+        net.unregister("i-x");
+        net.withdraw("b");
+        net.run(600);
+        net.restore(second, 400);
+        net.run(500);
+        net.restore(first, 400);
+        for _ in 0..140 {
+            net.run(100);
+            for node in 0..count {
+                assert!(!net.is_target(node, "i-x"), "{}", net.now);
+                assert!(net.is_target(node, "i-1"), "{}", net.now);
+            }
+        }
+    }
+}
