fleet: a leave or an invalid value written before the first read of an era counts

Right after the store's return, before any node had read it, a write of an upstream may get a number below its last known one, and was taken for an older entry of the copy: an upstream that said then for the first time that it leaves got calls until it wrote again. Whether such a write is of the copy cannot be told, so only a ready entry is held back; a leave is final in either case, and an invalid value names no upstream.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -391,7 +391,8 @@
         }
         let started = self.started(&entry.id);
         let is_copy = latest.is_some_and(|latest| self.era.is_copy(entry.revision, latest));
-        if is_copy && entry.started_ms <= started {
+        // A leave is final, so it counts even if it is an old one.
+        if is_copy && entry.started_ms <= started && entry.standing == Standing::Ready {
             return self.put_copy(entry);
         }
         match entry.started_ms {
@@ -423,7 +424,6 @@
         };
         match self.entries.get(&removal.id) {
             Some(entry) if entry.revision >= removal.revision => None,
-            Some(entry) if self.era.is_copy(removal.revision, entry.revision) => None,
             Some(entry) if !grace.is_zero() => {
                 let until = now + grace;
                 let pending = self.pending.entry(removal.id.clone());
--- a/crates/fleet/tests/restore.rs
+++ b/crates/fleet/tests/restore.rs
@@ -305,3 +305,37 @@
         }
     }
 }
+
+/// Guards against taking the first leave of an upstream for an old entry of the copy, because it was written
+/// before any node had read the new era.
+#[test]
+fn a_leave_written_before_the_first_read_of_the_era_counts() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        for _ in 0..3 {
+            net.register(1, "i-1", Standing::Ready);
+            net.run(400);
+        }
+        net.restore(copy, 400);
+        net.register(1, "i-1", Standing::Leaving);
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| !net.is_target(node, "i-1")));
+    }
+}
+
+/// Guards against calls to an upstream whose value was overwritten by an invalid one before the first read of the
+/// era.
+#[test]
+fn an_invalid_value_written_before_the_first_read_of_the_era_counts() {
+    for count in [2, 24] {
+        let mut net = converged(count);
+        let copy = net.store.revision();
+        for _ in 0..3 {
+            net.register(1, "i-1", Standing::Ready);
+            net.run(400);
+        }
+        net.restore(copy, 400);
+        net.write_malformed("i-1");
+        net.until(IN_FORCE_WITHIN_MS, |net| (0..count).all(|node| !net.is_target(node, "i-1")));
+    }
+}
