traffic: a refusal does not lift the limit that an upstream named

A full upstream may refuse a call with no more than the mark of a refusal. Only an answer to a call that ran lifts a limit; any answer may name one.

--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -127,7 +127,7 @@
     if !matches_request(proxy, offer, &head) || !is_authentic(proxy, &head) {
         return Err(Outcome::Unknown(Uncertainty::BadAnswer));
     }
-    demand::apply(proxy, offer, head.headers());
+    demand::apply(proxy, offer, &head);
     let (parts, incoming) = head.into_parts();
     let body = body::receive(incoming, profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
--- a/crates/traffic/tests/named_limit.rs
+++ b/crates/traffic/tests/named_limit.rs
@@ -106,6 +106,24 @@
     cluster.wait(|| (0..100).all(|number| call(format!("lifted{number}"))));
 }
 
+/// Guards against an upstream that gets its full load again because it refuses a call without naming its limit.
+#[test]
+fn a_refusal_does_not_lift_the_limit() {
+    let cluster = Cluster::new(1, 8);
+    cluster.upstreams[0].name_limit(Some("0"));
+    assert_eq!(status(&cluster.exchange(0, &read("told"))), "200");
+    cluster.upstreams[0].name_limit(None);
+    cluster.upstreams[0].set(Behaviour::Refuse);
+    cluster.wait(|| {
+        cluster.exchange(0, &read("refused"));
+        cluster.upstreams[0].received().len() == 2
+    });
+    let before = cluster.upstreams[0].received().len();
+    let (_, time) = call_without_pause(&cluster);
+    let got = cluster.upstreams[0].received().len() - before;
+    assert!(got <= allowed(0.25, time) - CALLERS, "got {got}");
+}
+
 /// Guards against refusals of calls that another upstream has room for.
 #[test]
 fn calls_above_the_limit_go_to_other_upstreams() {
