soak: an upstream that replaces another one has named no limit

A new identity is another upstream, whose limit counts from its own first answer. The stand-in kept the limit of the one that it replaced, in its state and in the record that is checked; both begin anew now, as its leave did. The check itself is unchanged.

--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -198,10 +198,14 @@
         self.lock().leaving = true;
     }
 
-    /// Becomes another upstream at the same address, which is not leaving.
+    /// Becomes another upstream at the same address, which is not leaving and has named no limit.
     pub fn replace(&self) {
         let mut state = self.lock();
         state.leaving = false;
+        state.limit = None;
+        if state.ledger.limits.last().is_some_and(|(_, limit)| limit.is_some()) {
+            state.ledger.limits.push((Instant::now(), None));
+        }
         if let Some((_, end)) = state.ledger.leaves.last_mut() {
             end.get_or_insert_with(Instant::now);
         }
