--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,8 +1,9 @@
 //! Admission at the serving node: a concurrency limit and a bounded priority queue per upstream.
 //!
 //! A call that cannot start in time is refused at once, so that the upstream does not work for callers
-//! that have given up; under lasting overload, longer waits would make every answer late. Nested calls go before external ones while they hold at most half of the slots,
-//! since without them the work of their parents is lost.
+//! that have given up; under lasting overload, longer waits would make every answer late. Nested calls
+//! go before external ones while they hold at most half of the slots, since without them the work of
+//! their parents is lost.
 
 mod tokens;
 
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -1,9 +1,9 @@
 //! Retry budget of the whole fleet, enforced by each node without coordination.
 //!
-//! Each node applies the ratio to its own calls, which sums to the same ratio of all calls, and takes an equal
-//! part of the fixed slack. At a node with
-//! few calls its part is a few retries and a fraction. It is rounded up at as many nodes as the fraction
-//! says, so that the parts add up to the budget at any number of nodes.
+//! Each node applies the ratio to its own calls, which sums to the same ratio of all calls, and takes
+//! an equal part of the fixed slack. At a node with few calls its part is a few retries and a fraction.
+//! It is rounded up at as many nodes as the fraction says, so that the parts add up to the budget at
+//! any number of nodes.
 
 use model::time::Time;
 use std::{collections::VecDeque, time::Duration};
--- a/crates/policy/src/client_retry.rs
+++ b/crates/policy/src/client_retry.rs
@@ -2,7 +2,8 @@
 //!
 //! Retries go before first attempts, since their objective counts from the first one. A retry has a new
 //! request id and connection, and callers start with different timeouts, so none of these identifies
-//! it. A caller stays with its node, so that each node remembers only what it refused itself. Identical concurrent requests may be confused, which is harmless.
+//! it. A caller stays with its node, so that each node remembers only what it refused itself. Identical
+//! concurrent requests may be confused, which is harmless.
 
 use model::{request::Fingerprint, time::Time};
 use std::{
