traffic, fleet, telemetry: what counts towards the retry budget shows by service

The event retry-budget and the metric baobabrelay.retry_budget count granted, refused, returned and nested at the entry node and delivered at the serving node.

No decision changes.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -215,6 +215,16 @@
         /// Number of calls.
         count: u64,
     },
+    /// Attempts and calls counted towards a service's retry budget within one second.
+    RetryBudget {
+        /// The called service.
+        service: String,
+        /// How they counted: `granted`, `refused`, `returned`, `nested` or `delivered`.
+        #[serde(rename = "use")]
+        how: String,
+        /// Number of attempts or calls.
+        count: u64,
+    },
     /// Calls took more than half of their deadline within one second.
     Slow {
         /// The called service.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -44,6 +44,12 @@
     attributes: "service",
     help: "Attempts after the first",
 };
+const RETRY_BUDGET: Entry = Entry {
+    name: "baobabrelay.retry_budget",
+    unit: "{attempt}",
+    attributes: "service, use",
+    help: "Retries that this node as entry node took from the fleet's budget (granted), was denied (refused) or returned (returned), its calls nested in a retry (nested), and as serving node attempts that it passed on to its upstream as retries (delivered)",
+};
 const REFUSED: Entry = Entry {
     name: "baobabrelay.claims_refused",
     unit: "{offer}",
@@ -126,10 +132,11 @@
 };
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 17] = [
+pub const CATALOGUE: [Entry; 18] = [
     CALLS,
     NOT_RUN,
     RETRIES,
+    RETRY_BUDGET,
     REFUSED,
     EJECTIONS,
     ENDS,
@@ -170,6 +177,7 @@
     calls: Counter<u64>,
     not_run: Counter<u64>,
     retries: Counter<u64>,
+    retry_budget: Counter<u64>,
     refused: Counter<u64>,
     ejections: Counter<u64>,
     ends: Counter<u64>,
@@ -209,6 +217,7 @@
             calls: counter(CALLS),
             not_run: counter(NOT_RUN),
             retries: counter(RETRIES),
+            retry_budget: counter(RETRY_BUDGET),
             refused: counter(REFUSED),
             ejections: counter(EJECTIONS),
             ends,
@@ -255,6 +264,12 @@
         self.retries.add(1, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Counts how an attempt or a call counted towards the retry budget of `service`.
+    pub fn count_budget_use(&self, service: &str, how: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.retry_budget.add(1, &[service, KeyValue::new("use", how)]);
+    }
+
     /// Counts a request that this node as serving node refused before execution.
     pub fn count_refusal(&self, cause: &'static str) {
         self.refused.add(1, &[KeyValue::new("cause", cause)]);
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -9,6 +9,7 @@
     meter.count_call("stock", "ok", Duration::from_millis(3));
     meter.count_not_run("stock", "full");
     meter.count_retry("stock");
+    meter.count_budget_use("stock", "granted");
     meter.count_refusal("full");
     meter.count_ejection("stock");
     meter.count_upstream_crash();
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -3,13 +3,14 @@
 use fleet::view::Upstream;
 use model::time::Time;
 use policy::{
+    budget::Lineage,
     latency::Estimate,
     outcome::Outcome,
     retry::{self, Kind},
 };
 use std::time::Duration;
 
-use crate::{call::Call, proxy::Proxy};
+use crate::{call::Call, proxy::Proxy, record::events::BudgetUse};
 
 /// Counts a call towards the service's retry budget.
 pub(super) fn record_call(proxy: &Proxy, call: &Call<'_>) {
@@ -19,6 +20,9 @@
         Some(settings) => service.record_call(settings, call.rank.class, call.lineage, now),
         None => service.budget.earn(call.profile.retry_budget_percent),
     });
+    if budget.is_some() && call.lineage == Lineage::Retry {
+        proxy.count_budget_use(call.service, BudgetUse::Nested);
+    }
 }
 
 /// Decides whether to retry after a failed attempt.
@@ -50,7 +54,11 @@
     let nodes = proxy.fleet_size();
     let now = proxy.clock.now();
     retry::decide_reached(attempt, || {
-        proxy.services.with(call.service, |s| s.window.try_retry(&settings, nodes, now))
+        let granted =
+            proxy.services.with(call.service, |s| s.window.try_retry(&settings, nodes, now));
+        let how = if granted { BudgetUse::Granted } else { BudgetUse::Refused };
+        proxy.count_budget_use(call.service, how);
+        granted
     })
 }
 
@@ -58,6 +66,7 @@
 pub(super) fn give_back(proxy: &Proxy, call: &Call<'_>) {
     if proxy.tuning().budget.is_some() {
         proxy.services.with(call.service, |service| service.window.give_back());
+        proxy.count_budget_use(call.service, BudgetUse::Returned);
     }
 }
 
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -8,6 +8,7 @@
 pub(crate) mod in_flight;
 mod lifecycle;
 mod quarantine;
+mod retry_budget;
 pub(crate) mod services;
 pub(crate) mod settings;
 mod warmup;
@@ -218,20 +219,6 @@
         health::Load { bodies, limit, ..self.slots.load() }
     }
 
-    /// Returns the number of nodes that share the retry budget of the fleet.
-    pub(crate) fn fleet_size(&self) -> usize {
-        self.view().iter().count()
-    }
-
-    /// Returns whether the colocated upstream may run a retry: the calls that it makes for it count as
-    /// retries of the services that it calls.
-    pub(crate) fn may_run_retry(&self) -> bool {
-        let budget = self.tuning().budget;
-        budget.is_none_or(|settings| {
-            self.services.may_retry_nested(&settings, self.fleet_size(), self.clock.now())
-        })
-    }
-
     /// Stops accepting calls for the colocated upstream.
     pub fn leave(&self) {
         self.lifecycle.leave();
--- a/crates/traffic/src/record/events.rs
+++ b/crates/traffic/src/record/events.rs
@@ -20,12 +20,42 @@
     Unknown(String, Uncertainty),
     /// A call to a service was retried after this upstream failed for this reason.
     Retried(String, SocketAddr, &'static str),
+    /// An attempt or a call counted towards a service's retry budget.
+    Budget(String, BudgetUse),
     /// An upstream of a service used more than half of a call's remaining time.
     Slow(String, SocketAddr),
     /// An upstream of a service was ejected.
     Ejected(String, SocketAddr),
 }
 
+/// How an attempt or a call counts towards the retry budget of the fleet.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum BudgetUse {
+    /// The entry node took a retry from the budget.
+    Granted,
+    /// The entry node made no retry, since none was left.
+    Refused,
+    /// The entry node returned a retry that reached no upstream.
+    Returned,
+    /// The entry node received a call nested in a retry.
+    Nested,
+    /// The serving node passed an attempt on to its upstream as a retry.
+    Delivered,
+}
+
+impl BudgetUse {
+    /// Returns the name in metrics and events.
+    pub fn name(self) -> &'static str {
+        match self {
+            BudgetUse::Granted => "granted",
+            BudgetUse::Refused => "refused",
+            BudgetUse::Returned => "returned",
+            BudgetUse::Nested => "nested",
+            BudgetUse::Delivered => "delivered",
+        }
+    }
+}
+
 /// Event counts since the last collection.
 #[derive(Debug, Default)]
 pub(crate) struct Counters {
@@ -56,6 +86,9 @@
         Event::Retried(service, peer, reason) => {
             Kind::Retried { service, peer, reason: reason.to_owned(), count }
         }
+        Event::Budget(service, how) => {
+            Kind::RetryBudget { service, how: how.name().to_owned(), count }
+        }
         Event::Slow(service, peer) => Kind::Slow { service, peer, count },
         Event::Ejected(service, peer) => Kind::Ejected { service, peer },
     }
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -15,7 +15,7 @@
     call::{Answer, Offer},
     net::{pool::Connection, stream::SocketState},
     proxy::{Proxy, in_flight::OfferGuard},
-    record::{Interest, Trace},
+    record::{Interest, Trace, events::BudgetUse},
     upstream::{self, Failure, crash},
     wire,
 };
@@ -92,6 +92,9 @@
     connection: Connection,
     slot: &mut Permit,
 ) -> Result<Answer, Failure> {
+    if offer.lineage == Lineage::Retry {
+        proxy.count_budget_use(&proxy.settings.service, BudgetUse::Delivered);
+    }
     let begun = proxy.clock.now();
     let result = send(proxy, profile, offer, connection, slot).await;
     trace_run(proxy, offer, trace, &result, proxy.clock.now().since(begun));
