policy, traffic: a retry counts until a window after its attempt has ended

What callers saw: nothing; retries that waited in the queue of a serving node arrived at its upstream in a later window than the one whose budget had allowed them.

Cause: a node counted a retry at the moment at which it granted it. Between that and its arrival lie a connection, a queue and, behind a process that stands still, any time up to the call's deadline; retries of two windows arrive in one. Class: an event counted where it is decided, and bounded where it takes effect.

Change: a granted retry is pending until its attempt has ended, been cancelled or been dropped with its call, and counts in every span meanwhile, then as if it had arrived at its end. A call nested in a retry is one itself, for as long as it runs.

Ruled out: counting it until the call's deadline (at deadlines of several seconds most of the budget would stand idle).

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -6,7 +6,8 @@
 //!
 //! Invariant *bounded spans*: of any span that ends now and is at most a window long, a process makes no
 //! more retries than half of `ratio` times its own calls in the window before the span, half of `ratio`
-//! times its own calls in the span, and its part of the slack.
+//! times its own calls in the span, and its part of the slack. A retry is in a span if it may have reached
+//! its upstream in it.
 //!
 //! Summed over all processes, the two halves stay within the calls of one window or the other. A process that
 //! has just started has no calls before the span, so it cannot spend again what the one before it has
@@ -68,12 +69,15 @@
     slots: VecDeque<Slot>,
     /// Number of the current slot since the start of the clock.
     current: u64,
+    /// Retries that may still reach an upstream; they count in every span.
+    pending: u32,
 }
 
 /// Calls and retries of a part of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Slot {
     calls: u32,
+    /// Retries that ended.
     retries: u32,
 }
 
@@ -83,12 +87,15 @@
         let slot = self.slot(settings, now);
         match lineage {
             Lineage::First => slot.calls += 1,
-            Lineage::Retry => slot.retries += 1,
+            Lineage::Retry => self.pending += 1,
         }
     }
 
     /// Spends one retry; returns false if the budget is exhausted.
     ///
+    /// It counts until a window after [`Window::end_retry`], since it may reach its upstream at any time
+    /// until then.
+    ///
     /// ```
     /// use model::time::Time;
     /// use policy::budget::{Part, Settings, Window};
@@ -102,7 +109,7 @@
             cov_mark::hit!(window_spent);
             return false;
         }
-        self.slot(settings, now).retries += 1;
+        self.pending += 1;
         true
     }
 
@@ -117,18 +124,25 @@
         })
     }
 
-    /// Returns the last retry, which has reached no upstream, to the budget.
+    /// Ends a retry, which reaches no upstream from now on.
+    pub fn end_retry(&mut self, settings: &Settings, now: Time) {
+        self.pending = self.pending.saturating_sub(1);
+        self.slot(settings, now).retries += 1;
+    }
+
+    /// Returns a retry, which has reached no upstream, to the budget.
     pub fn give_back(&mut self) {
-        let spent = self.slots.iter_mut().rev().find(|slot| slot.retries > 0);
-        if let Some(slot) = spent {
-            slot.retries -= 1;
-        }
+        self.pending = self.pending.saturating_sub(1);
     }
 
     /// Iterates over the spans that end now, from the current slot alone to a whole window.
     fn spans(&self) -> impl Iterator<Item = Span> {
         let calls = |age: usize| self.aged(age).map_or(0.0, |slot| f64::from(slot.calls));
-        let mut span = Span { calls_before: (0..SLOTS - 1).map(calls).sum(), ..Span::default() };
+        let mut span = Span {
+            calls_before: (0..SLOTS - 1).map(calls).sum(),
+            calls: 0.0,
+            retries: f64::from(self.pending),
+        };
         (0..=SLOTS).map(move |age| {
             span.calls_before += calls(age + SLOTS - 1) - calls(age);
             span.calls += calls(age);
@@ -159,12 +173,12 @@
 }
 
 /// Calls and retries of a span that ends now.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Span {
     /// Calls in the window before the span, less its first slot.
     calls_before: f64,
     /// Calls in the span.
     calls: f64,
-    /// Retries in the span.
+    /// Retries that may have reached an upstream in the span.
     retries: f64,
 }
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -10,6 +10,15 @@
     Part { slack, rounding: 0.0 }
 }
 
+/// Spends one retry that reaches its upstream at once.
+fn retry(window: &mut Window, settings: &Settings, part: Part, now: Time) -> bool {
+    let granted = window.try_retry(settings, part, now);
+    if granted {
+        window.end_retry(settings, now);
+    }
+    granted
+}
+
 fn at(ms: u64) -> Time {
     Time::from_millis(ms)
 }
@@ -33,7 +42,7 @@
             let node = random.random_range(0..nodes);
             windows[node].record_call(&settings, Lineage::First, at(ms));
             calls.push_back(ms);
-            if random.random_bool(0.5) && windows[node].try_retry(&settings, part, at(ms)) {
+            if random.random_bool(0.5) && retry(&mut windows[node], &settings, part, at(ms)) {
                 retries.push_back(ms);
             }
             let is_expired = |then: &u64| ms - then > 10_000;
@@ -57,9 +66,9 @@
     cov_mark::check!(window_spent);
     let settings = Settings { usable_share: 1.0, ..Settings::default() };
     let mut window = Window::default();
-    assert!(window.try_retry(&settings, slack(1.0), at(0)));
-    assert!(!window.try_retry(&settings, slack(1.0), at(9_000)));
-    assert!(window.try_retry(&settings, slack(1.0), at(11_500)));
+    assert!(retry(&mut window, &settings, slack(1.0), at(0)));
+    assert!(!retry(&mut window, &settings, slack(1.0), at(9_000)));
+    assert!(retry(&mut window, &settings, slack(1.0), at(11_500)));
 }
 
 #[test]
@@ -69,7 +78,8 @@
     let mut granted = 0;
     for (calls, ms, expect) in [(100, 0, 6), (100, 5_000, 12), (0, 9_900, 12)] {
         (0..calls).for_each(|_| window.record_call(&settings, Lineage::First, at(ms)));
-        granted += (0..100).filter(|_| window.try_retry(&settings, slack(0.0), at(ms + 1))).count();
+        granted +=
+            (0..100).filter(|_| retry(&mut window, &settings, slack(0.0), at(ms + 1))).count();
         assert_eq!(granted, expect, "after {ms} ms");
     }
     assert_eq!(settings.window, Duration::from_secs(10));
@@ -83,10 +93,10 @@
     window.record_call(&settings, Lineage::Retry, at(0));
     // Two calls earn one retry at once.
     (1..=2).for_each(|ms| window.record_call(&settings, Lineage::First, at(ms)));
-    assert!(!window.try_retry(&settings, slack(0.0), at(3)));
+    assert!(!retry(&mut window, &settings, slack(0.0), at(3)));
     (4..=5).for_each(|ms| window.record_call(&settings, Lineage::First, at(ms)));
-    assert!(window.try_retry(&settings, slack(0.0), at(6)));
-    assert!(!window.try_retry(&settings, slack(0.0), at(7)));
+    assert!(retry(&mut window, &settings, slack(0.0), at(6)));
+    assert!(!retry(&mut window, &settings, slack(0.0), at(7)));
 }
 
 /// Guards against a budget spent on retries that the next serving node refuses as well.
@@ -97,8 +107,8 @@
     assert!(window.try_retry(&settings, slack(1.0), at(0)));
     assert!(!window.may_retry(&settings, slack(1.0), at(1)));
     window.give_back();
-    assert!(window.try_retry(&settings, slack(1.0), at(2)));
-    assert!(!window.try_retry(&settings, slack(1.0), at(3)));
+    assert!(retry(&mut window, &settings, slack(1.0), at(2)));
+    assert!(!retry(&mut window, &settings, slack(1.0), at(3)));
 }
 
 /// Guards against a restarted node that spends the slack which its previous process has spent.
@@ -110,7 +120,7 @@
     for (second, expect) in [(0, 0), (2, 0), (6, 0), (9, 0), (19, 0), (20, 7)] {
         let now = at(second * 1_000);
         share.update(&settings, Census { nodes: 1, is_listed: true, contact: Some(now) }, now);
-        while window.try_retry(&settings, share.part(&settings, now), now) {
+        while retry(&mut window, &settings, share.part(&settings, now), now) {
             granted += 1;
         }
         assert_eq!(granted, expect, "after {second} s");
@@ -201,7 +211,7 @@
                 window.record_call(&settings, Lineage::First, at(ms));
                 calls[ms as usize] += 1;
                 for _ in 1..ATTEMPTS {
-                    if !random.random_bool(REFUSED) || !window.try_retry(&settings, part, at(ms)) {
+                    if !random.random_bool(REFUSED) || !retry(window, &settings, part, at(ms)) {
                         break;
                     }
                     retries[ms as usize] += 1;
--- a/crates/policy/tests/budget_histories.rs
+++ b/crates/policy/tests/budget_histories.rs
@@ -79,6 +79,13 @@
     ]);
 }
 
+/// Guards against retries that wait in queues and arrive in a later window than the one that allowed them.
+#[test]
+fn retries_count_when_they_arrive() {
+    check(&[disruption(Kind::Late, 20_000, 9_000, 1.0)]);
+    check(&[disruption(Kind::Late, 20_000, 15_000, 0.5)]);
+}
+
 /// Guards against retries of a history of disruptions beyond the fleet's bound.
 #[test]
 fn random_histories_keep_the_bound() {
--- a/crates/policy/tests/histories/mod.rs
+++ b/crates/policy/tests/histories/mod.rs
@@ -294,7 +294,9 @@
     }
 
     /// Ends a retry, which has arrived by now.
-    fn end_retry(&mut self, _ms: usize) {}
+    fn end_retry(&mut self, settings: &Settings, ms: usize) {
+        self.window.end_retry(settings, time(ms));
+    }
 }
 
 fn time(ms: usize) -> Time {
@@ -338,7 +340,7 @@
         for (index, started) in std::mem::take(&mut self.ends[ms / STEP_MS]) {
             let process = self.processes[index].as_mut();
             if let Some(process) = process.filter(|process| process.started == started) {
-                process.end_retry(ms);
+                process.end_retry(&self.history.settings(), ms);
             }
         }
         for index in instances.clone() {
--- a/crates/standins/src/queueing/simulation.rs
+++ b/crates/standins/src/queueing/simulation.rs
@@ -6,7 +6,7 @@
 use model::time::Time;
 use policy::{
     admission::{Class, Decision, Rank, Ticket},
-    budget::{Lineage, Part, Window},
+    budget::{self, Lineage, Part, Window},
     client_retry::Attempt,
     health::{Load, Record, Sample},
     latency::Estimate,
@@ -473,8 +473,8 @@
         let slack = self.settings.budget.slack / self.entries.len() as f64;
         let part = Part { slack, ..Part::default() };
         let window = &mut self.entries[call.entry].windows[route.service];
-        let budget = &self.settings.budget;
-        let step = retry::decide_reached(attempt, || window.try_retry(budget, part, self.now));
+        let settings = &self.settings.budget;
+        let step = retry::decide_reached(attempt, || spend(window, settings, part, self.now));
         step == retry::Step::Retry
     }
 
@@ -542,3 +542,12 @@
         _ => rank,
     }
 }
+
+/// Spends one retry, which arrives at once; returns false if the budget is exhausted.
+fn spend(window: &mut Window, settings: &budget::Settings, part: Part, now: Time) -> bool {
+    let granted = window.try_retry(settings, part, now);
+    if granted {
+        window.end_retry(settings, now);
+    }
+    granted
+}
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -17,7 +17,7 @@
     call::{Answer, Call},
     entry::{
         choice::{choose, choose_after_timeout},
-        retries::{deadline, next_step, record_call},
+        retries::{Next, Retry, deadline, next_step, record_call},
     },
     net::stream::SocketState,
     proxy::Proxy,
@@ -28,7 +28,8 @@
 ///
 /// Fails with the outcome to report to the caller.
 pub(crate) async fn run(proxy: &Arc<Proxy>, call: &Call<'_>) -> Result<Answer, Outcome> {
-    record_call(proxy, call);
+    let _nested = record_call(proxy, call);
+    let mut spent: Option<Retry<'_>> = None;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut reached = 0;
     let mut last = no_upstream_cause(proxy, call.service).outcome();
@@ -54,13 +55,14 @@
         };
         let address = upstream.address;
         reached += u32::from(retry::may_have_reached_upstream(outcome));
-        // Attempts after the first that reached an upstream were taken from the budget.
-        if reached_before > 0 && reached == reached_before {
-            retries::give_back(proxy, call);
+        match spent.take() {
+            Some(retry) if reached == reached_before => retry.give_back(),
+            ended => drop(ended),
         }
         last = outcome.after(last);
-        if next_step(proxy, call, outcome, tried.len(), reached) == retry::Step::GiveUp {
-            return Err(last);
+        match next_step(proxy, call, outcome, tried.len(), reached) {
+            Next::GiveUp => return Err(last),
+            Next::Offer(retry) => spent = retry,
         }
         proxy.meter.count_retry(call.service);
         proxy.events.add(Event::Retried(call.service.to_owned(), address, outcome.reason()));
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -14,7 +14,11 @@
 
 use crate::{
     call::{Answer, Call},
-    entry::{attempt, choice::choose, retries},
+    entry::{
+        attempt,
+        choice::choose,
+        retries::{self, Next, Retry},
+    },
     proxy::Proxy,
     record::events::Event,
 };
@@ -36,7 +40,7 @@
     if let Ok(result) = timeout(delay, &mut primary).await {
         return result;
     }
-    let Some(second) = second_upstream(proxy, call, tried, *reached + 1) else {
+    let Some((second, _spent)) = second_upstream(proxy, call, tried, *reached + 1) else {
         return primary.await;
     };
     tried.push(second.clone());
@@ -60,17 +64,20 @@
     later.map_err(|outcome| outcome.after(earlier))
 }
 
-/// Returns the upstream for the hedged request, if the retry budget and attempt limit allow one.
-fn second_upstream(
-    proxy: &Proxy,
-    call: &Call<'_>,
+/// Returns the upstream for the hedged request and the retry that it takes from the budget, if budget and
+/// attempt limit allow one.
+fn second_upstream<'a>(
+    proxy: &'a Proxy,
+    call: &'a Call<'_>,
     tried: &[Upstream],
     reached: u32,
-) -> Option<Upstream> {
+) -> Option<(Upstream, Option<Retry<'a>>)> {
     if call.kind() != Kind::Idempotent {
         return None;
     }
     let second = choose(proxy, call, tried)?;
-    let step = retries::next_step(proxy, call, retry::TIMED_OUT, tried.len(), reached);
-    (step == retry::Step::Retry).then_some(second)
+    match retries::next_step(proxy, call, retry::TIMED_OUT, tried.len(), reached) {
+        Next::Offer(spent) => Some((second, spent)),
+        Next::GiveUp => None,
+    }
 }
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -3,7 +3,7 @@
 use fleet::view::Upstream;
 use model::time::Time;
 use policy::{
-    budget::Lineage,
+    budget::{Lineage, Settings},
     latency::Estimate,
     outcome::Outcome,
     retry::{self, Kind},
@@ -12,64 +12,114 @@
 
 use crate::{call::Call, proxy::Proxy, record::events::BudgetUse};
 
-/// Counts a call towards the service's retry budget.
-pub(super) fn record_call(proxy: &Proxy, call: &Call<'_>) {
+/// A retry taken from the fleet's budget, which may reach its upstream until this is dropped.
+pub(super) struct Retry<'a> {
+    proxy: &'a Proxy,
+    service: &'a str,
+    settings: Settings,
+    reached_none: bool,
+}
+
+impl<'a> Retry<'a> {
+    fn new(proxy: &'a Proxy, service: &'a str, settings: Settings) -> Self {
+        Retry { proxy, service, settings, reached_none: false }
+    }
+
+    /// Returns the retry, which has reached no upstream, to the budget.
+    pub(super) fn give_back(mut self) {
+        self.reached_none = true;
+        self.proxy.count_budget_use(self.service, BudgetUse::Returned);
+    }
+}
+
+impl Drop for Retry<'_> {
+    fn drop(&mut self) {
+        let now = self.proxy.clock.now();
+        self.proxy.services.with(self.service, |service| match self.reached_none {
+            true => service.window.give_back(),
+            false => service.window.end_retry(&self.settings, now),
+        });
+    }
+}
+
+/// What follows a failed attempt.
+pub(super) enum Next<'a> {
+    /// No further attempt.
+    GiveUp,
+    /// An attempt at another upstream, with the retry that it takes from the budget, if any.
+    Offer(Option<Retry<'a>>),
+}
+
+/// Counts a call towards the service's retry budget; returns the retry that it is itself, if it is nested
+/// in one.
+pub(super) fn record_call<'a>(proxy: &'a Proxy, call: &'a Call<'_>) -> Option<Retry<'a>> {
     let now = proxy.clock.now();
-    let budget = proxy.tuning().budget;
-    proxy.services.with(call.service, |service| match &budget {
-        Some(settings) => service.record_call(settings, call.rank.class, call.lineage, now),
-        None => service.budget.earn(call.profile.retry_budget_percent),
+    let Some(settings) = proxy.tuning().budget else {
+        let percent = call.profile.retry_budget_percent;
+        proxy.services.with(call.service, |service| service.budget.earn(percent));
+        return None;
+    };
+    proxy.services.with(call.service, |service| {
+        service.record_call(&settings, call.rank.class, call.lineage, now);
     });
-    if budget.is_some() && call.lineage == Lineage::Retry {
-        proxy.count_budget_use(call.service, BudgetUse::Nested);
+    if call.lineage == Lineage::First {
+        return None;
     }
+    proxy.count_budget_use(call.service, BudgetUse::Nested);
+    Some(Retry::new(proxy, call.service, settings))
 }
 
 /// Decides whether to retry after a failed attempt.
 ///
 /// `offers` counts all upstreams tried, `reached` those that may have received the call.
-pub(super) fn next_step(
-    proxy: &Proxy,
-    call: &Call<'_>,
+pub(super) fn next_step<'a>(
+    proxy: &'a Proxy,
+    call: &'a Call<'_>,
     outcome: Outcome,
     offers: usize,
     reached: u32,
-) -> retry::Step {
+) -> Next<'a> {
     let may_crash_upstreams =
         matches!(outcome, Outcome::Unknown(_)) && proxy.is_suspected(&call.payload, call.service);
     if may_crash_upstreams {
         // A retry could crash another upstream before this crash is reported.
-        return retry::Step::GiveUp;
+        return Next::GiveUp;
     }
     let limit = call.options.attempts;
     let kind = call.kind();
     let Some(settings) = proxy.tuning().budget else {
         let attempt = retry::Attempt { outcome, kind, made: offers as u32, limit };
-        return proxy.services.with(call.service, |s| retry::decide(attempt, &mut s.budget));
+        let step = proxy.services.with(call.service, |s| retry::decide(attempt, &mut s.budget));
+        return next(step, None);
     };
     if !retry::may_offer(offers) {
-        return retry::Step::GiveUp;
+        return Next::GiveUp;
     }
     let attempt = retry::Attempt { outcome, kind, made: reached, limit };
-    let part = proxy.budget_part(&settings);
-    let now = proxy.clock.now();
-    retry::decide_reached(attempt, || {
-        let granted =
-            proxy.services.with(call.service, |s| s.window.try_retry(&settings, part, now));
-        let how = if granted { BudgetUse::Granted } else { BudgetUse::Refused };
-        proxy.count_budget_use(call.service, how);
-        granted
-    })
+    let mut spent = None;
+    let step = retry::decide_reached(attempt, || {
+        spent = take(proxy, call.service, settings);
+        spent.is_some()
+    });
+    next(step, spent)
 }
 
-/// Returns a retry that reached no upstream to the service's budget.
-pub(super) fn give_back(proxy: &Proxy, call: &Call<'_>) {
-    if proxy.tuning().budget.is_some() {
-        proxy.services.with(call.service, |service| service.window.give_back());
-        proxy.count_budget_use(call.service, BudgetUse::Returned);
+fn next(step: retry::Step, spent: Option<Retry<'_>>) -> Next<'_> {
+    match step {
+        retry::Step::Retry => Next::Offer(spent),
+        retry::Step::GiveUp => Next::GiveUp,
     }
 }
 
+/// Takes a retry from the service's budget, if one is left.
+fn take<'a>(proxy: &'a Proxy, service: &'a str, settings: Settings) -> Option<Retry<'a>> {
+    let (part, now) = (proxy.budget_part(&settings), proxy.clock.now());
+    let granted = proxy.services.with(service, |s| s.window.try_retry(&settings, part, now));
+    let how = if granted { BudgetUse::Granted } else { BudgetUse::Refused };
+    proxy.count_budget_use(service, how);
+    granted.then(|| Retry::new(proxy, service, settings))
+}
+
 /// Returns the deadline of attempt number `made`, counted from 1.
 pub(super) fn deadline(proxy: &Proxy, call: &Call<'_>, made: usize) -> Time {
     let now = proxy.clock.now();
