traffic, policy: a call nested in a retry needs a retry of its own

What callers saw: nothing; a service that other upstreams call got retries that no budget had allowed.

Cause: a serving node let a retry run if one was left for the services that its upstream calls. Any number of runs passed that check at once, and each made several nested calls, which were counted and not limited. Class: a check of a sum that does not hold what it has let pass.

Change: a call nested in a retry takes a retry like any other, and is refused at once, not run, if none is left. So that this is rare, a retry runs only where the budgets have room for the nested calls of all retries in progress, at their mean number per run.

Ruled out: a reservation per run; the number of calls that a run makes is not known beforehand, so that it would bound nothing more.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -82,13 +82,9 @@
 }
 
 impl Window {
-    /// Counts a call before its first attempt. One that is nested in a retry counts as a retry.
-    pub fn record_call(&mut self, settings: &Settings, lineage: Lineage, now: Time) {
-        let slot = self.slot(settings, now);
-        match lineage {
-            Lineage::First => slot.calls += 1,
-            Lineage::Retry => self.pending += 1,
-        }
+    /// Counts a call before its first attempt. One that is nested in a retry is a retry instead.
+    pub fn record_call(&mut self, settings: &Settings, now: Time) {
+        self.slot(settings, now).calls += 1;
     }
 
     /// Spends one retry; returns false if the budget is exhausted.
@@ -105,7 +101,7 @@
     /// assert_eq!(granted, 2);
     /// ```
     pub fn try_retry(&mut self, settings: &Settings, part: Part, now: Time) -> bool {
-        if !self.may_retry(settings, part, now) {
+        if self.available(settings, part, now) == 0 {
             cov_mark::hit!(window_spent);
             return false;
         }
@@ -113,15 +109,16 @@
         true
     }
 
-    /// Returns whether a retry is left.
-    pub fn may_retry(&mut self, settings: &Settings, part: Part, now: Time) -> bool {
+    /// Returns how many retries are left.
+    pub fn available(&mut self, settings: &Settings, part: Part, now: Time) -> usize {
         self.slot(settings, now);
-        self.spans().all(|span| {
+        let left = self.spans().map(|span| {
             let calls = SAVED_SHARE * span.calls_before + (1.0 - SAVED_SHARE) * span.calls;
-            let allowed =
-                (settings.ratio * calls + part.slack) * settings.usable_share + part.rounding;
-            span.retries + 1.0 <= allowed
-        })
+            let allowed = (settings.ratio * calls + part.slack) * settings.usable_share;
+            // A cast of a negative number yields 0.
+            (allowed + part.rounding - span.retries) as usize
+        });
+        left.min().unwrap_or(0)
     }
 
     /// Ends a retry, which reaches no upstream from now on.
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -1,7 +1,7 @@
 //! Retries of all nodes together stay below the fleet-wide bound in every window.
 
 use model::time::Time;
-use policy::budget::{Census, Lineage, Part, Settings, Share, Window};
+use policy::budget::{Census, Part, Settings, Share, Window};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use std::{collections::VecDeque, time::Duration};
 
@@ -40,7 +40,7 @@
                 continue;
             }
             let node = random.random_range(0..nodes);
-            windows[node].record_call(&settings, Lineage::First, at(ms));
+            windows[node].record_call(&settings, at(ms));
             calls.push_back(ms);
             if random.random_bool(0.5) && retry(&mut windows[node], &settings, part, at(ms)) {
                 retries.push_back(ms);
@@ -77,7 +77,7 @@
     let mut window = Window::default();
     let mut granted = 0;
     for (calls, ms, expect) in [(100, 0, 6), (100, 5_000, 12), (0, 9_900, 12)] {
-        (0..calls).for_each(|_| window.record_call(&settings, Lineage::First, at(ms)));
+        (0..calls).for_each(|_| window.record_call(&settings, at(ms)));
         granted +=
             (0..100).filter(|_| retry(&mut window, &settings, slack(0.0), at(ms + 1))).count();
         assert_eq!(granted, expect, "after {ms} ms");
@@ -85,18 +85,23 @@
     assert_eq!(settings.window, Duration::from_secs(10));
 }
 
-/// Guards against retries of a retried run's calls that no node counts.
+/// Guards against retries of a retried run's calls that no node counts: such a call takes a retry, earns
+/// none, and is refused if none is left.
 #[test]
 fn a_call_nested_in_a_retry_spends_the_budget() {
     let settings = Settings { ratio: 1.0, slack: 0.0, usable_share: 1.0, ..Settings::default() };
     let mut window = Window::default();
-    window.record_call(&settings, Lineage::Retry, at(0));
+    let mut nested = |calls: usize, ms: u64| {
+        (0..calls).for_each(|_| window.record_call(&settings, at(ms)));
+        retry(&mut window, &settings, slack(0.0), at(ms + 1))
+    };
+    assert!(!nested(0, 0));
     // Two calls earn one retry at once.
-    (1..=2).for_each(|ms| window.record_call(&settings, Lineage::First, at(ms)));
-    assert!(!retry(&mut window, &settings, slack(0.0), at(3)));
-    (4..=5).for_each(|ms| window.record_call(&settings, Lineage::First, at(ms)));
-    assert!(retry(&mut window, &settings, slack(0.0), at(6)));
-    assert!(!retry(&mut window, &settings, slack(0.0), at(7)));
+    assert!(nested(2, 2));
+    assert!(!nested(0, 4));
+    assert!(!nested(1, 6));
+    assert!(nested(1, 8));
+    assert!(!nested(0, 10));
 }
 
 /// Guards against a budget spent on retries that the next serving node refuses as well.
@@ -105,7 +110,7 @@
     let settings = Settings { ratio: 0.0, slack: 1.0, usable_share: 1.0, ..Settings::default() };
     let mut window = Window::default();
     assert!(window.try_retry(&settings, slack(1.0), at(0)));
-    assert!(!window.may_retry(&settings, slack(1.0), at(1)));
+    assert_eq!(window.available(&settings, slack(1.0), at(1)), 0);
     window.give_back();
     assert!(retry(&mut window, &settings, slack(1.0), at(2)));
     assert!(!retry(&mut window, &settings, slack(1.0), at(3)));
@@ -208,7 +213,7 @@
             for _ in 0..arrivals {
                 let node = random.random_range(0..self.nodes);
                 let (window, part) = (&mut windows[node], shares[node].part(&settings, at(ms)));
-                window.record_call(&settings, Lineage::First, at(ms));
+                window.record_call(&settings, at(ms));
                 calls[ms as usize] += 1;
                 for _ in 1..ATTEMPTS {
                     if !random.random_bool(REFUSED) || !retry(window, &settings, part, at(ms)) {
--- a/crates/policy/tests/histories/mod.rs
+++ b/crates/policy/tests/histories/mod.rs
@@ -1,7 +1,7 @@
 //! A fleet on a virtual clock whose nodes share a retry budget, under a history of disruptions.
 
 use model::time::Time;
-use policy::budget::{Census, Lineage, Settings, Share, Window};
+use policy::budget::{Census, Settings, Share, Window};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 /// Length of a step, in ms.
@@ -286,7 +286,7 @@
     }
 
     fn record_call(&mut self, settings: &Settings, ms: usize) {
-        self.window.record_call(settings, Lineage::First, time(ms));
+        self.window.record_call(settings, time(ms));
     }
 
     fn try_retry(&mut self, settings: &Settings, ms: usize) -> bool {
--- a/crates/standins/src/queueing/simulation.rs
+++ b/crates/standins/src/queueing/simulation.rs
@@ -6,7 +6,7 @@
 use model::time::Time;
 use policy::{
     admission::{Class, Decision, Rank, Ticket},
-    budget::{self, Lineage, Part, Window},
+    budget::{self, Part, Window},
     client_retry::Attempt,
     health::{Load, Record, Sample},
     latency::Estimate,
@@ -152,7 +152,7 @@
         call.received = now;
         let deadline = call.deadline;
         let node = &mut self.entries[call.entry];
-        node.windows[route.service].record_call(&self.settings.budget, Lineage::First, now);
+        node.windows[route.service].record_call(&self.settings.budget, now);
         let expected =
             node.latencies[call.route].map_or(route.objective / 2, |latency| latency.mean());
         let timing = Timing {
--- a/crates/traffic/src/admission/running.rs
+++ b/crates/traffic/src/admission/running.rs
@@ -14,10 +14,20 @@
 /// Separates the parent's id from the suffix in the id of a nested call.
 const SEPARATOR: char = '.';
 
+/// Weight of the latest run in the mean number of nested calls per run.
+const NESTED_MEAN_WEIGHT: f64 = 0.125;
+
 /// Requests that the upstream is processing, by id.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Registry {
-    ids: Arc<Mutex<HashMap<String, Run>>>,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    runs: HashMap<String, Run>,
+    /// Moving mean of the nested calls of a run.
+    mean_nested: f64,
 }
 
 /// State of a request that the upstream is processing.
@@ -41,46 +51,54 @@
     /// Registers the request `id`, admitted with `rank`, which counts as `lineage` says.
     pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage) -> Guard {
         let run = Run { count: 0, parent: Parent { rank, answered: 0 }, lineage };
-        self.lock().entry(id.to_owned()).or_insert(run).count += 1;
+        self.lock().runs.entry(id.to_owned()).or_insert(run).count += 1;
         Guard { registry: self.clone(), id: id.to_owned() }
     }
 
     /// Returns the parent of the nested call `id`; `None` if no running request is its parent.
     pub(crate) fn parent_of(&self, id: &str) -> Option<Parent> {
         let (parent, _) = id.rsplit_once(SEPARATOR)?;
-        self.lock().get(parent).map(|run| run.parent)
+        self.lock().runs.get(parent).map(|run| run.parent)
     }
 
     /// Returns how the call `id` counts towards the retry budget: a nested call like its parent.
     pub(crate) fn lineage_of(&self, id: &str) -> Lineage {
         let parent = id.rsplit_once(SEPARATOR).map(|(parent, _)| parent);
-        let lineage = parent.and_then(|parent| Some(self.lock().get(parent)?.lineage));
+        let lineage = parent.and_then(|parent| Some(self.lock().runs.get(parent)?.lineage));
         lineage.unwrap_or_default()
     }
 
     /// Counts an answered nested call for its parent, if `id` is one.
     pub(crate) fn answered(&self, id: &str) {
         let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return };
-        if let Some(run) = self.lock().get_mut(parent) {
+        if let Some(run) = self.lock().runs.get_mut(parent) {
             run.parent.answered += 1;
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Run>> {
-        lock(&self.ids)
+    /// Returns how many nested calls to expect of all retries that run, if one more begins.
+    pub(crate) fn nested_calls_after_retry(&self) -> usize {
+        let state = self.lock();
+        let retries = state.runs.values().filter(|run| run.lineage == Lineage::Retry).count() + 1;
+        (retries as f64 * state.mean_nested).ceil().max(1.0) as usize
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        lock(&self.state)
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        let mut ids = self.registry.lock();
-        let left = ids.get_mut(&self.id).map(|run| {
-            run.count -= 1;
-            run.count
-        });
-        if left == Some(0) {
-            ids.remove(&self.id);
+        let mut state = self.registry.lock();
+        let Some(run) = state.runs.get_mut(&self.id) else { return };
+        run.count -= 1;
+        if run.count > 0 {
+            return;
         }
+        let nested = run.parent.answered as f64;
+        state.mean_nested += (nested - state.mean_nested) * NESTED_MEAN_WEIGHT;
+        state.runs.remove(&self.id);
     }
 }
 
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -28,7 +28,7 @@
 ///
 /// Fails with the outcome to report to the caller.
 pub(crate) async fn run(proxy: &Arc<Proxy>, call: &Call<'_>) -> Result<Answer, Outcome> {
-    let _nested = record_call(proxy, call);
+    let _nested = record_call(proxy, call)?;
     let mut spent: Option<Retry<'_>> = None;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut reached = 0;
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -5,7 +5,7 @@
 use policy::{
     budget::{Lineage, Settings},
     latency::Estimate,
-    outcome::Outcome,
+    outcome::{Cause, Outcome},
     retry::{self, Kind},
 };
 use std::time::Duration;
@@ -52,21 +52,28 @@
 
 /// Counts a call towards the service's retry budget; returns the retry that it is itself, if it is nested
 /// in one.
-pub(super) fn record_call<'a>(proxy: &'a Proxy, call: &'a Call<'_>) -> Option<Retry<'a>> {
+///
+/// Fails if the budget has none left for it: refused by its entry node, the call is known not to have run.
+pub(super) fn record_call<'a>(
+    proxy: &'a Proxy,
+    call: &'a Call<'_>,
+) -> Result<Option<Retry<'a>>, Outcome> {
     let now = proxy.clock.now();
     let Some(settings) = proxy.tuning().budget else {
         let percent = call.profile.retry_budget_percent;
         proxy.services.with(call.service, |service| service.budget.earn(percent));
-        return None;
+        return Ok(None);
     };
     proxy.services.with(call.service, |service| {
         service.record_call(&settings, call.rank.class, call.lineage, now);
     });
-    if call.lineage == Lineage::First {
-        return None;
+    match call.lineage {
+        Lineage::First => Ok(None),
+        Lineage::Retry => match take(proxy, call.service, settings, BudgetUse::Nested) {
+            None => Err(Cause::Overloaded.outcome()),
+            retry => Ok(retry),
+        },
     }
-    proxy.count_budget_use(call.service, BudgetUse::Nested);
-    Some(Retry::new(proxy, call.service, settings))
 }
 
 /// Decides whether to retry after a failed attempt.
@@ -98,7 +105,7 @@
     let attempt = retry::Attempt { outcome, kind, made: reached, limit };
     let mut spent = None;
     let step = retry::decide_reached(attempt, || {
-        spent = take(proxy, call.service, settings);
+        spent = take(proxy, call.service, settings, BudgetUse::Granted);
         spent.is_some()
     });
     next(step, spent)
@@ -111,13 +118,17 @@
     }
 }
 
-/// Takes a retry from the service's budget, if one is left.
-fn take<'a>(proxy: &'a Proxy, service: &'a str, settings: Settings) -> Option<Retry<'a>> {
+/// Takes a retry from the service's budget, if one is left, and counts it as `granted`.
+fn take<'a>(
+    proxy: &'a Proxy,
+    service: &'a str,
+    settings: Settings,
+    granted: BudgetUse,
+) -> Option<Retry<'a>> {
     let (part, now) = (proxy.budget_part(&settings), proxy.clock.now());
-    let granted = proxy.services.with(service, |s| s.window.try_retry(&settings, part, now));
-    let how = if granted { BudgetUse::Granted } else { BudgetUse::Refused };
-    proxy.count_budget_use(service, how);
-    granted.then(|| Retry::new(proxy, service, settings))
+    let is_left = proxy.services.with(service, |s| s.window.try_retry(&settings, part, now));
+    proxy.count_budget_use(service, if is_left { granted } else { BudgetUse::Refused });
+    is_left.then(|| Retry::new(proxy, service, settings))
 }
 
 /// Returns the deadline of attempt number `made`, counted from 1.
--- a/crates/traffic/src/proxy/retry_budget.rs
+++ b/crates/traffic/src/proxy/retry_budget.rs
@@ -36,7 +36,8 @@
         let budget = self.tuning().budget;
         budget.is_none_or(|settings| {
             let part = self.budget_part(&settings);
-            self.services.may_retry_nested(&settings, part, self.clock.now())
+            let calls = self.running.nested_calls_after_retry();
+            self.services.may_retry_nested(&settings, part, calls, self.clock.now())
         })
     }
 
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -32,16 +32,17 @@
         work(services.get_mut(name).expect("the service was just inserted"))
     }
 
-    /// Returns whether a retry is left for each service that the colocated upstream calls.
+    /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
         settings: &budget::Settings,
         part: Part,
+        calls: usize,
         now: Time,
     ) -> bool {
         let mut services = lock(&self.known);
         let mut nested = services.values_mut().filter(|service| service.is_nested);
-        nested.all(|service| service.window.may_retry(settings, part, now))
+        nested.all(|service| service.window.available(settings, part, now) >= calls)
     }
 
     /// Removes the records of upstreams that are not in `view`, creates those of new upstreams, and
@@ -133,7 +134,7 @@
         }
     }
 
-    /// Counts a call of `class` before its first attempt.
+    /// Counts a call of `class` before its first attempt. One that is nested in a retry earns none.
     pub(crate) fn record_call(
         &mut self,
         settings: &budget::Settings,
@@ -142,7 +143,9 @@
         now: Time,
     ) {
         self.is_nested |= class == Class::Nested;
-        self.window.record_call(settings, lineage, now);
+        if lineage == Lineage::First {
+            self.window.record_call(settings, now);
+        }
     }
 
     /// Returns the record of `upstream`, created now if there is none.
