traffic: nested calls count as retries for as long as their run may go on

Cause: a run was known as a retry while its serving node waited for it. An upstream that goes on after its connection was closed (a hedge that was answered elsewhere, a deadline) made nested calls that no node counted and that earned retries besides; of two runs with one id at one upstream, the first decided how the nested calls of both count.

Change: an ended retry is remembered until its deadline, which its nested calls share; of two runs with one id, one retry is enough. Class: an event attributed by a record that ends before its effects do. Ruled out: taking every call of an unknown parent for a retry; ids of callers may have the form of nested ones.

Evidence: two unit tests of the registry, each seen to fail with its half of the change turned off (First is found where Retry is asked).

--- a/crates/traffic/src/admission/running.rs
+++ b/crates/traffic/src/admission/running.rs
@@ -3,6 +3,7 @@
 //! Identifies nested calls, which an upstream makes while it processes a request. They arrive from the
 //! same address as other calls; their id is the parent's id, a dot and a suffix.
 
+use model::time::Time;
 use policy::{admission::Rank, budget::Lineage, urgency::Parent};
 use std::{
     collections::HashMap,
@@ -28,6 +29,8 @@
     runs: HashMap<String, Run>,
     /// Moving mean of the nested calls of a run.
     mean_nested: f64,
+    /// Ended retries and their deadlines: an upstream may go on with a run whose connection was closed.
+    ended_retries: HashMap<String, Time>,
 }
 
 /// State of a request that the upstream is processing.
@@ -38,6 +41,7 @@
     parent: Parent,
     /// How it counts towards the retry budget.
     lineage: Lineage,
+    deadline: Time,
 }
 
 /// Keeps a request registered until dropped.
@@ -48,10 +52,19 @@
 }
 
 impl Registry {
-    /// Registers the request `id`, admitted with `rank`, which counts as `lineage` says.
-    pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage) -> Guard {
-        let run = Run { count: 0, parent: Parent { rank, answered: 0 }, lineage };
-        self.lock().runs.entry(id.to_owned()).or_insert(run).count += 1;
+    /// Registers the request `id`, admitted with `rank`, which counts as `lineage` says and ends at
+    /// `deadline`.
+    pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage, deadline: Time) -> Guard {
+        let run = Run { count: 0, parent: Parent { rank, answered: 0 }, lineage, deadline };
+        let mut state = self.lock();
+        let known = state.runs.entry(id.to_owned()).or_insert(run);
+        known.count += 1;
+        known.deadline = known.deadline.max(deadline);
+        if lineage == Lineage::Retry {
+            // Which of two runs with this id makes a nested call is not known.
+            known.lineage = lineage;
+        }
+        drop(state);
         Guard { registry: self.clone(), id: id.to_owned() }
     }
 
@@ -63,9 +76,13 @@
 
     /// Returns how the call `id` counts towards the retry budget: a nested call like its parent.
     pub(crate) fn lineage_of(&self, id: &str) -> Lineage {
-        let parent = id.rsplit_once(SEPARATOR).map(|(parent, _)| parent);
-        let lineage = parent.and_then(|parent| Some(self.lock().runs.get(parent)?.lineage));
-        lineage.unwrap_or_default()
+        let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return Lineage::First };
+        let state = self.lock();
+        match state.runs.get(parent) {
+            Some(run) => run.lineage,
+            None if state.ended_retries.contains_key(parent) => Lineage::Retry,
+            None => Lineage::First,
+        }
     }
 
     /// Counts an answered nested call for its parent, if `id` is one.
@@ -83,6 +100,11 @@
         (retries as f64 * state.mean_nested).ceil().max(1.0) as usize
     }
 
+    /// Forgets the ended retries whose nested calls have expired by `now`.
+    pub(crate) fn remove_expired(&self, now: Time) {
+        self.lock().ended_retries.retain(|_, deadline| *deadline > now);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         lock(&self.state)
     }
@@ -97,8 +119,12 @@
             return;
         }
         let nested = run.parent.answered as f64;
+        let (is_retry, deadline) = (run.lineage == Lineage::Retry, run.deadline);
         state.mean_nested += (nested - state.mean_nested) * NESTED_MEAN_WEIGHT;
         state.runs.remove(&self.id);
+        if is_retry {
+            state.ended_retries.insert(std::mem::take(&mut self.id), deadline);
+        }
     }
 }
 
--- a/crates/traffic/src/admission/running/tests.rs
+++ b/crates/traffic/src/admission/running/tests.rs
@@ -1,8 +1,16 @@
 //! Tests of the attribution of nested calls to running requests.
 
+use model::time::Time;
 use policy::{admission::Rank, budget::Lineage};
 
-use super::Registry;
+use super::{Guard, Registry};
+
+/// Deadline of all requests.
+const DEADLINE: Time = Time::from_millis(1_000);
+
+fn begin(running: &Registry, id: &str, rank: Rank, lineage: Lineage) -> Guard {
+    running.begin(id, rank, lineage, DEADLINE)
+}
 
 #[track_caller]
 fn check(running: &Registry, id: &str, expect: bool) {
@@ -14,7 +22,7 @@
 fn only_calls_for_a_running_request_are_nested() {
     let running = Registry::default();
     check(&running, "9c41.77", false);
-    let guard = running.begin("9c41", Rank::default(), Lineage::First);
+    let guard = begin(&running, "9c41", Rank::default(), Lineage::First);
     check(&running, "9c41.77", true);
     check(&running, "9c41", false);
     check(&running, "9c42.77", false);
@@ -26,7 +34,7 @@
 #[test]
 fn a_request_that_runs_twice_is_registered_until_both_runs_end() {
     let running = Registry::default();
-    let begin = || running.begin("9c41", Rank::default(), Lineage::First);
+    let begin = || begin(&running, "9c41", Rank::default(), Lineage::First);
     let (first, second) = (begin(), begin());
     drop(first);
     check(&running, "9c41.77", true);
@@ -39,7 +47,7 @@
 fn a_parent_counts_its_answered_nested_calls() {
     let running = Registry::default();
     let rank = Rank { priority: 9, ..Rank::default() };
-    let _guard = running.begin("9c41", rank, Lineage::First);
+    let _guard = begin(&running, "9c41", rank, Lineage::First);
     running.answered("9c41.77");
     running.answered("other.77");
     running.answered("9c41");
@@ -51,10 +59,37 @@
 #[test]
 fn nested_calls_of_a_retry_count_as_retries() {
     let running = Registry::default();
-    let _first = running.begin("9c41", Rank::default(), Lineage::First);
-    let _retry = running.begin("9c42", Rank::default(), Lineage::Retry);
+    let _first = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let _retry = begin(&running, "9c42", Rank::default(), Lineage::Retry);
     assert_eq!(running.lineage_of("9c41.7"), Lineage::First);
     assert_eq!(running.lineage_of("9c42.7"), Lineage::Retry);
     assert_eq!(running.lineage_of("9c42"), Lineage::First);
     assert_eq!(running.lineage_of("9c43.7"), Lineage::First);
 }
+
+/// Guards against nested calls of a retry that count as first ones, since its upstream goes on after the
+/// connection was closed.
+#[test]
+fn nested_calls_of_an_ended_retry_count_as_retries_until_its_deadline() {
+    let running = Registry::default();
+    drop(begin(&running, "9c41", Rank::default(), Lineage::Retry));
+    drop(begin(&running, "9c42", Rank::default(), Lineage::First));
+    assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
+    assert_eq!(running.lineage_of("9c42.7"), Lineage::First);
+    check(&running, "9c41.7", false);
+    running.remove_expired(Time::from_millis(999));
+    assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
+    running.remove_expired(DEADLINE);
+    assert_eq!(running.lineage_of("9c41.7"), Lineage::First);
+}
+
+/// Guards against nested calls of a retry that count as those of an earlier attempt at the same upstream.
+#[test]
+fn nested_calls_of_two_runs_with_one_id_count_as_retries() {
+    let running = Registry::default();
+    let _first = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let retry = begin(&running, "9c41", Rank::default(), Lineage::Retry);
+    assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
+    drop(retry);
+    assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
+}
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -257,6 +257,7 @@
     /// Returns the event counts since the last call, and removes expired connections and grants.
     pub fn collect_events(&self) -> Vec<Kind> {
         self.pool.remove_expired();
+        self.running.remove_expired(self.clock.now());
         self.transfers.remove_expired(self.clock.now());
         self.meter.set_in_flight(self.in_flight.calls() as u64);
         let mut events = self.events.take();
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -68,7 +68,7 @@
         None => upstream::dial(proxy, offer).await?,
     };
     trace_claim(proxy, offer, trace, "run");
-    let _running = proxy.running.begin(trace.id(), offer.rank, offer.lineage);
+    let _running = proxy.running.begin(trace.id(), offer.rank, offer.lineage, offer.deadline);
     let run = crash::Run::begin(proxy, offer);
     let result = send_once(proxy, profile, offer, trace, connection, &mut slot).await;
     let result = match result {
