policy, traffic: an attempt that begins after its hedge may be the repeat

Cause: the first attempt of a hedged pair counted as first wherever it ran. One that waits in a queue until the hedge was sent may arrive after it; then it is the repeat, and so are its nested calls, which were counted as first ones and earned retries. Class: a role fixed at sending, that arrival decides.

Change: an offer says until when no other attempt of its call is made (baobab-first-ms, added to the wire; older nodes ignore it); a run that begins later counts as a retry. The hedge counts as one as before, so that a pair never counts less than it is. What remains: an offer that is delayed on its link by more than the hedge delay; the serving node measures from when it has read it. Ruled out: telling the serving node of the first attempt when the hedge is sent (one more message, which may come late too). Evidence: the example of policy::budget::Standing::at.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -50,6 +50,34 @@
     Retry,
 }
 
+/// How an attempt counts towards the budget.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Standing {
+    /// How it counts if it reaches its upstream first.
+    pub lineage: Lineage,
+    /// When a hedged request may be made, which can reach an upstream first from then on.
+    pub first_until: Option<Time>,
+}
+
+impl Standing {
+    /// Returns how a run counts that begins at `now`.
+    ///
+    /// ```
+    /// use model::time::Time;
+    /// use policy::budget::{Lineage, Standing};
+    /// let [hedge_due, before] = [500, 499].map(Time::from_millis);
+    /// let standing = Standing { first_until: Some(hedge_due), ..Standing::default() };
+    /// assert_eq!(standing.at(before), Lineage::First);
+    /// assert_eq!(standing.at(hedge_due), Lineage::Retry);
+    /// ```
+    pub fn at(self, now: Time) -> Lineage {
+        match self.first_until {
+            Some(until) if now >= until => Lineage::Retry,
+            _ => self.lineage,
+        }
+    }
+}
+
 /// Number of slots that a window is divided into.
 const SLOTS: usize = 100;
 
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -5,7 +5,11 @@
     HeaderMap, Method, Request, Response, Uri, header::HeaderValue, http::uri::PathAndQuery,
 };
 use model::{profile::Profile, request::Fingerprint, time::Time};
-use policy::{admission::Rank, budget::Lineage, retry::Kind};
+use policy::{
+    admission::Rank,
+    budget::{Lineage, Standing},
+    retry::Kind,
+};
 use std::sync::{Arc, OnceLock};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -56,8 +60,9 @@
     }
 
     /// Returns how an attempt counts after `reached` others that may have reached an upstream.
-    pub(crate) fn lineage_after(&self, reached: u32) -> Lineage {
-        if reached > 0 { Lineage::Retry } else { self.lineage }
+    pub(crate) fn standing_after(&self, reached: u32) -> Standing {
+        let lineage = if reached > 0 { Lineage::Retry } else { self.lineage };
+        Standing { lineage, ..Standing::default() }
     }
 }
 
@@ -72,7 +77,7 @@
     /// Position in the admission queue.
     pub(crate) rank: Rank,
     /// How the run counts towards the retry budget.
-    pub(crate) lineage: Lineage,
+    pub(crate) standing: Standing,
     /// Incarnation of the intended serving node.
     pub(crate) incarnation: u64,
     /// Identity that the upstream must confirm, if it is listed with one.
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -46,7 +46,7 @@
             Some(_) => hedge::run(proxy, call, &upstream, &mut tried, &mut reached).await,
             None => {
                 let deadline = deadline(proxy, call, tried.len());
-                attempt::run(proxy, call, &upstream, call.lineage_after(reached), deadline).await
+                attempt::run(proxy, call, &upstream, call.standing_after(reached), deadline).await
             }
         };
         let outcome = match result {
--- a/crates/traffic/src/entry/attempt.rs
+++ b/crates/traffic/src/entry/attempt.rs
@@ -3,7 +3,7 @@
 use fleet::view::Upstream;
 use model::time::Time;
 use policy::{
-    budget::Lineage,
+    budget::Standing,
     health::{Change, Sample},
     outcome::Outcome,
 };
@@ -22,7 +22,7 @@
     proxy: &Arc<Proxy>,
     call: &Call<'_>,
     upstream: &Upstream,
-    lineage: Lineage,
+    standing: Standing,
     deadline: Time,
 ) -> Result<Answer, Outcome> {
     let begun = proxy.clock.now();
@@ -30,7 +30,7 @@
     trace_offer(proxy, call, upstream, id, begun);
     let mut guard = Guard::new(proxy, call.service, upstream, begun);
     let remaining = call.deadline.since(begun);
-    let result = sender::attempt(proxy, call, upstream, lineage, id, deadline).await;
+    let result = sender::attempt(proxy, call, upstream, standing, id, deadline).await;
     let elapsed = proxy.clock.now().since(begun);
     if let Ok(answer) = &result
         && wire::says_leaving(answer.head.headers(), &proxy.settings.names)
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -5,7 +5,7 @@
 
 use fleet::view::Upstream;
 use policy::{
-    budget::Lineage,
+    budget::Standing,
     outcome::Outcome,
     retry::{self, Kind},
 };
@@ -34,9 +34,11 @@
     reached: &mut u32,
 ) -> Result<Answer, Outcome> {
     let begun = proxy.clock.now();
-    let mut primary =
-        pin!(attempt::run(proxy, call, first, call.lineage_after(*reached), call.deadline));
-    let Some(delay) = retries::hedge_delay(proxy, call, first) else { return primary.await };
+    let delay = retries::hedge_delay(proxy, call, first);
+    let first_until = delay.map(|delay| begun + delay);
+    let standing = Standing { first_until, ..call.standing_after(*reached) };
+    let mut primary = pin!(attempt::run(proxy, call, first, standing, call.deadline));
+    let Some(delay) = delay else { return primary.await };
     if let Ok(result) = timeout(delay, &mut primary).await {
         return result;
     }
@@ -47,7 +49,8 @@
     *reached += 1;
     proxy.meter.count_retry(call.service);
     proxy.events.add(Event::Retried(call.service.to_owned(), first.address, "silent"));
-    let mut secondary = pin!(attempt::run(proxy, call, &second, Lineage::Retry, call.deadline));
+    let standing = call.standing_after(*reached);
+    let mut secondary = pin!(attempt::run(proxy, call, &second, standing, call.deadline));
     let (earlier, later) = select! {
         result = &mut primary => match result {
             Ok(answer) => return Ok(answer),
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -5,7 +5,7 @@
 use model::time::Time;
 use policy::{
     admission::{Class, Rank},
-    budget::Lineage,
+    budget::{Lineage, Standing},
     claim,
     outcome::{Cause, Outcome},
     retry::Kind,
@@ -98,7 +98,7 @@
     deadline: Time,
     kind: Kind,
     rank: Rank,
-    lineage: Lineage,
+    standing: Standing,
     limit: Option<f64>,
 }
 
@@ -115,7 +115,7 @@
         deadline: claim::deadline(received, Some(remaining), DEADLINE_LIMIT_MS),
         kind: if idempotent { Kind::Idempotent } else { Kind::Once },
         rank: read_rank(headers, received)?,
-        lineage: read_lineage(headers)?,
+        standing: read_standing(headers, received)?,
         limit: wire::header_text(headers, wire::LIMIT).and_then(wire::parse_limit),
     })
 }
@@ -132,13 +132,17 @@
 }
 
 /// Reads how the run counts towards the retry budget; nodes of older versions do not say so.
-fn read_lineage(headers: &HeaderMap) -> Result<Lineage, wire::Malformed> {
+fn read_standing(headers: &HeaderMap, received: Time) -> Result<Standing, wire::Malformed> {
     let is_retry = wire::read_number(headers, wire::RETRY)? == Some(1);
-    Ok(if is_retry { Lineage::Retry } else { Lineage::First })
+    let first = wire::read_number(headers, wire::FIRST)?;
+    Ok(Standing {
+        lineage: if is_retry { Lineage::Retry } else { Lineage::First },
+        first_until: first.map(|ms| received + Duration::from_millis(ms)),
+    })
 }
 
 fn offer(head: Parts, metadata: Metadata, body: Bytes, origin: Probe, received: Time) -> Offer {
-    let Metadata { id, incarnation, identity, started_ms, deadline, kind, rank, lineage, limit } =
+    let Metadata { id, incarnation, identity, started_ms, deadline, kind, rank, standing, limit } =
         metadata;
     let mut headers = head.headers;
     wire::strip(&mut headers);
@@ -149,7 +153,7 @@
         deadline,
         kind,
         rank,
-        lineage,
+        standing,
         incarnation,
         identity,
         started_ms,
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -5,7 +5,7 @@
 use model::time::Time;
 use policy::{
     admission::Class,
-    budget::Lineage,
+    budget::{Lineage, Standing},
     claim,
     outcome::{Cause, Loss, Outcome, Step, Uncertainty, of_loss},
     placement,
@@ -30,7 +30,7 @@
     proxy: &Arc<Proxy>,
     call: &Call<'_>,
     upstream: &Upstream,
-    lineage: Lineage,
+    standing: Standing,
     id: u64,
     give_up_at: Time,
 ) -> Result<Answer, Outcome> {
@@ -42,7 +42,7 @@
         deadline: now + claim::forwarded_timeout(call.deadline.since(now)),
         kind: call.kind(),
         rank: call.rank,
-        lineage,
+        standing,
         incarnation: upstream.incarnation,
         identity: upstream.identity.clone(),
         started_ms: upstream.started_ms,
@@ -218,9 +218,12 @@
     if offer.rank.class == Class::Nested {
         headers.insert(wire::NESTED, wire::number(1));
     }
-    if offer.lineage == Lineage::Retry {
+    if offer.standing.lineage == Lineage::Retry {
         headers.insert(wire::RETRY, wire::number(1));
     }
+    if let Some(until) = offer.standing.first_until {
+        headers.insert(wire::FIRST, wire::number(until.since(now).as_millis() as u64));
+    }
     let start_by = match message {
         Message::Offer(_) => offer.rank.start_by,
         Message::Reservation => call.transfer_by.or(offer.rank.start_by),
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -55,7 +55,7 @@
 ) -> Result<Answer, Outcome> {
     let _guard = OfferGuard::new(&proxy.in_flight);
     check_claim(proxy, offer)?;
-    if offer.lineage == Lineage::Retry && !proxy.may_run_retry() {
+    if offer.standing.lineage == Lineage::Retry && !proxy.may_run_retry() {
         return Err(Cause::Overloaded.outcome());
     }
     proxy.refresh_warm_up();
@@ -68,7 +68,8 @@
         None => upstream::dial(proxy, offer).await?,
     };
     trace_claim(proxy, offer, trace, "run");
-    let _running = proxy.running.begin(trace.id(), offer.rank, offer.lineage, offer.deadline);
+    let lineage = offer.standing.at(proxy.clock.now());
+    let _running = proxy.running.begin(trace.id(), offer.rank, lineage, offer.deadline);
     let run = crash::Run::begin(proxy, offer);
     let result = send_once(proxy, profile, offer, trace, connection, &mut slot).await;
     let result = match result {
@@ -92,7 +93,7 @@
     connection: Connection,
     slot: &mut Permit,
 ) -> Result<Answer, Failure> {
-    if offer.lineage == Lineage::Retry {
+    if offer.standing.lineage == Lineage::Retry {
         proxy.count_budget_use(&proxy.settings.service, BudgetUse::Delivered);
     }
     let begun = proxy.clock.now();
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -54,6 +54,9 @@
 /// Marks an offer whose run counts as a retry.
 pub const RETRY: HeaderName = HeaderName::from_static("baobab-retry");
 
+/// Time after which another attempt of an offered call may reach an upstream first, in ms.
+pub const FIRST: HeaderName = HeaderName::from_static("baobab-first-ms");
+
 /// Time within which an offered call must start, in ms.
 pub const START: HeaderName = HeaderName::from_static("baobab-start-ms");
 
