policy: a retry budget with a reloaded window length keeps its retries

The slots of a window are numbered from the start of the clock by their length. With another length, a longer one stood still until its numbers had caught up with the old ones (retries refused for minutes), a shorter one forgot what had been spent. Slots begin anew; retries of before count as if they had ended now. Found by reading; the test fails with the comparison of lengths turned off.

--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -95,6 +95,7 @@
 pub struct Window {
     /// The latest slots, the current one last.
     slots: VecDeque<Slot>,
+    slot_length: Duration,
     /// Number of the current slot since the start of the clock.
     current: u64,
     /// Retries that may still reach an upstream; they count in every span.
@@ -185,16 +186,26 @@
     fn slot(&mut self, settings: &Settings, now: Time) -> &mut Slot {
         let length = settings.window / SLOTS as u32;
         let current = (now.since(Time::default()).as_nanos() / length.as_nanos().max(1)) as u64;
+        if self.slots.is_empty() || self.slot_length != length {
+            self.restart(length, current);
+        }
         let passed = current.saturating_sub(self.current).min(KEPT_SLOTS as u64) as usize;
         self.current = self.current.max(current);
-        if self.slots.is_empty() {
-            self.slots.push_back(Slot::default());
-        }
         self.slots.extend(std::iter::repeat_n(Slot::default(), passed));
         let surplus = self.slots.len().saturating_sub(KEPT_SLOTS);
         self.slots.drain(..surplus);
         self.slots.back_mut().expect("the current slot is never removed")
     }
+
+    /// Begins with slots of another length: earlier retries count as if they had ended now, earlier calls
+    /// earn nothing more.
+    fn restart(&mut self, length: Duration, current: u64) {
+        let retries = self.slots.iter().map(|slot| slot.retries).sum();
+        self.slots.clear();
+        self.slots.push_back(Slot { calls: 0, retries });
+        self.slot_length = length;
+        self.current = current;
+    }
 }
 
 /// Calls and retries of a span that ends now.
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -104,6 +104,24 @@
     assert!(!nested(0, 10));
 }
 
+/// Guards against a reloaded window length that frees what was spent, or blocks retries for good.
+#[test]
+fn a_changed_window_keeps_its_retries() {
+    for (before, after) in [(10_000, 100_000), (100_000, 10_000)] {
+        let settings = |window| Settings {
+            window: Duration::from_millis(window),
+            usable_share: 1.0,
+            ..Settings::default()
+        };
+        let mut window = Window::default();
+        let mut take = |length, ms| retry(&mut window, &settings(length), slack(1.0), at(ms));
+        assert!(take(before, 300_000));
+        assert!(!take(after, 300_001));
+        assert!(!take(after, 300_000 + after - 1));
+        assert!(take(after, 300_000 + 2 * after));
+    }
+}
+
 /// Guards against a budget spent on retries that the next serving node refuses as well.
 #[test]
 fn a_retry_that_reached_no_upstream_is_given_back() {
