standins: a suspended process has stopped when the call returns

Cause: kill() returns before the threads of the process have stopped. Trace, 14 busy processes beside it: of 300 SIGSTOPs, 98 returned with threads still running, the longest for 16.1 ms. The node answered such a call, rightly. Ruled out: the pause detector and the claim; the call ran before the pause, in time. Change: after SIGSTOP the test double waits with waitid until the process has stopped or exited (its exit status stays for Child::wait). The test's checks are untouched.

--- a/crates/standins/src/mesh.rs
+++ b/crates/standins/src/mesh.rs
@@ -1,7 +1,7 @@
 //! A mesh on loopback: one platform, upstreams, and a node process for each upstream.
 
 use fleet::source;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Signal, WaitId, WaitIdOptions, kill_process, waitid};
 use socket2::{Domain, Socket, Type};
 use std::{
     fs::{self, File},
@@ -321,10 +321,19 @@
     Ok(())
 }
 
-/// Sends a signal to a process, if there is one.
+/// Sends a signal to a process, if there is one; after SIGSTOP, waits until the process has stopped.
 pub fn send_signal(process: Option<&Child>, signal: Signal) -> io::Result<()> {
     let Some(child) = process else { return Ok(()) };
-    kill_process(Pid::from_child(child), signal).map_err(io::Error::from)
+    let pid = Pid::from_child(child);
+    kill_process(pid, signal)?;
+    if signal == Signal::STOP {
+        // On a busy machine, threads of the process still run for a while after `kill` has returned. The
+        // process may also exit instead, and its status is left to `Child::wait`.
+        let stopped_or_exited =
+            WaitIdOptions::STOPPED | WaitIdOptions::EXITED | WaitIdOptions::NOWAIT;
+        waitid(WaitId::Pid(pid), stopped_or_exited)?;
+    }
+    Ok(())
 }
 
 /// Returns the body of a page at `address`, or `None` unless its status is 200.
