--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -162,6 +162,7 @@
         reloaded.connect_timeout = new.connect_timeout;
         reloaded.retry_budget = new.retry_budget;
         reloaded.cold_excess = new.cold_excess;
+        reloaded.overload = new.overload;
         reloaded.stop = new.stop;
         let needs_restart = reloaded != *new;
         self.proxy.set_tuning(tuning(&reloaded));
@@ -207,6 +208,7 @@
         connect_timeout: settings.connect_timeout,
         budget: settings.retry_budget,
         cold_excess: settings.cold_excess,
+        overload: settings.overload,
     }
 }
 
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -4,7 +4,7 @@
 
 use fleet::listed::joining::Occasion;
 use model::{fault::Fault, json, read::Object};
-use policy::{budget, share::Capacity, warmup::Excess};
+use policy::{budget, overload, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 use traffic::wire::{HeaderName, Names, Precision};
 
@@ -45,6 +45,8 @@
     pub retry_budget: Option<budget::Settings>,
     /// How far calls to a cold upstream may exceed the rate in its service's configuration.
     pub cold_excess: Excess,
+    /// Mechanisms for lasting overload.
+    pub overload: overload::Settings,
     /// Whether the whole fleet starts for the first time.
     pub occasion: Occasion,
     /// Durations of a planned stop.
@@ -157,6 +159,7 @@
             names: Names::default(),
             retry_budget: None,
             cold_excess: Excess::default(),
+            overload: overload::Settings::default(),
             occasion: Occasion::Restart,
             stop: Stop::default(),
             link_mbps: 0,
@@ -222,6 +225,7 @@
         names: names(object),
         retry_budget: retry_budget(object),
         cold_excess: cold_excess(object),
+        overload: overload(object),
         occasion: match object.flag("first_start", false) {
             true => Occasion::FirstStart,
             false => Occasion::Restart,
@@ -301,6 +305,17 @@
     })
 }
 
+fn overload(object: &mut Object<'_>) -> overload::Settings {
+    object.object("overload", |overload| overload::Settings {
+        nested_admission: overload.flag("nested_admission", false),
+        cold_window: overload.flag("cold_window", false),
+        retry_priority: overload.flag("retry_priority", false),
+        fair_shares: overload.flag("fair_shares", false),
+        overflow: overload.flag("overflow", false),
+        paced_returns: overload.flag("paced_returns", false),
+    })
+}
+
 fn optional_address(object: &mut Object<'_>, name: &str) -> Option<SocketAddr> {
     let is_valid = |text: &str| text.parse::<SocketAddr>().is_ok();
     object.optional_text(name, ADDRESS_FORMAT, is_valid)?.parse().ok()
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 39] = [
+pub const FIELDS: [Field; 45] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -212,6 +212,42 @@
         "1",
         "calls allowed in addition to the percentage",
     ),
+    optional(
+        "/overload/nested_admission",
+        "true or false",
+        "false",
+        "whether calls are refused whose nested calls would find no capacity",
+    ),
+    optional(
+        "/overload/cold_window",
+        "true or false",
+        "false",
+        "whether calls to cold upstreams are limited by a sliding window and divided among kinds of calls",
+    ),
+    optional(
+        "/overload/retry_priority",
+        "true or false",
+        "false",
+        "whether scarce retries go first to calls that one retry completes",
+    ),
+    optional(
+        "/overload/fair_shares",
+        "true or false",
+        "false",
+        "whether calls of entry nodes that recently got less of a service are queued first",
+    ),
+    optional(
+        "/overload/overflow",
+        "true or false",
+        "false",
+        "whether refused calls, and calls to other data centres, are offered only where capacity is expected",
+    ),
+    optional(
+        "/overload/paced_returns",
+        "true or false",
+        "false",
+        "whether the returns of refused callers are spread over the time at which capacity is expected",
+    ),
     optional(
         "/first_start",
         "true or false",
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod latency;
 pub mod named_limit;
 pub mod outcome;
+pub mod overload;
 pub mod pause;
 pub mod placement;
 pub mod retry;
--- a/crates/traffic/src/proxy/settings.rs
+++ b/crates/traffic/src/proxy/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of the data plane of a node.
 
-use policy::{budget, pause, share::Capacity, warmup::Excess};
+use policy::{budget, overload, pause, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 
 use crate::wire;
@@ -48,6 +48,8 @@
     pub budget: Option<budget::Settings>,
     /// Tolerated excess over the warm-up limit of a cold upstream.
     pub cold_excess: Excess,
+    /// Mechanisms for lasting overload.
+    pub overload: overload::Settings,
 }
 
 impl Default for Tuning {
@@ -57,6 +59,7 @@
             connect_timeout: Duration::from_millis(250),
             budget: None,
             cold_excess: Excess::default(),
+            overload: overload::Settings::default(),
         }
     }
 }
