fleet: the size up to which all nodes gossip with each other is a setting

Fleets above 80 nodes send 2.5. Ruled out: calls that leave their data centre; a slower full mesh, which finds every failure later.

--- a/crates/fleet/src/listed.rs
+++ b/crates/fleet/src/listed.rs
@@ -12,7 +12,7 @@
 mod peers;
 mod pull;
 mod reports;
-mod rounds;
+pub mod rounds;
 mod rumours;
 mod updates;
 mod view;
@@ -87,6 +87,9 @@
     pub incarnation: u64,
     /// Speed of this node's link, in Mbit/s; 0 if unknown.
     pub link_mbps: u32,
+    /// Largest number of peers that all gossip with each other; the same on all nodes, since it determines
+    /// how often each expects to hear from the others.
+    pub full_mesh: usize,
     /// Whether the whole fleet starts for the first time.
     pub occasion: Occasion,
     /// How long a starting node waits for peers before its first call to the platform.
@@ -147,7 +150,12 @@
             transfer: Transfer::default(),
             directory: Directory::default(),
             watch: Watch::new(settings.watch, first_call),
-            peers: Peers::new(settings.address, settings.link_mbps, settings.data_centre.clone()),
+            peers: Peers::new(
+                settings.address,
+                settings.link_mbps,
+                settings.data_centre.clone(),
+                settings.full_mesh,
+            ),
             pulls: Pulls::default(),
             quarantine: Register::default(),
             cold_until: BTreeMap::new(),
--- a/crates/fleet/src/listed/peers.rs
+++ b/crates/fleet/src/listed/peers.rs
@@ -14,7 +14,7 @@
 use crate::{
     listed::{
         partition::Detector,
-        rounds::{self, Rounds, Target},
+        rounds::{Rounds, Target},
         rumours::Rumours,
     },
     message::{Digest, Piggyback, Rumour},
@@ -144,7 +144,12 @@
 }
 
 impl Peers {
-    pub(super) fn new(own: SocketAddr, link_mbps: u32, data_centre: String) -> Self {
+    pub(super) fn new(
+        own: SocketAddr,
+        link_mbps: u32,
+        data_centre: String,
+        full_mesh: usize,
+    ) -> Self {
         Peers {
             own,
             link_mbps,
@@ -154,7 +159,7 @@
             near: 0,
             peers: BTreeMap::new(),
             partitions: Detector::default(),
-            rounds: Rounds::default(),
+            rounds: Rounds::new(full_mesh),
             rumours: Rumours::default(),
         }
     }
@@ -192,7 +197,7 @@
 
     /// Returns whether every node gossips with every other within a round.
     fn is_full_mesh(&self) -> bool {
-        rounds::is_full_mesh(self.peers.len())
+        self.rounds.is_full_mesh(self.peers.len())
     }
 
     /// Returns the number of data centres with a node that sent a digest, including the local one.
@@ -317,7 +322,7 @@
     fn digest_timeout(&self, near: bool) -> Duration {
         let nodes = self.peers.len();
         let group = if near { self.near } else { nodes.saturating_sub(self.near) };
-        rounds::round_time(nodes, group, near) * MISSED_ROUNDS + DIGEST_TIMEOUT_MARGIN
+        self.rounds.round_time(nodes, group, near) * MISSED_ROUNDS + DIGEST_TIMEOUT_MARGIN
     }
 
     /// Returns this node's rank in the reader order of its data centre.
@@ -337,7 +342,7 @@
 
     /// Returns the additional time that a platform contact takes to propagate beyond full-mesh gossip.
     pub(super) fn propagation_delay(&self) -> Duration {
-        rounds::propagation_delay(self.peers.len())
+        self.rounds.propagation_delay(self.peers.len())
     }
 
     /// Returns the targets of the next digest; empty until the next slice is due.
--- a/crates/fleet/src/listed/rounds.rs
+++ b/crates/fleet/src/listed/rounds.rs
@@ -1,6 +1,6 @@
 //! Selects gossip targets, in shuffled round-robin order, at a rate that does not grow with the fleet.
 //!
-//! Up to [`MAX_FULL_MESH`] peers each gets a digest within [`MAX_ROUND`]. Beyond that a node sends a fixed
+//! In a full mesh each peer gets a digest within [`MAX_ROUND`]. In larger fleets a node sends a fixed
 //! number per slice, mostly within its data centre; [`super::partition`] and [`super::rumours`] then
 //! complement the failure detector.
 
@@ -17,8 +17,8 @@
 /// Maximum length of a round in a full mesh.
 const MAX_ROUND: Duration = Duration::from_secs(2);
 
-/// Maximum number of peers of a full mesh.
-const MAX_FULL_MESH: usize = DIGESTS_PER_SECOND * MAX_ROUND.as_secs() as usize;
+/// Maximum number of peers of a full mesh; the rate of digests does not suffice for more.
+pub const MAX_FULL_MESH: usize = DIGESTS_PER_SECOND * MAX_ROUND.as_secs() as usize;
 
 /// Digests per slice to nodes of the local data centre, beyond a full mesh.
 ///
@@ -41,6 +41,8 @@
 /// Shuffled orders of the remaining targets.
 #[derive(Debug, Default)]
 pub(super) struct Rounds {
+    /// Maximum number of peers of a full mesh in this fleet.
+    full_mesh: usize,
     all: Vec<SocketAddr>,
     near: Vec<SocketAddr>,
     far: Vec<SocketAddr>,
@@ -50,6 +52,34 @@
 }
 
 impl Rounds {
+    /// Creates empty rounds of a fleet in which up to `full_mesh` peers form a full mesh.
+    pub(super) fn new(full_mesh: usize) -> Self {
+        Rounds { full_mesh: full_mesh.min(MAX_FULL_MESH), ..Rounds::default() }
+    }
+
+    /// Returns whether each of `nodes` peers gets a digest within [`MAX_ROUND`].
+    pub(super) fn is_full_mesh(&self, nodes: usize) -> bool {
+        nodes <= self.full_mesh
+    }
+
+    /// Returns the time within which each of `group` peers, out of `nodes` in all, sends this node a digest;
+    /// `near` states whether the group is the local data centre.
+    pub(super) fn round_time(&self, nodes: usize, group: usize, near: bool) -> Duration {
+        if self.is_full_mesh(nodes) {
+            return full_mesh_round(nodes, DIGESTS_PER_SECOND);
+        }
+        if near {
+            SLICE * group.div_ceil(NEAR_PER_SLICE) as u32
+        } else {
+            SLICE * SLICES_PER_FAR * group as u32
+        }
+    }
+
+    /// Returns the additional propagation delay beyond a full mesh: two more hops, each of up to one slice.
+    pub(super) fn propagation_delay(&self, nodes: usize) -> Duration {
+        if self.is_full_mesh(nodes) { Duration::ZERO } else { SLICE * 2 }
+    }
+
     /// Returns the targets of the next slice; empty until it is due.
     pub(super) fn next_targets(
         &mut self,
@@ -61,7 +91,7 @@
             return Vec::new();
         }
         self.due = now + SLICE;
-        if is_full_mesh(targets.len()) {
+        if self.is_full_mesh(targets.len()) {
             let slices =
                 full_mesh_round(targets.len(), DIGESTS_PER_SECOND).div_duration_f64(SLICE).max(1.0);
             let count = (targets.len() as f64 / slices).ceil() as usize;
@@ -78,29 +108,6 @@
     }
 }
 
-/// Returns whether each of `nodes` peers gets a digest within [`MAX_ROUND`].
-pub(super) fn is_full_mesh(nodes: usize) -> bool {
-    nodes <= MAX_FULL_MESH
-}
-
-/// Returns the time within which each of `group` peers, out of `nodes` in all, sends this node a digest;
-/// `near` states whether the group is the local data centre.
-pub(super) fn round_time(nodes: usize, group: usize, near: bool) -> Duration {
-    if is_full_mesh(nodes) {
-        return full_mesh_round(nodes, DIGESTS_PER_SECOND);
-    }
-    if near {
-        SLICE * group.div_ceil(NEAR_PER_SLICE) as u32
-    } else {
-        SLICE * SLICES_PER_FAR * group as u32
-    }
-}
-
-/// Returns the additional propagation delay beyond a full mesh: two more hops, each of up to one slice.
-pub(super) fn propagation_delay(nodes: usize) -> Duration {
-    if is_full_mesh(nodes) { Duration::ZERO } else { SLICE * 2 }
-}
-
 fn full_mesh_round(nodes: usize, per_second: usize) -> Duration {
     let round = Duration::from_secs(1) * nodes as u32 / per_second as u32;
     round.max(SLICE)
--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -9,7 +9,7 @@
     clock::Now,
     control::{Effect, Error, Event, Method},
     directory::{Entry, Standing},
-    listed::{Control, Settings, joining::Occasion, watch},
+    listed::{Control, Settings, joining::Occasion, rounds, watch},
     message::{Digest, Piggyback, Request, Response},
     quarantine::Quarantine,
     source::{Answer, Failure, Query, Topic},
@@ -83,6 +83,8 @@
     pub(crate) store_calls: u64,
     /// Loses every n-th configuration pull; 0 loses none.
     pub(crate) pull_loss: u64,
+    /// Largest number of peers that all gossip with each other.
+    pub(crate) full_mesh: usize,
     /// Nodes of an older product version, without rumours, contact ages and piggybacked changes.
     pub(crate) old_version: BTreeSet<usize>,
     /// Loses every n-th digest; 0 loses none.
@@ -156,6 +158,7 @@
             reads: 0,
             store_calls: 0,
             pull_loss: 0,
+            full_mesh: rounds::MAX_FULL_MESH,
             old_version: BTreeSet::new(),
             digest_loss: 0,
             pulls_sent: vec![0; data_centres.len()],
@@ -177,6 +180,7 @@
             upstream: upstream(node),
             incarnation: self.nodes[node].incarnation,
             link_mbps: self.links[node],
+            full_mesh: self.full_mesh,
             occasion: self.occasion,
             join_wait: Duration::from_millis(20),
             watch: watch::Settings::default(),
--- a/crates/node/src/control.rs
+++ b/crates/node/src/control.rs
@@ -172,6 +172,7 @@
         upstream: settings.upstream.address,
         incarnation: deps.own.incarnation,
         link_mbps: settings.link_mbps,
+        full_mesh: settings.full_mesh,
         occasion: settings.occasion,
         join_wait: JOIN_WAIT,
         watch: listed::watch::Settings::default(),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -2,7 +2,7 @@
 
 mod fields;
 
-use fleet::listed::joining::Occasion;
+use fleet::listed::{joining::Occasion, rounds::MAX_FULL_MESH};
 use model::{fault::Fault, json, read::Object};
 use policy::{budget, overload, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
@@ -47,6 +47,8 @@
     pub cold_excess: Excess,
     /// Mechanisms for lasting overload.
     pub overload: overload::Settings,
+    /// Largest number of other nodes that all gossip with each other, in list mode.
+    pub full_mesh: usize,
     /// Whether the whole fleet starts for the first time.
     pub occasion: Occasion,
     /// Durations of a planned stop.
@@ -160,6 +162,7 @@
             retry_budget: None,
             cold_excess: Excess::default(),
             overload: overload::Settings::default(),
+            full_mesh: MAX_FULL_MESH,
             occasion: Occasion::Restart,
             stop: Stop::default(),
             link_mbps: 0,
@@ -226,6 +229,8 @@
         retry_budget: retry_budget(object),
         cold_excess: cold_excess(object),
         overload: overload(object),
+        full_mesh: object.number("full_mesh", 0..=MAX_FULL_MESH as u64, MAX_FULL_MESH as u64)
+            as usize,
         occasion: match object.flag("first_start", false) {
             true => Occasion::FirstStart,
             false => Occasion::Restart,
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 45] = [
+pub const FIELDS: [Field; 46] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -248,6 +248,12 @@
         "false",
         "whether the returns of refused callers are spread over the time at which capacity is expected",
     ),
+    optional(
+        "/full_mesh",
+        "0 to 80 nodes",
+        "80",
+        "in list mode, the largest number of other nodes that all gossip with each other; above it, few messages cross data centres, and a crashed node of another one is found by calls; the same on all nodes of a fleet",
+    ),
     optional(
         "/first_start",
         "true or false",
