policy, traffic: offer refused calls only where capacity is expected, behind the switch overflow

Cause: at a demand peak in all data centres, a refused call visits up to four serving nodes, two or three of them in other data centres, and none of them serves it.

Ruled out: a restriction of calls of which an attempt reached an upstream (a granted retry would be lost), and of calls whose last offer failed otherwise, for example because the node was unreachable.

Changed: `policy::overflow` chooses the upstream of an offer from the same candidates as `policy::placement`. Each service has an acceptance by class. `baobabrelay.remote` and `baobabrelay.remote_bytes` count offers to other data centres and their bytes, whatever the switch says.

--- a/crates/policy/src/health.rs
+++ b/crates/policy/src/health.rs
@@ -2,10 +2,13 @@
 //!
 //! It uses only the outcomes of the node's calls and the load reported with answers.
 
+mod refusals;
+
 use model::time::Time;
 use std::time::Duration;
 
 use crate::{
+    health::refusals::{Refusals, is_recent},
     outcome::{Cause, Outcome, Uncertainty},
     retry::Kind,
 };
@@ -106,6 +109,10 @@
     /// Limit that the upstream named, as of the last load report.
     limit: Option<f64>,
     load_at: Time,
+    /// Last load report, while it is known to be of the running node.
+    report: Option<Load>,
+    /// Recent refusals for lack of capacity.
+    refusals: Refusals,
     /// Whether an answer of the upstream said that it is leaving.
     leaving: bool,
 }
@@ -144,6 +151,8 @@
             bodies: 0.0,
             limit: None,
             load_at: now,
+            report: None,
+            refusals: Refusals::default(),
             leaving: false,
         }
     }
@@ -175,6 +184,7 @@
             Sample::Failed => self.record_consecutive_failure(now),
             // A failed connection ejects at once, without further attempts.
             Sample::Unreachable => {
+                self.forget_capacity();
                 let change = self.eject(now);
                 self.unreachable = true;
                 change
@@ -207,6 +217,31 @@
         self.bodies = load.bodies as f64;
         self.limit = load.limit;
         self.load_at = now;
+        self.report = Some(load);
+    }
+
+    /// Records that the upstream's node refused a call of `priority` for lack of capacity.
+    pub fn record_refusal(&mut self, priority: u8, now: Time) {
+        self.refusals.record(priority, now);
+    }
+
+    /// Returns whether recent knowledge shows that a call of `priority` would be refused or wait: the upstream
+    /// reported that all of its `slots` were busy and calls waited, or refused a call of the same or a more urgent
+    /// priority.
+    ///
+    /// ```
+    /// use model::time::Time;
+    /// let at = Time::from_millis;
+    /// let mut record = policy::health::Record::new(at(0));
+    /// record.record_refusal(9, at(1_000));
+    /// assert!(record.is_known_full(10, 9, at(1_250)));
+    /// assert!(!record.is_known_full(10, 8, at(1_250)));
+    /// assert!(!record.is_known_full(10, 9, at(1_251)));
+    /// ```
+    pub fn is_known_full(&self, slots: usize, priority: u8, now: Time) -> bool {
+        let is_full = |load: Load| slots > 0 && load.busy >= slots && load.waiting > 0;
+        let reports_full = is_recent(self.load_at, now) && self.report.is_some_and(is_full);
+        reports_full || self.refusals.covers(priority, now)
     }
 
     /// Returns the expected number of calls at the upstream: the node's own calls in flight, and
@@ -250,6 +285,7 @@
     /// Ends an ejection due to a failed connection, once the node of the upstream is reported alive
     /// again.
     pub fn reinstate(&mut self, now: Time) {
+        self.forget_capacity();
         if self.ejected_until > now && self.unreachable {
             self.ejected_until = now;
             self.ejections = 0;
@@ -325,6 +361,12 @@
         MIN_SLOW_START_WEIGHT + (1.0 - MIN_SLOW_START_WEIGHT) * progress
     }
 
+    /// Forgets what showed that the upstream is full; its node may have restarted with an empty queue.
+    fn forget_capacity(&mut self) {
+        self.report = None;
+        self.refusals.clear();
+    }
+
     fn record_latency(&mut self, sample: Duration, now: Time) {
         let old = self.latency(now).unwrap_or(sample);
         self.latency = Some(old.mul_f64(1.0 - SAMPLE_WEIGHT) + sample.mul_f64(SAMPLE_WEIGHT));
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod latency;
 pub mod named_limit;
 pub mod outcome;
+pub mod overflow;
 pub mod overload;
 pub mod pause;
 pub mod placement;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -110,8 +110,20 @@
     now: Time,
     random: &mut impl Rng,
 ) -> Option<usize> {
-    let untried = || (0..candidates.len()).filter(|&i| !candidates[i].tried);
-    let available = untried().filter(|&i| candidates[i].record.accepts(kind, now));
+    let untried: Vec<usize> = (0..candidates.len()).filter(|&i| !candidates[i].tried).collect();
+    choose_among(candidates, &untried, kind, now, random)
+}
+
+/// Returns the chosen one of the candidates with the given indices; see [`choose`].
+pub(crate) fn choose_among(
+    candidates: &[Candidate<'_>],
+    indices: &[usize],
+    kind: Kind,
+    now: Time,
+    random: &mut impl Rng,
+) -> Option<usize> {
+    let indices = || indices.iter().copied();
+    let available = indices().filter(|&i| candidates[i].record.accepts(kind, now));
     let mut best: Option<(f64, usize)> = None;
     for index in available {
         let jitter = random.random_range(0.0..MAX_JITTER);
@@ -121,7 +133,12 @@
         }
     }
     let chosen = best.map(|(_, index)| index);
-    chosen.or_else(|| untried().min_by_key(|&i| candidates[i].record.ejected_until()))
+    chosen.or_else(|| indices().min_by_key(|&i| candidates[i].record.ejected_until()))
+}
+
+/// Returns the share of the slots that is expected to be free with one more call; negative if it would wait.
+pub(crate) fn free_share(candidate: &Candidate<'_>, now: Time) -> f64 {
+    1.0 - (candidate.record.expected_load(now) + 1.0) / usable_slots(candidate, now)
 }
 
 /// Returns the cost of the bytes sent to and returned from another data centre.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -130,9 +130,21 @@
     attributes: "",
     help: "Calls that this node holds as entry node",
 };
+const REMOTE: Entry = Entry {
+    name: "baobabrelay.remote",
+    unit: "{offer}",
+    attributes: "kind",
+    help: "Offers of this node as entry node to other data centres, of callers' calls (call) and of nested calls (nested), and those of both that were refused for lack of capacity (refused)",
+};
+const REMOTE_BYTES: Entry = Entry {
+    name: "baobabrelay.remote_bytes",
+    unit: "By",
+    attributes: "",
+    help: "Headers and bodies of offers to other data centres and of their answers",
+};
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 18] = [
+pub const CATALOGUE: [Entry; 20] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -151,6 +163,8 @@
     READS,
     CONTROL_CPU,
     IN_FLIGHT,
+    REMOTE,
+    REMOTE_BYTES,
 ];
 
 /// Failure to set up or render metrics.
@@ -192,6 +206,8 @@
     reads: Counter<u64>,
     control_cpu: Gauge<f64>,
     in_flight: Gauge<u64>,
+    remote: Counter<u64>,
+    remote_bytes: Counter<u64>,
 }
 
 impl Meter {
@@ -241,6 +257,8 @@
                 .with_description(CONTROL_CPU.help)
                 .build(),
             in_flight: gauge(IN_FLIGHT),
+            remote: counter(REMOTE),
+            remote_bytes: counter(REMOTE_BYTES),
             registry,
             _provider: provider,
         })
@@ -335,6 +353,16 @@
         self.in_flight.record(calls, &[]);
     }
 
+    /// Counts an offer to another data centre, or its refusal, by kind.
+    pub fn count_remote(&self, kind: &'static str) {
+        self.remote.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts bytes sent to or received from another data centre with offers and answers.
+    pub fn count_remote_bytes(&self, bytes: u64) {
+        self.remote_bytes.add(bytes, &[]);
+    }
+
     /// Renders all metrics as Prometheus text, histograms last.
     ///
     /// Histograms grow with the number of services. A reader that truncates the text still gets the
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -8,6 +8,7 @@
 use fleet::{member::State, view::Upstream};
 use policy::{
     outcome::{Cause, Outcome},
+    overflow::Stage,
     retry,
 };
 use std::sync::Arc;
@@ -32,13 +33,17 @@
     let mut spent: Option<Retry<'_>> = None;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut reached = 0;
+    let mut stage = Stage::First;
+    let mut chosen_early = None;
     let mut last = no_upstream_cause(proxy, call.service).outcome();
     loop {
         if let Some(outcome) = stop_outcome(proxy, call) {
             return Err(if tried.is_empty() { outcome } else { outcome.after(last) });
         }
-        let chosen =
-            choose(proxy, call, &tried).or_else(|| choose_after_timeout(proxy, call, last));
+        let chosen = chosen_early
+            .take()
+            .or_else(|| choose(proxy, call, &tried, stage))
+            .or_else(|| choose_after_timeout(proxy, call, last));
         let Some(upstream) = chosen else { return Err(last) };
         tried.push(upstream.clone());
         let reached_before = reached;
@@ -64,6 +69,14 @@
             Next::GiveUp => return Err(last),
             Next::Offer(retry) => spent = retry,
         }
+        stage = Stage::after(last, reached);
+        if stage == Stage::Refused && proxy.uses_overflow() {
+            // Without an upstream that may accept the call, no retry is counted.
+            chosen_early = choose(proxy, call, &tried, stage);
+            if chosen_early.is_none() {
+                return Err(last);
+            }
+        }
         proxy.meter.count_retry(call.service);
         proxy.events.add(Event::Retried(call.service.to_owned(), address, outcome.reason()));
     }
--- a/crates/traffic/src/entry/attempt.rs
+++ b/crates/traffic/src/entry/attempt.rs
@@ -3,9 +3,11 @@
 use fleet::view::Upstream;
 use model::time::Time;
 use policy::{
+    admission::Class,
     budget::Standing,
     health::{Change, Sample},
     outcome::Outcome,
+    overflow::{self, Response},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -28,6 +30,7 @@
     let begun = proxy.clock.now();
     let id = proxy.next_id();
     trace_offer(proxy, call, upstream, id, begun);
+    count_remote(proxy, call, upstream);
     let mut guard = Guard::new(proxy, call.service, upstream, begun);
     let remaining = call.deadline.since(begun);
     let result = sender::attempt(proxy, call, upstream, standing, id, deadline).await;
@@ -48,6 +51,7 @@
         Err(outcome) => Sample::of_failure(*outcome, elapsed),
     };
     guard.end(sample);
+    record_capacity(proxy, call, upstream, &result);
     match (&result, sample) {
         (Ok(answer), Sample::Answered(time)) => {
             record_answer(proxy, call, upstream, time, answer.body.len());
@@ -59,6 +63,45 @@
     result
 }
 
+/// Counts an offer to another data centre.
+fn count_remote(proxy: &Proxy, call: &Call<'_>, upstream: &Upstream) {
+    if upstream.near {
+        return;
+    }
+    proxy.meter.count_remote(match call.rank.class {
+        Class::External => "call",
+        Class::Nested => "nested",
+    });
+}
+
+/// Records whether the serving node refused the call for lack of capacity.
+fn record_capacity(
+    proxy: &Proxy,
+    call: &Call<'_>,
+    upstream: &Upstream,
+    result: &Result<Answer, Outcome>,
+) {
+    let response = match result {
+        Err(Outcome::NotRun(cause, _)) if overflow::is_refusal(*cause) => Response::Refused,
+        _ => Response::Taken,
+    };
+    if response == Response::Refused && !upstream.near {
+        proxy.meter.count_remote("refused");
+    }
+    if !proxy.uses_overflow() {
+        return;
+    }
+    let now = proxy.clock.now();
+    proxy.services.with(call.service, |service| {
+        if response == Response::Refused {
+            service.record(upstream, now).record_refusal(call.rank.priority, now);
+        }
+        if !upstream.near {
+            service.acceptances.record(call.rank.class, response, now);
+        }
+    });
+}
+
 /// Records an answer of `bytes` bytes after `time`, relative to other calls of the route.
 fn record_answer(
     proxy: &Proxy,
--- a/crates/traffic/src/entry/choice.rs
+++ b/crates/traffic/src/entry/choice.rs
@@ -6,6 +6,7 @@
     choice::{self, Reach},
     health::Record,
     outcome::{Outcome, Uncertainty},
+    overflow::{self, Stage},
     placement,
     retry::Kind,
 };
@@ -19,13 +20,25 @@
 /// An upstream that accepts work, with its health record.
 type Observed<'a> = (&'a Upstream, &'a Record);
 
-/// Chooses an upstream that is not among `tried`.
-pub(super) fn choose(proxy: &Proxy, call: &Call<'_>, tried: &[Upstream]) -> Option<Upstream> {
+/// Chooses an upstream that is not among `tried` for an offer of `stage`.
+pub(super) fn choose(
+    proxy: &Proxy,
+    call: &Call<'_>,
+    tried: &[Upstream],
+    stage: Stage,
+) -> Option<Upstream> {
     let view = proxy.view();
     let now = proxy.clock.now();
     let available: Vec<&Upstream> =
         view.upstreams(call.service).iter().filter(|u| u.state.takes_work()).collect();
     proxy.services.with(call.service, |service| {
+        let request = proxy.uses_overflow().then(|| overflow::Request {
+            stage,
+            priority: call.rank.priority,
+            kind: call.kind(),
+            acceptance: service.acceptances.share(call.rank.class, now),
+            now,
+        });
         for upstream in &available {
             service.record(upstream, now);
         }
@@ -35,7 +48,7 @@
         available.retain(|(_, record)| !record.is_leaving());
         let chosen = match proxy.settings.incarnation {
             Some(_) => choose_by_health(call, &available, tried, now),
-            None => choose_by_capacity(proxy, call, &available, tried, now),
+            None => choose_by_capacity(proxy, call, &available, tried, request, now),
         };
         chosen.map(|index| available[index].0.clone())
     })
@@ -57,12 +70,14 @@
     choice::choose(&candidates, reach, call.kind(), slow_start, now, &mut rand::rng())
 }
 
-/// Chooses by the free slots of each upstream, transfer time and health.
+/// Chooses by the free slots of each upstream, transfer time and health, and for a `request` by where capacity is
+/// expected.
 fn choose_by_capacity(
     proxy: &Proxy,
     call: &Call<'_>,
     available: &[Observed<'_>],
     tried: &[Upstream],
+    request: Option<overflow::Request>,
     now: Time,
 ) -> Option<usize> {
     let response_bytes = proxy.estimates.bytes(call.service, &call.options.route);
@@ -80,7 +95,10 @@
             cold: cold(proxy, warm_up, u, now),
         })
         .collect();
-    placement::choose(&candidates, call.kind(), now, &mut rand::rng())
+    match request {
+        Some(request) => overflow::choose(&candidates, &request, &mut rand::rng()),
+        None => placement::choose(&candidates, call.kind(), now, &mut rand::rng()),
+    }
 }
 
 fn cold(proxy: &Proxy, warm_up: Option<WarmUp>, upstream: &Upstream, now: Time) -> placement::Cold {
@@ -101,7 +119,7 @@
 ) -> Option<Upstream> {
     let timed_out =
         last == Outcome::Unknown(Uncertainty::Timeout) && call.kind() == Kind::Idempotent;
-    if timed_out { choose(proxy, call, &[]) } else { None }
+    if timed_out { choose(proxy, call, &[], Stage::Failed) } else { None }
 }
 
 /// Returns whether the call was offered to this incarnation of `upstream`; its other fields may
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -7,6 +7,7 @@
 use policy::{
     budget::Standing,
     outcome::Outcome,
+    overflow::Stage,
     retry::{self, Kind},
 };
 use std::{pin::pin, sync::Arc};
@@ -78,7 +79,7 @@
     if call.kind() != Kind::Idempotent {
         return None;
     }
-    let second = choose(proxy, call, tried)?;
+    let second = choose(proxy, call, tried, Stage::Failed)?;
     match retries::next_step(proxy, call, retry::TIMED_OUT, tried.len(), reached) {
         Next::Offer(spent) => Some((second, spent)),
         Next::GiveUp => None,
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -1,7 +1,7 @@
 //! Sends one offer of a call to the serving node of an upstream.
 
 use fleet::view::Upstream;
-use hyper::{Request, Response, header::HeaderValue};
+use hyper::{Request, Response, body::Body as _, header::HeaderValue};
 use model::time::Time;
 use policy::{
     admission::Class,
@@ -136,6 +136,8 @@
 ) -> Result<Answer, Option<Outcome>> {
     let now = proxy.clock.now();
     let request = offer_request(call, offer, message, now);
+    let bytes = wire::size(request.headers()) + request.body().size_hint().lower() as usize;
+    count_remote_bytes(proxy, upstream, bytes);
     let time = give_up_at.since(now);
     let exchange = async {
         let head = match connection.send(request).await {
@@ -180,6 +182,7 @@
             Some(of_loss(Step::Answer, Loss::Malformed))
         }
     })?;
+    count_remote_bytes(proxy, upstream, wire::size(&parts.headers) + body.len());
     match wire::outcome(&parts.headers) {
         Ok(None) => Ok(Answer { head: Response::from_parts(parts, ()), body }),
         Ok(Some(outcome)) => Err(Some(outcome)),
@@ -187,6 +190,13 @@
     }
 }
 
+/// Counts bytes of a message to or from another data centre.
+fn count_remote_bytes(proxy: &Proxy, upstream: &Upstream, bytes: usize) {
+    if !upstream.near {
+        proxy.meter.count_remote_bytes(bytes as u64);
+    }
+}
+
 fn offer_request(
     call: &Call<'_>,
     offer: &Offer,
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -133,6 +133,11 @@
         **self.tuning.load()
     }
 
+    /// Returns whether offers depend on where capacity is expected; only if the platform lists the upstreams.
+    pub(crate) fn uses_overflow(&self) -> bool {
+        self.settings.incarnation.is_none() && self.tuning().overload.overflow
+    }
+
     /// Replaces the configuration.
     pub fn set_config(&self, snapshot: Arc<Snapshot>) {
         self.config.store(snapshot);
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -6,6 +6,7 @@
     admission::Class,
     budget::{self, Lineage, Part},
     health::Record,
+    overflow::Acceptances,
     retry::Budget,
 };
 use std::{
@@ -73,6 +74,8 @@
     pub(crate) budget: Budget,
     pub(crate) window: budget::Window,
     pub(crate) in_flight: usize,
+    /// Share of offers that other data centres do not refuse.
+    pub(crate) acceptances: Acceptances,
     /// Whether the colocated upstream calls it.
     is_nested: bool,
     upstreams: HashMap<Incarnation, Record>,
@@ -129,6 +132,7 @@
             budget: Budget::default(),
             window: budget::Window::default(),
             in_flight: 0,
+            acceptances: Acceptances::default(),
             is_nested: false,
             upstreams: HashMap::new(),
         }
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -278,6 +278,7 @@
 pub(crate) struct Cluster {
     pub(crate) runtime: Runtime,
     pub(crate) proxies: Vec<Arc<Proxy>>,
+    pub(crate) meters: Vec<Arc<Meter>>,
     pub(crate) callers: Vec<SocketAddr>,
     pub(crate) upstreams: Vec<Upstream>,
 }
@@ -339,7 +340,13 @@
             .build()
             .expect("threads can be started");
         let upstreams: Vec<Upstream> = (0..count).map(|_| Upstream::start()).collect();
-        let mut cluster = Cluster { runtime, proxies: Vec::new(), callers: Vec::new(), upstreams };
+        let mut cluster = Cluster {
+            runtime,
+            proxies: Vec::new(),
+            meters: Vec::new(),
+            callers: Vec::new(),
+            upstreams,
+        };
         let mut listed = Vec::new();
         for number in 0..count {
             let (caller, node) = cluster.start(number, slots);
@@ -376,7 +383,7 @@
             ..Settings::default()
         };
         let meter = Arc::new(Meter::new().expect("metrics can be set up"));
-        let proxy = Proxy::new(settings, Clock::default(), meter);
+        let proxy = Proxy::new(settings, Clock::default(), meter.clone());
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let bind = |audience| {
             let listener = self.runtime.block_on(Listener::bind_for(any, audience));
@@ -387,6 +394,7 @@
         };
         let addresses = (bind(Audience::Callers), bind(Audience::Nodes));
         self.proxies.push(proxy);
+        self.meters.push(meter);
         addresses
     }
 
@@ -395,6 +403,7 @@
         let view = self.proxies[number].view();
         let (caller, node) = self.start(number, slots);
         let restarted = self.proxies.pop().expect("the node was just started");
+        self.meters[number] = self.meters.pop().expect("the node was just started");
         restarted.set_config(configuration());
         restarted.set_view(view);
         self.proxies[number] = restarted;
