Retry priority: scarce retries go first to calls that one retry completes

Changed: policy::budget has the demand by level with its reserve, and the siblings of a nested call; the entry node applies them if overload.retry_priority is on. A reserve only denies; the window of the budget is unchanged. New use `reserved` in the metric and the event.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -219,7 +219,7 @@
     RetryBudget {
         /// The called service.
         service: String,
-        /// How they counted: `granted`, `refused`, `returned`, `nested` or `delivered`.
+        /// How they counted: `granted`, `refused`, `reserved`, `returned`, `nested` or `delivered`.
         #[serde(rename = "use")]
         how: String,
         /// Number of attempts or calls.
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -14,9 +14,13 @@
 //! spent, and calls that move from one node to another are counted where they are made. Half of a window's
 //! budget is saved up for a sudden failure; the other half comes with the calls.
 
+mod reserve;
 mod share;
+mod siblings;
 
+pub use reserve::{Benefit, Demand, Grant, Level};
 pub use share::{Census, Part, Share};
+pub use siblings::Siblings;
 
 use model::time::Time;
 use std::{collections::VecDeque, time::Duration};
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -160,6 +160,23 @@
     Step::Retry
 }
 
+/// Returns whether [`decide_reached`] would take a retry from the budget.
+///
+/// ```
+/// use policy::{outcome::Cause, retry::{Attempt, Kind, needs_budget}};
+/// let first = Attempt { outcome: Cause::Refused.outcome(), kind: Kind::Once, made: 1, limit: 2 };
+/// assert!(needs_budget(first));
+/// assert!(!needs_budget(Attempt { made: 2, ..first }));
+/// ```
+pub fn needs_budget(attempt: Attempt) -> bool {
+    let mut is_needed = false;
+    decide_reached(attempt, || {
+        is_needed = true;
+        false
+    });
+    is_needed
+}
+
 /// Upper bound of serving nodes that one call is offered to; each refusal costs a round trip.
 const MAX_OFFERS: usize = 4;
 
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -179,14 +179,20 @@
         0 => (1, (timing.objective / FIRST_NESTED_DIVISOR).min(remaining / NESTED_WAIT_DIVISOR)),
         _ => (0, remaining / NESTED_WAIT_DIVISOR),
     };
-    let urgency = parent.rank.priority / RANKS_PER_PRIORITY;
     Rank {
-        priority: combine(urgency, step),
+        priority: combine(route_priority(parent.rank), step),
         start_by: Some(timing.received + wait),
         class: Class::Nested,
     }
 }
 
+/// Returns the route priority that `rank` was derived from: of a nested call, that of its parent.
+///
+/// As in the queue, it is 0 if the route has no objective.
+pub fn route_priority(rank: Rank) -> u8 {
+    rank.priority / RANKS_PER_PRIORITY
+}
+
 /// Combines a priority and a step within it into one queue priority.
 fn combine(priority: u8, step: u8) -> u8 {
     priority.min(u8::MAX / RANKS_PER_PRIORITY - 1) * RANKS_PER_PRIORITY + step
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -48,7 +48,7 @@
     name: "baobabrelay.retry_budget",
     unit: "{attempt}",
     attributes: "service, use",
-    help: "Retries that this node as entry node took from the fleet's budget (granted), was denied (refused) or returned (returned), its calls nested in a retry (nested), and as serving node attempts that it passed on to its upstream as retries (delivered)",
+    help: "Retries that this node as entry node took from the fleet's budget (granted), was denied (refused), was denied in favour of more useful ones (reserved) or returned (returned), its calls nested in a retry (nested), and as serving node attempts that it passed on to its upstream as retries (delivered)",
 };
 const REFUSED: Entry = Entry {
     name: "baobabrelay.claims_refused",
--- a/crates/traffic/src/admission/running.rs
+++ b/crates/traffic/src/admission/running.rs
@@ -4,7 +4,11 @@
 //! same address as other calls; their id is the parent's id, a dot and a suffix.
 
 use model::time::Time;
-use policy::{admission::Rank, budget::Lineage, urgency::Parent};
+use policy::{
+    admission::Rank,
+    budget::{Benefit, Lineage, Siblings},
+    urgency::Parent,
+};
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard},
@@ -34,7 +38,7 @@
 }
 
 /// State of a request that the upstream is processing.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Run {
     /// Number of concurrent runs with this id.
     count: usize,
@@ -42,6 +46,7 @@
     /// How it counts towards the retry budget.
     lineage: Lineage,
     deadline: Time,
+    siblings: Siblings,
 }
 
 /// Keeps a request registered until dropped.
@@ -55,7 +60,8 @@
     /// Registers the request `id`, admitted with `rank`, which counts as `lineage` says and ends at
     /// `deadline`.
     pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage, deadline: Time) -> Guard {
-        let run = Run { count: 0, parent: Parent { rank, answered: 0 }, lineage, deadline };
+        let parent = Parent { rank, answered: 0 };
+        let run = Run { count: 0, parent, lineage, deadline, siblings: Siblings::default() };
         let mut state = self.lock();
         let known = state.runs.entry(id.to_owned()).or_insert(run);
         known.count += 1;
@@ -90,9 +96,19 @@
         let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return };
         if let Some(run) = self.lock().runs.get_mut(parent) {
             run.parent.answered += 1;
+            run.siblings.record_answer(id);
         }
     }
 
+    /// Registers the call `id` with its running parent; `None` if it has none.
+    pub(crate) fn begin_nested(&self, id: &str, now: Time) -> Option<Nested> {
+        let (parent, _) = id.rsplit_once(SEPARATOR)?;
+        let mut state = self.lock();
+        state.runs.get_mut(parent)?.siblings.begin(id, now);
+        drop(state);
+        Some(Nested { registry: self.clone(), id: id.to_owned() })
+    }
+
     /// Returns how many nested calls to expect of all retries that run, if one more begins.
     pub(crate) fn nested_calls_after_retry(&self) -> usize {
         let state = self.lock();
@@ -110,6 +126,42 @@
     }
 }
 
+/// Keeps a nested call registered with its parent until dropped.
+#[derive(Debug)]
+pub(crate) struct Nested {
+    registry: Registry,
+    id: String,
+}
+
+impl Nested {
+    /// Records that an upstream refused the call.
+    pub(crate) fn record_refusal(&self) {
+        self.with_siblings(|siblings| siblings.record_refusal(&self.id));
+    }
+
+    /// Returns what a retry of the call achieves; without a running parent, that is not known.
+    pub(crate) fn benefit(&self) -> Benefit {
+        self.with_siblings(|siblings| siblings.benefit(&self.id)).unwrap_or(Benefit::Partial)
+    }
+
+    /// Returns until when a refusal of a sibling is to be expected, if it is.
+    pub(crate) fn settled_at(&self, now: Time) -> Option<Time> {
+        self.with_siblings(|siblings| siblings.settled_at(&self.id, now)).flatten()
+    }
+
+    fn with_siblings<T>(&self, work: impl FnOnce(&mut Siblings) -> T) -> Option<T> {
+        let (parent, _) = self.id.rsplit_once(SEPARATOR)?;
+        let mut state = self.registry.lock();
+        state.runs.get_mut(parent).map(|run| work(&mut run.siblings))
+    }
+}
+
+impl Drop for Nested {
+    fn drop(&mut self) {
+        self.with_siblings(|siblings| siblings.end(&self.id));
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         let mut state = self.registry.lock();
--- a/crates/traffic/src/admission/running/tests.rs
+++ b/crates/traffic/src/admission/running/tests.rs
@@ -1,7 +1,10 @@
 //! Tests of the attribution of nested calls to running requests.
 
 use model::time::Time;
-use policy::{admission::Rank, budget::Lineage};
+use policy::{
+    admission::Rank,
+    budget::{Benefit, Lineage},
+};
 
 use super::{Guard, Registry};
 
@@ -93,3 +96,31 @@
     drop(retry);
     assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
 }
+
+/// Guards against a retry for a parent that has ended which counts as the only one that its parent needs.
+#[test]
+fn a_retry_for_an_unknown_parent_completes_no_call() {
+    let running = Registry::default();
+    assert!(running.begin_nested("9c41.7", Time::default()).is_none());
+    let parent = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let nested = running.begin_nested("9c41.7", Time::default()).expect("its parent runs");
+    assert_eq!(nested.benefit(), Benefit::Completes);
+    drop(parent);
+    assert_eq!(nested.benefit(), Benefit::Partial);
+    assert_eq!(nested.settled_at(Time::default()), None);
+}
+
+/// Guards against a refusal that is forgotten when the nested call ends, or kept after it was answered.
+#[test]
+fn a_refused_sibling_counts_until_it_is_answered() {
+    let running = Registry::default();
+    let _parent = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let begin = |id| running.begin_nested(id, Time::default()).expect("its parent runs");
+    let (nested, sibling) = (begin("9c41.7"), begin("9c41.8"));
+    assert!(nested.settled_at(Time::default()).is_some());
+    sibling.record_refusal();
+    drop(sibling);
+    assert_eq!(nested.benefit(), Benefit::Partial);
+    running.answered("9c41.8");
+    assert_eq!(nested.benefit(), Benefit::Completes);
+}
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod choice;
 mod hedge;
+mod level;
 mod retries;
 
 use fleet::{member::State, view::Upstream};
@@ -17,7 +18,7 @@
     call::{Answer, Call},
     entry::{
         choice::{choose, choose_after_timeout},
-        retries::{Next, Retry, deadline, next_step, record_call},
+        retries::{Failure, Next, Retry, deadline, next_step, record_call},
     },
     net::stream::SocketState,
     proxy::Proxy,
@@ -29,6 +30,7 @@
 /// Fails with the outcome to report to the caller.
 pub(crate) async fn run(proxy: &Arc<Proxy>, call: &Call<'_>) -> Result<Answer, Outcome> {
     let _nested = record_call(proxy, call)?;
+    let nested = level::begin_nested(proxy, call);
     let mut spent: Option<Retry<'_>> = None;
     let mut tried: Vec<Upstream> = Vec::new();
     let mut reached = 0;
@@ -60,8 +62,10 @@
             ended => drop(ended),
         }
         last = outcome.after(last);
-        match next_step(proxy, call, outcome, tried.len(), reached) {
+        let failure = Failure { outcome, offers: tried.len(), reached };
+        match next_step(proxy, call, nested.as_ref(), failure).await {
             Next::GiveUp => return Err(last),
+            Next::Stop(outcome) => return Err(outcome.after(last)),
             Next::Offer(retry) => spent = retry,
         }
         proxy.meter.count_retry(call.service);
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -17,7 +17,7 @@
     entry::{
         attempt,
         choice::choose,
-        retries::{self, Next, Retry},
+        retries::{self, Failure, Next, Retry},
     },
     proxy::Proxy,
     record::events::Event,
@@ -79,8 +79,9 @@
         return None;
     }
     let second = choose(proxy, call, tried)?;
-    match retries::next_step(proxy, call, retry::TIMED_OUT, tried.len(), reached) {
+    let failure = Failure { outcome: retry::TIMED_OUT, offers: tried.len(), reached };
+    match retries::next_hedge(proxy, call, failure) {
         Next::Offer(spent) => Some((second, spent)),
-        Next::GiveUp => None,
+        Next::GiveUp | Next::Stop(_) => None,
     }
 }
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -3,14 +3,16 @@
 use fleet::view::Upstream;
 use model::time::Time;
 use policy::{
-    budget::{Lineage, Settings},
+    budget::{Grant, Level, Lineage, Settings},
     latency::Estimate,
     outcome::{Cause, Outcome},
     retry::{self, Kind},
 };
 use std::time::Duration;
 
-use crate::{call::Call, proxy::Proxy, record::events::BudgetUse};
+use crate::{
+    admission::running::Nested, call::Call, entry::level, proxy::Proxy, record::events::BudgetUse,
+};
 
 /// A retry taken from the fleet's budget, which may reach its upstream until this is dropped.
 pub(super) struct Retry<'a> {
@@ -46,10 +48,22 @@
 pub(super) enum Next<'a> {
     /// No further attempt.
     GiveUp,
+    /// No further attempt, for a reason that came up during the decision.
+    Stop(Outcome),
     /// An attempt at another upstream, with the retry that it takes from the budget, if any.
     Offer(Option<Retry<'a>>),
 }
 
+/// A failed attempt, or one without an answer so far.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Failure {
+    pub(super) outcome: Outcome,
+    /// Number of upstreams tried.
+    pub(super) offers: usize,
+    /// Number of those that may have received the call.
+    pub(super) reached: u32,
+}
+
 /// Counts a call towards the service's retry budget; returns the retry that it is itself, if it is nested
 /// in one.
 ///
@@ -69,23 +83,49 @@
     });
     match call.lineage {
         Lineage::First => Ok(None),
-        Lineage::Retry => match take(proxy, call.service, settings, BudgetUse::Nested) {
+        Lineage::Retry => match take(proxy, call.service, settings, None, BudgetUse::Nested) {
             None => Err(Cause::Overloaded.outcome()),
             retry => Ok(retry),
         },
     }
 }
 
-/// Decides whether to retry after a failed attempt.
-///
-/// `offers` counts all upstreams tried, `reached` those that may have received the call.
-pub(super) fn next_step<'a>(
+/// Decides whether to retry after a failed attempt; `nested` is the call's registration with its parent.
+pub(super) async fn next_step<'a>(
+    proxy: &'a Proxy,
+    call: &'a Call<'_>,
+    nested: Option<&Nested>,
+    failure: Failure,
+) -> Next<'a> {
+    let Failure { outcome, offers, reached } = failure;
+    if let (Some(nested), Outcome::NotRun(Cause::Refused, _)) = (nested, outcome) {
+        nested.record_refusal();
+    }
+    let attempt =
+        retry::Attempt { outcome, kind: call.kind(), made: reached, limit: call.options.attempts };
+    if let Some(settings) = proxy.tuning().budget
+        && retry::may_offer(offers)
+        && retry::needs_budget(attempt)
+        && let Err(outcome) = level::settle(proxy, call, &settings, nested).await
+    {
+        return Next::Stop(outcome);
+    }
+    decide(proxy, call, failure, || level::of_retry(proxy, call, nested))
+}
+
+/// Decides whether to make a hedged request.
+pub(super) fn next_hedge<'a>(proxy: &'a Proxy, call: &'a Call<'_>, first: Failure) -> Next<'a> {
+    decide(proxy, call, first, || level::of_hedge(call))
+}
+
+/// Decides whether to make an attempt, whose `level` matters if it takes a retry from the fleet's budget.
+fn decide<'a>(
     proxy: &'a Proxy,
     call: &'a Call<'_>,
-    outcome: Outcome,
-    offers: usize,
-    reached: u32,
+    failure: Failure,
+    level: impl FnOnce() -> Level,
 ) -> Next<'a> {
+    let Failure { outcome, offers, reached } = failure;
     let may_crash_upstreams =
         matches!(outcome, Outcome::Unknown(_)) && proxy.is_suspected(&call.payload, call.service);
     if may_crash_upstreams {
@@ -105,7 +145,8 @@
     let attempt = retry::Attempt { outcome, kind, made: reached, limit };
     let mut spent = None;
     let step = retry::decide_reached(attempt, || {
-        spent = take(proxy, call.service, settings, BudgetUse::Granted);
+        let level = proxy.tuning().overload.retry_priority.then(level);
+        spent = take(proxy, call.service, settings, level, BudgetUse::Granted);
         spent.is_some()
     });
     next(step, spent)
@@ -119,16 +160,28 @@
 }
 
 /// Takes a retry from the service's budget, if one is left, and counts it as `granted`.
+///
+/// One of a `level` is not taken if what is left is reserved for levels above.
 fn take<'a>(
     proxy: &'a Proxy,
     service: &'a str,
     settings: Settings,
+    level: Option<Level>,
     granted: BudgetUse,
 ) -> Option<Retry<'a>> {
     let (part, now) = (proxy.budget_part(&settings), proxy.clock.now());
-    let is_left = proxy.services.with(service, |s| s.window.try_retry(&settings, part, now));
-    proxy.count_budget_use(service, if is_left { granted } else { BudgetUse::Refused });
-    is_left.then(|| Retry::new(proxy, service, settings))
+    let grant = proxy.services.with(service, |s| match level {
+        Some(level) => s.demand.try_retry(&mut s.window, &settings, part, level, now),
+        None if s.window.try_retry(&settings, part, now) => Grant::Granted,
+        None => Grant::Exhausted,
+    });
+    let how = match grant {
+        Grant::Granted => granted,
+        Grant::Exhausted => BudgetUse::Refused,
+        Grant::Reserved => BudgetUse::Reserved,
+    };
+    proxy.count_budget_use(service, how);
+    (grant == Grant::Granted).then(|| Retry::new(proxy, service, settings))
 }
 
 /// Returns the deadline of attempt number `made`, counted from 1.
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -72,6 +72,7 @@
 pub(crate) struct Service {
     pub(crate) budget: Budget,
     pub(crate) window: budget::Window,
+    pub(crate) demand: budget::Demand,
     pub(crate) in_flight: usize,
     /// Whether the colocated upstream calls it.
     is_nested: bool,
@@ -128,6 +129,7 @@
         Service {
             budget: Budget::default(),
             window: budget::Window::default(),
+            demand: budget::Demand::default(),
             in_flight: 0,
             is_nested: false,
             upstreams: HashMap::new(),
@@ -145,6 +147,7 @@
         self.is_nested |= class == Class::Nested;
         if lineage == Lineage::First {
             self.window.record_call(settings, now);
+            self.demand.record_call(now);
         }
     }
 
--- a/crates/traffic/src/record/events.rs
+++ b/crates/traffic/src/record/events.rs
@@ -35,6 +35,8 @@
     Granted,
     /// The entry node made no retry, since none was left.
     Refused,
+    /// The entry node made no retry, since what was left is reserved for more useful ones.
+    Reserved,
     /// The entry node returned a retry that reached no upstream.
     Returned,
     /// The entry node received a call nested in a retry.
@@ -49,6 +51,7 @@
         match self {
             BudgetUse::Granted => "granted",
             BudgetUse::Refused => "refused",
+            BudgetUse::Reserved => "reserved",
             BudgetUse::Returned => "returned",
             BudgetUse::Nested => "nested",
             BudgetUse::Delivered => "delivered",
