Retry priority: a retry is wanted once however often it is offered; tests of the wait

Cause: a retry that serving nodes refuse is returned and tried again, and counted as wanted each time. Ruled out: withdrawing the demand with the return, which forgets a retry that finds no serving node at all. Changed: the demand is counted when an attempt has newly reached an upstream. Unit tests of the wait for siblings: no wait without a reserve, a deadline that passes, a caller that leaves.

--- a/crates/policy/src/budget/reserve.rs
+++ b/crates/policy/src/budget/reserve.rs
@@ -69,6 +69,11 @@
         self.calls.record(now);
     }
 
+    /// Counts a retry of `level` that is wanted, once however often it is tried.
+    pub fn record_wanted(&mut self, level: Level, now: Time) {
+        self.wanted.entry(level).or_default().record(now);
+    }
+
     /// Spends one retry of `level`, unless what is left is reserved for more useful ones.
     ///
     /// ```
@@ -78,6 +83,7 @@
     /// let (mut window, mut demand, now) = (Window::default(), Demand::default(), Time::default());
     /// let mut take = |benefit| {
     ///     let level = Level { benefit, priority: 0 };
+    ///     demand.record_wanted(level, now);
     ///     demand.try_retry(&mut window, &settings, part, level, now)
     /// };
     /// assert_eq!(take(Benefit::Completes), Grant::Granted);
@@ -86,7 +92,7 @@
     /// assert_eq!(take(Benefit::Completes), Grant::Exhausted);
     /// ```
     pub fn try_retry(
-        &mut self,
+        &self,
         window: &mut Window,
         settings: &Settings,
         part: Part,
@@ -94,7 +100,6 @@
         now: Time,
     ) -> Grant {
         let reserve = self.reserve(settings, level, now);
-        self.wanted.entry(level).or_default().record(now);
         if reserve > 0.0 {
             let left = window.available(settings, part, now);
             if left > 0 && left as f64 <= reserve {
--- a/crates/policy/tests/reserve.rs
+++ b/crates/policy/tests/reserve.rs
@@ -51,6 +51,7 @@
 
     fn take(&mut self, settings: &Settings, level: Level, now: Time) -> Grant {
         let part = Part::default();
+        self.demand.record_wanted(level, now);
         let grant = self.demand.try_retry(&mut self.window, settings, part, level, now);
         if grant == Grant::Granted {
             self.window.end_retry(settings, now);
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -62,7 +62,7 @@
             ended => drop(ended),
         }
         last = outcome.after(last);
-        let failure = Failure { outcome, offers: tried.len(), reached };
+        let failure = Failure { outcome, offers: tried.len(), reached, reached_before };
         match next_step(proxy, call, nested.as_ref(), failure).await {
             Next::GiveUp => return Err(last),
             Next::Stop(outcome) => return Err(outcome.after(last)),
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -42,7 +42,7 @@
     if let Ok(result) = timeout(delay, &mut primary).await {
         return result;
     }
-    let Some((second, _spent)) = second_upstream(proxy, call, tried, *reached + 1) else {
+    let Some((second, _spent)) = second_upstream(proxy, call, tried, *reached) else {
         return primary.await;
     };
     tried.push(second.clone());
@@ -79,8 +79,13 @@
         return None;
     }
     let second = choose(proxy, call, tried)?;
-    let failure = Failure { outcome: retry::TIMED_OUT, offers: tried.len(), reached };
-    match retries::next_hedge(proxy, call, failure) {
+    let first = Failure {
+        outcome: retry::TIMED_OUT,
+        offers: tried.len(),
+        reached: reached + 1,
+        reached_before: reached,
+    };
+    match retries::next_hedge(proxy, call, first) {
         Next::Offer(spent) => Some((second, spent)),
         Next::GiveUp | Next::Stop(_) => None,
     }
--- a/crates/traffic/src/entry/level.rs
+++ b/crates/traffic/src/entry/level.rs
@@ -71,3 +71,6 @@
     sleep(end.min(call.deadline).since(now)).await;
     stop_outcome(proxy, call).map_or(Ok(()), Err)
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/traffic/src/entry/level/tests.rs
@@ -0,0 +1,136 @@
+//! Tests of the wait for concurrent siblings.
+
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use model::{profile::Profile, time::Time};
+use policy::{
+    admission::Rank,
+    budget::{Benefit, Level, Lineage, Settings},
+    outcome::{Cause, Outcome},
+    pause,
+    retry::Kind,
+};
+use std::{net::TcpListener, sync::Arc, time::Duration};
+use telemetry::metric::Meter;
+use tokio::runtime::Builder;
+
+use crate::{
+    call::{Call, Options, Payload},
+    clock::Clock,
+    entry::level::settle,
+    net::stream::{Probe, Stream},
+    proxy::{Proxy, settings},
+    record::Trace,
+};
+
+/// Longer than any test.
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// Whether more useful retries are wanted.
+#[derive(Clone, Copy)]
+enum Demand {
+    Some,
+    None,
+}
+
+/// The caller's side of its connection.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Caller {
+    Waits,
+    Left,
+}
+
+/// Checks the result for a nested call that ends after `remaining` and whose sibling begins after `sibling`.
+#[track_caller]
+fn check(
+    demand: Demand,
+    caller: Caller,
+    remaining: Duration,
+    sibling: Duration,
+    expect: Result<(), Outcome>,
+) {
+    let pause = pause::Settings { gap: HOUR, ..pause::Settings::default() };
+    let settings = settings::Settings { pause, ..settings::Settings::default() };
+    let meter = Arc::new(Meter::new().expect("metrics can be set up"));
+    let proxy = Proxy::new(settings, Clock::default(), meter);
+    let now = proxy.clock.now();
+    let _parent = proxy.running.begin("p", Rank::default(), Lineage::First, now + HOUR);
+    let nested = proxy.running.begin_nested("p.1", now);
+    let _sibling = proxy.running.begin_nested("p.2", now + sibling);
+    if let Demand::Some = demand {
+        let level = Level { benefit: Benefit::Completes, priority: 0 };
+        proxy.services.with("s", |s| (0..9).for_each(|_| s.demand.record_wanted(level, now)));
+    }
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let runtime = Builder::new_current_thread().enable_all().build().expect("it can be built");
+    let result = runtime.block_on(async {
+        let address = listener.local_addr().expect("the listener has an address");
+        let stream = Stream::connect(address).await.expect("the listener accepts");
+        let (peer, _) = listener.accept().expect("the stream has connected");
+        let origin = stream.probe();
+        // Dropping the caller's side closes the connection.
+        let _peer = Some(peer).filter(|_| caller == Caller::Waits);
+        let (profile, trace) = (Profile::default(), Trace::new("p.1".to_owned()));
+        let deadline = now + remaining;
+        let call = call(&profile, &trace, origin, now, deadline);
+        settle(&proxy, &call, &Settings::default(), nested.as_ref()).await
+    });
+    assert_eq!(result, expect);
+}
+
+fn call<'a>(
+    profile: &'a Profile,
+    trace: &'a Trace,
+    origin: Probe,
+    received: Time,
+    deadline: Time,
+) -> Call<'a> {
+    let options = Options {
+        kind: Kind::Once,
+        timeout_ms: 0,
+        attempts: 2,
+        objective_ms: None,
+        priority: 0,
+        route: String::new(),
+    };
+    Call {
+        service: "s",
+        profile,
+        options,
+        payload: Payload::new(Method::GET, Uri::default(), HeaderMap::new(), Bytes::new()),
+        received,
+        deadline,
+        due: None,
+        transfer_by: None,
+        rank: Rank::default(),
+        lineage: Lineage::First,
+        origin,
+        trace,
+    }
+}
+
+const MOMENT: Duration = Duration::from_millis(1);
+
+/// Guards against delayed decisions where no retry is reserved, which have no reason to wait.
+#[test]
+fn no_decision_waits_without_a_reserve() {
+    check(Demand::None, Caller::Waits, HOUR, HOUR, Ok(()));
+    check(Demand::None, Caller::Left, HOUR, HOUR, Ok(()));
+}
+
+#[test]
+fn a_decision_that_waited_goes_on() {
+    check(Demand::Some, Caller::Waits, HOUR, MOMENT * 100, Ok(()));
+}
+
+/// Guards against a retry after a deadline that passed during the wait, and a wait beyond it.
+#[test]
+fn a_deadline_that_passes_during_the_wait_ends_the_call() {
+    check(Demand::Some, Caller::Waits, MOMENT, HOUR, Err(Cause::Late.outcome()));
+}
+
+/// Guards against a retry for a caller that left during the wait.
+#[test]
+fn a_caller_that_leaves_during_the_wait_ends_the_call() {
+    check(Demand::Some, Caller::Left, HOUR, MOMENT * 100, Err(Cause::Cancelled.outcome()));
+}
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -62,6 +62,8 @@
     pub(super) offers: usize,
     /// Number of those that may have received the call.
     pub(super) reached: u32,
+    /// The same number before the attempt.
+    pub(super) reached_before: u32,
 }
 
 /// Counts a call towards the service's retry budget; returns the retry that it is itself, if it is nested
@@ -97,7 +99,7 @@
     nested: Option<&Nested>,
     failure: Failure,
 ) -> Next<'a> {
-    let Failure { outcome, offers, reached } = failure;
+    let Failure { outcome, offers, reached, .. } = failure;
     if let (Some(nested), Outcome::NotRun(Cause::Refused, _)) = (nested, outcome) {
         nested.record_refusal();
     }
@@ -125,7 +127,7 @@
     failure: Failure,
     level: impl FnOnce() -> Level,
 ) -> Next<'a> {
-    let Failure { outcome, offers, reached } = failure;
+    let Failure { outcome, offers, reached, reached_before } = failure;
     let may_crash_upstreams =
         matches!(outcome, Outcome::Unknown(_)) && proxy.is_suspected(&call.payload, call.service);
     if may_crash_upstreams {
@@ -146,6 +148,11 @@
     let mut spent = None;
     let step = retry::decide_reached(attempt, || {
         let level = proxy.tuning().overload.retry_priority.then(level);
+        // A retry that reached no upstream was returned and is tried again: it is wanted once.
+        if let Some(level) = level.filter(|_| reached > reached_before) {
+            let now = proxy.clock.now();
+            proxy.services.with(call.service, |s| s.demand.record_wanted(level, now));
+        }
         spent = take(proxy, call.service, settings, level, BudgetUse::Granted);
         spent.is_some()
     });
