--- a/crates/policy/src/overflow.rs
+++ b/crates/policy/src/overflow.rs
@@ -183,8 +183,8 @@
     placement::choose_among(candidates, &allowed, request.kind, request.now, random)
 }
 
-/// Returns the candidates for a first offer, which stays in the data centre while a slot is expected there, or
-/// while other data centres refuse most calls.
+/// Returns the candidates for a first offer, which stays in the data centre while a slot of a sound upstream is
+/// expected there, or while other data centres refuse most calls.
 fn first_choice(
     candidates: &[Candidate<'_>],
     request: &Request,
@@ -192,7 +192,10 @@
 ) -> Vec<usize> {
     let near = |i: &usize| accepts_near(&candidates[*i], request);
     let near: Vec<usize> = untried.iter().copied().filter(near).collect();
-    let open = |i: &usize| !is_known_full(&candidates[*i], request);
+    let open = |i: &usize| {
+        let candidate = &candidates[*i];
+        placement::is_sound(candidate.record, request.now) && !is_known_full(candidate, request)
+    };
     let open: Vec<usize> = near.iter().copied().filter(open).collect();
     if open.iter().any(|&i| placement::free_share(&candidates[i], request.now) >= 0.0) {
         return open;
--- a/crates/policy/src/placement.rs
+++ b/crates/policy/src/placement.rs
@@ -136,6 +136,17 @@
     chosen.or_else(|| indices().min_by_key(|&i| candidates[i].record.ejected_until()))
 }
 
+/// Slowness from which an upstream is no longer preferred for being near; above the spread of sound ones.
+const MAX_SOUND_SLOWNESS: f64 = 2.0;
+
+/// Failure share above which an upstream is no longer preferred for being near.
+const MAX_SOUND_FAILURES: f64 = 0.15;
+
+/// Returns whether an upstream is neither slow nor failing beyond what is usual.
+pub(crate) fn is_sound(record: &Record, now: Time) -> bool {
+    record.slowness(now) < MAX_SOUND_SLOWNESS && record.failure_share(now) <= MAX_SOUND_FAILURES
+}
+
 /// Returns the share of the slots that is expected to be free with one more call; negative if it would wait.
 pub(crate) fn free_share(candidate: &Candidate<'_>, now: Time) -> f64 {
     1.0 - (candidate.record.expected_load(now) + 1.0) / usable_slots(candidate, now)
--- a/crates/traffic/src/entry/hedge.rs
+++ b/crates/traffic/src/entry/hedge.rs
@@ -18,7 +18,7 @@
     entry::{
         attempt,
         choice::choose,
-        retries::{self, Next, Retry},
+        retries::{self, Failure, Next, Retry},
     },
     proxy::Proxy,
     record::events::Event,
@@ -43,7 +43,7 @@
     if let Ok(result) = timeout(delay, &mut primary).await {
         return result;
     }
-    let Some((second, _spent)) = second_upstream(proxy, call, tried, *reached + 1) else {
+    let Some((second, _spent)) = second_upstream(proxy, call, tried, *reached) else {
         return primary.await;
     };
     tried.push(second.clone());
@@ -80,8 +80,14 @@
         return None;
     }
     let second = choose(proxy, call, tried, Stage::Failed)?;
-    match retries::next_step(proxy, call, retry::TIMED_OUT, tried.len(), reached) {
+    let first = Failure {
+        outcome: retry::TIMED_OUT,
+        offers: tried.len(),
+        reached: reached + 1,
+        reached_before: reached,
+    };
+    match retries::next_hedge(proxy, call, first) {
         Next::Offer(spent) => Some((second, spent)),
-        Next::GiveUp => None,
+        Next::GiveUp | Next::Stop(_) => None,
     }
 }
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -73,6 +73,7 @@
 pub(crate) struct Service {
     pub(crate) budget: Budget,
     pub(crate) window: budget::Window,
+    pub(crate) demand: budget::Demand,
     pub(crate) in_flight: usize,
     /// Share of offers that other data centres do not refuse.
     pub(crate) acceptances: Acceptances,
@@ -131,6 +132,7 @@
         Service {
             budget: Budget::default(),
             window: budget::Window::default(),
+            demand: budget::Demand::default(),
             in_flight: 0,
             acceptances: Acceptances::default(),
             is_nested: false,
@@ -149,6 +151,7 @@
         self.is_nested |= class == Class::Nested;
         if lineage == Lineage::First {
             self.window.record_call(settings, now);
+            self.demand.record_call(now);
         }
     }
 
