policy, traffic: sliding window over the calls passed to a cold upstream

Cause: a cold upstream takes 24.5 calls in any second (11 x 1.5 + 8), but its token bucket passes 13.75 a second, since it must be safe for any burst. The window counts the calls themselves: at most 20 in any second.

Ruled out: the window of one second alone. A full window moves a burst on from second to second. If its calls arrive up to 0.18 s late, or if the node restarts and assumes the calls of its predecessor evenly spread, more than 24 calls arrive in a second. So at most 24 starts are in any 1.18 s, and at most 20 x + 4 in any x seconds. Neither lowers the sustained rate. Also ruled out: returning tokens to a bucket for the second condition; a call returned late then pays for another call. All conditions are computed from the recorded starts.

Changed: `warmup::Window`, `Limit::of_window`, `Limiter::set_window` and `keep_start`; the proxy sets the window where `overload.cold_window` is on, in list mode, for services with `warm_up`, also while the upstream is warm. A call whose caller leaves after it was sent has no service time and was given back although it reached the upstream; `Permit::sent` counts it in the window. The token bucket still gives it back, as before. Bounds below 1 or above 128 calls keep the token bucket.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -111,6 +111,27 @@
         self.tokens.set_warm_up(limit, now);
     }
 
+    /// Records calls, and limits them by a window of the warm-up rate `limit` until the upstream is warm.
+    ///
+    /// Replaces the limit of [`set_warm_up`](Limiter::set_warm_up). It must be set while the upstream is warm
+    /// too, so that earlier calls count once it is cold.
+    ///
+    /// ```
+    /// use model::time::Time;
+    /// use policy::{admission::{Decision, Limiter, Ticket}, warmup::Limit};
+    /// let at = Time::from_millis;
+    /// let limit = Limit { rate: 20.0, burst: 4.0, until: at(3_000) };
+    /// let mut limiter = Limiter::new(8);
+    /// limiter.set_window(limit, at(0));
+    /// // The calls of the previous process are unknown.
+    /// assert_eq!(limiter.admit(Ticket(1), at(0), at(900), 8), Decision::Wait(at(900)));
+    /// assert_eq!(limiter.next_token(at(0)), Some(at(50)));
+    /// assert_eq!(limiter.grant_waiting(at(50)), [Ticket(1)]);
+    /// ```
+    pub fn set_window(&mut self, limit: Limit, now: Time) {
+        self.tokens.set_window(limit, now);
+    }
+
     /// Removes the warm-up rate limit.
     pub fn end_warm_up(&mut self) {
         self.tokens.end_warm_up();
@@ -154,8 +175,7 @@
     ) -> Decision {
         // If calls wait although a slot is free, they wait for a token; a new call must not overtake them.
         if self.busy < self.slots && self.queue.is_empty() && self.tokens.take(now) {
-            self.busy += 1;
-            self.track_nested(ticket, rank.class);
+            self.start(ticket, rank.class, now);
             return Decision::Run;
         }
         self.drop_expired(now);
@@ -228,7 +248,10 @@
         }
     }
 
-    fn track_nested(&mut self, ticket: Ticket, class: Class) {
+    /// Gives a slot to the call `ticket`.
+    fn start(&mut self, ticket: Ticket, class: Class, now: Time) {
+        self.busy += 1;
+        self.tokens.record(ticket, self.busy, now);
         if class == Class::Nested {
             self.nested.insert(ticket);
         }
@@ -258,8 +281,7 @@
             return None;
         }
         let waiter = self.pop_next()?;
-        self.busy += 1;
-        self.track_nested(waiter.ticket, waiter.class);
+        self.start(waiter.ticket, waiter.class, now);
         Some(waiter.ticket)
     }
 
@@ -272,9 +294,14 @@
     }
 
     /// Returns when the next waiting call gets a token, if calls wait for one.
+    ///
+    /// Behind calls that take the free starts of a cold upstream, that is when the next start is free.
     pub fn next_token(&self, now: Time) -> Option<Time> {
+        if self.queue.is_empty() {
+            return None;
+        }
         let wait = self.tokens.wait(1, now);
-        (!self.queue.is_empty() && !wait.is_zero()).then(|| now + wait)
+        if wait.is_zero() { self.tokens.next_start(now) } else { Some(now + wait) }
     }
 
     /// Returns the configured number of slots.
@@ -295,12 +322,17 @@
         self.nested.remove(&ticket);
         match service_time {
             Some(sample) => self.service_time = average(self.service_time, sample),
-            None => self.tokens.give_back(),
+            None => self.tokens.give_back(ticket),
         }
         self.busy = self.busy.saturating_sub(1);
         self.grant_next(now)
     }
 
+    /// Counts a call that reached the upstream as a start even if it ends without a service time.
+    pub fn keep_start(&mut self, ticket: Ticket) {
+        self.tokens.keep(ticket);
+    }
+
     /// Removes a call from the queue; returns whether it was waiting.
     ///
     /// A call that is no longer waiting holds a slot and must be ended by
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use crate::{
+    admission::Ticket,
     bucket::{Bucket, Rate},
-    warmup::{self, Limit},
+    warmup::{self, Limit, Window},
 };
 
 /// Rate limits of one upstream.
@@ -13,6 +14,8 @@
 pub(super) struct Tokens {
     /// During warm-up; `None` once the upstream is warm.
     warm_up: Option<warmup::Bucket>,
+    /// Calls passed to the upstream, if a window limits them during warm-up.
+    window: Option<Window>,
     /// Limit that the upstream named; `None` without one.
     named: Option<Bucket>,
 }
@@ -20,14 +23,25 @@
 impl Tokens {
     /// Applies the warm-up rate `limit` until the upstream is warm.
     pub(super) fn set_warm_up(&mut self, limit: Limit, now: Time) {
+        self.window = None;
         match &mut self.warm_up {
             Some(bucket) if bucket.is_active(now) => bucket.set_limit(limit, now),
             bucket => *bucket = Some(warmup::Bucket::new(limit, now)),
         }
     }
 
+    /// Records calls, and limits them by a window until the upstream is warm.
+    pub(super) fn set_window(&mut self, limit: Limit, now: Time) {
+        self.warm_up = None;
+        match &mut self.window {
+            Some(window) => window.set_limit(limit),
+            None => self.window = Some(Window::new(limit, now)),
+        }
+    }
+
     pub(super) fn end_warm_up(&mut self) {
         self.warm_up = None;
+        self.window = None;
     }
 
     /// Applies the rate of a limit that the upstream named; `None` removes it.
@@ -42,7 +56,17 @@
     pub(super) fn wait(&self, position: usize, now: Time) -> Duration {
         let warm_up = self.warm_up.filter(|bucket| bucket.is_active(now));
         let warm_up = warm_up.map_or(Duration::ZERO, |bucket| bucket.wait(position, now));
-        warm_up.max(self.named_wait(position, now))
+        warm_up.max(self.start_wait(position, now)).max(self.named_wait(position, now))
+    }
+
+    /// Returns how long the call at `position` in a queue waits for a start of a cold upstream.
+    pub(super) fn start_wait(&self, position: usize, now: Time) -> Duration {
+        self.window.as_ref().map_or(Duration::ZERO, |window| window.wait(position, now))
+    }
+
+    /// Returns when a start becomes free after those that are free now.
+    pub(super) fn next_start(&self, now: Time) -> Option<Time> {
+        self.window.as_ref()?.next_start(now)
     }
 
     /// Returns how long the call at `position` in a queue waits under the limit that the upstream named.
@@ -64,8 +88,25 @@
         true
     }
 
-    /// Returns the tokens of a call that did not reach the upstream.
-    pub(super) fn give_back(&mut self) {
+    /// Records the start of the call `ticket`, one of `held` calls that hold a slot.
+    pub(super) fn record(&mut self, ticket: Ticket, held: usize, now: Time) {
+        if let Some(window) = &mut self.window {
+            window.record(ticket, held, now);
+        }
+    }
+
+    /// Keeps the start of `ticket`, whose call reached the upstream.
+    pub(super) fn keep(&mut self, ticket: Ticket) {
+        if let Some(window) = &mut self.window {
+            window.keep(ticket);
+        }
+    }
+
+    /// Returns the tokens of the call `ticket`, which did not reach the upstream.
+    pub(super) fn give_back(&mut self, ticket: Ticket) {
+        if let Some(window) = &mut self.window {
+            window.give_back(ticket);
+        }
         if let Some(bucket) = &mut self.warm_up {
             bucket.give_back();
         }
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -1,13 +1,23 @@
 //! Rate limit of an upstream during warm-up.
 //!
 //! A cold upstream crashes above a low call rate and restarts cold, so that the normal load keeps
-//! it crashing. All its calls pass its serving node, which limits them with a token bucket.
+//! it crashing. All its calls pass its serving node, which limits them with a token bucket or with a
+//! sliding window.
+
+mod window;
 
 use model::{service::WarmUp, time::Time};
 use std::time::Duration;
 
 use crate::bucket;
 
+pub use window::Window;
+
+/// Share of the bound that the starts of a window use.
+///
+/// The rest absorbs calls that are admitted one after the other and arrive together, up to 0.18 s late.
+const WINDOW_SHARE: f64 = 0.85;
+
 /// How far the calls in any second may exceed [`WarmUp::calls_per_s`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess {
@@ -55,6 +65,29 @@
         Limit { rate, burst: (excess.slack / 2.0).max(1.0), until }
     }
 
+    /// Returns the limit by a [`Window`] of an upstream that is cold until `until`; `None` if the bound is
+    /// below one call or too large for a window.
+    ///
+    /// Rate and burst add up to the bound.
+    ///
+    /// ```
+    /// use model::{service::WarmUp, time::Time};
+    /// use policy::warmup::{Excess, Limit};
+    /// use std::time::Duration;
+    /// let warm_up = WarmUp { calls_per_min: 660, length: Duration::from_secs(3) };
+    /// let excess = Excess { factor: 1.5, slack: 8.0 };
+    /// let limit = Limit::of_window(warm_up, excess, Time::default()).expect("the bound is 24.5");
+    /// assert_eq!((limit.rate, limit.burst), (20.0, 4.0));
+    /// ```
+    pub fn of_window(warm_up: WarmUp, excess: Excess, until: Time) -> Option<Limit> {
+        let bound = warm_up.calls_per_s() * excess.factor + excess.slack;
+        if !(1.0..=window::MAX_STARTS as f64).contains(&bound) {
+            return None;
+        }
+        let rate = (bound * WINDOW_SHARE).floor().max(1.0);
+        Some(Limit { rate, burst: (bound.floor() - rate).max(1.0), until })
+    }
+
     fn tokens(&self) -> bucket::Rate {
         bucket::Rate { per_s: self.rate, burst: self.burst }
     }
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -55,6 +55,8 @@
 pub(crate) struct Permit {
     semaphore: Arc<Semaphore>,
     ticket: Ticket,
+    /// Whether the call was sent to the upstream, which may be cancelled before it is done.
+    pub(crate) sent: bool,
     /// Duration of the work, if it was done.
     pub(crate) service_time: Option<Duration>,
 }
@@ -119,6 +121,11 @@
         }
     }
 
+    /// Sets the window that limits a cold upstream, instead of a rate limit.
+    pub(crate) fn set_window(&self, limit: Limit, now: Time) {
+        self.lock().limiter.set_window(limit, now);
+    }
+
     /// Sets the limit that the upstream named, in calls per second, and wakes tasks that it now admits;
     /// `None` removes it.
     pub(crate) fn set_named_limit(&self, limit: Option<f64>) {
@@ -183,7 +190,7 @@
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
-        Permit { semaphore: self.clone(), ticket, service_time: None }
+        Permit { semaphore: self.clone(), ticket, sent: false, service_time: None }
     }
 
     /// Requests admission and registers a waiter under the same lock, so that no release is missed.
@@ -204,6 +211,11 @@
         (decision, receiver)
     }
 
+    /// Counts the call `ticket`, which was sent to the upstream.
+    fn keep_start(&self, ticket: Ticket) {
+        self.lock().limiter.keep_start(ticket);
+    }
+
     /// Releases the slot of `ticket` and wakes the next waiting task.
     fn finish(&self, ticket: Ticket, service_time: Option<Duration>) {
         let mut queue = self.lock();
@@ -234,6 +246,9 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        if self.sent && self.service_time.is_none() {
+            self.semaphore.keep_start(self.ticket);
+        }
         self.semaphore.finish(self.ticket, self.service_time);
     }
 }
--- a/crates/traffic/src/admission/semaphore/tests.rs
+++ b/crates/traffic/src/admission/semaphore/tests.rs
@@ -7,6 +7,8 @@
 
 const QUEUE: usize = 8;
 
+const LONG: Duration = Duration::from_secs(60);
+
 fn in_a_second(clock: Clock) -> Time {
     clock.now() + Duration::from_secs(1)
 }
@@ -57,3 +59,46 @@
         }
     });
 }
+
+/// Returns a limit of 50 starts per second, without end.
+fn fifty_starts(clock: Clock) -> Limit {
+    Limit { rate: 50.0, burst: 1.0, until: clock.now() + Duration::from_secs(600) }
+}
+
+/// Guards against a task that never sees a free start because no other call finishes.
+#[test]
+fn a_waiting_task_gets_a_start_without_other_calls() {
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime starts");
+    runtime.block_on(async {
+        let clock = Clock::default();
+        let semaphore = Semaphore::new(clock, 4);
+        semaphore.set_window(fifty_starts(clock), clock.now());
+        for _ in 0..3 {
+            let deadline = clock.now() + Duration::from_secs(30);
+            semaphore
+                .acquire(Rank::default(), deadline, QUEUE)
+                .await
+                .expect("a start is free in time");
+        }
+    });
+}
+
+/// Guards against starts given back for calls that were sent and then cancelled by their callers.
+#[test]
+fn only_calls_that_were_not_sent_are_given_back() {
+    for (sent, is_counted) in [(true, true), (false, false)] {
+        let clock = Clock::default();
+        let semaphore = Semaphore::new(clock, 4);
+        // One start a second; the one at ten seconds is free whatever was recorded at the beginning.
+        let limit = Limit { rate: 1.0, burst: 1.0, ..fifty_starts(clock) };
+        semaphore.set_window(limit, Time::default());
+        let later = Time::from_millis(10_000);
+        let decision = semaphore.lock().limiter.admit(Ticket(1), later, later + LONG, QUEUE);
+        assert_eq!(decision, Decision::Run);
+        let mut permit = semaphore.permit(Ticket(1));
+        permit.sent = sent;
+        drop(permit);
+        let next = semaphore.lock().limiter.admit(Ticket(2), later, later + LONG, QUEUE);
+        assert_eq!(next != Decision::Run, is_counted, "{next:?}");
+    }
+}
--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -20,17 +20,38 @@
         now: Time,
     ) -> Option<Limit> {
         let until = cold_until(upstream, warm_up);
-        (now < until).then(|| Limit::new(warm_up, self.tuning().cold_excess, until))
+        let excess = self.tuning().cold_excess;
+        let limit = || self.window(warm_up, until).unwrap_or(Limit::new(warm_up, excess, until));
+        (now < until).then(limit)
     }
 
     /// Updates the rate limit of the colocated upstream.
     pub(crate) fn refresh_warm_up(&self) {
         let now = self.clock.now();
         let warm_up = self.warm_up(&self.settings.service);
+        if let Some(window) = warm_up.and_then(|warm_up| self.colocated_window(warm_up)) {
+            self.slots.set_window(window, now);
+            return;
+        }
         let limit = warm_up.and_then(|warm_up| self.colocated_limit(warm_up, now));
         self.slots.set_warm_up(limit, now);
     }
 
+    /// Returns the window of the colocated upstream, also while it is warm; `None` without one.
+    fn colocated_window(&self, warm_up: WarmUp) -> Option<Limit> {
+        let view = self.view.load();
+        let entries = colocated::entries(&view, &self.settings);
+        let until = entries.map(|upstream| cold_until(upstream, warm_up)).max();
+        self.window(warm_up, until.unwrap_or_default())
+    }
+
+    /// Returns the limit by a window of an upstream that is cold until `until`, if windows are switched on.
+    fn window(&self, warm_up: WarmUp, until: Time) -> Option<Limit> {
+        let tuning = self.tuning();
+        let is_on = tuning.overload.cold_window && self.settings.incarnation.is_none();
+        if is_on { Limit::of_window(warm_up, tuning.cold_excess, until) } else { None }
+    }
+
     fn colocated_limit(&self, warm_up: WarmUp, now: Time) -> Option<Limit> {
         let view = self.view.load();
         let entries = colocated::entries(&view, &self.settings);
