policy, traffic: division of the starts of a cold upstream among kinds of calls

Cause: nested calls go first while they hold fewer than half of the slots. At 20 starts a second they never hold that many, so they took nearly all starts of a cold upstream, whatever their parents' priority.

Ruled out: shares of the starts within the window where it has fewer than eight; a less urgent kind then gets half of two starts. The division counts the latest eight starts at least, whatever their age. Also ruled out: shares without spacing; a kind that begins to wait then takes its whole share at once and delays urgent calls.

Changed: `policy::admission::division` orders the waiting calls while starts are scarcer than slots: by priority, within a priority the class with fewer starts, and at least an eighth for every waiting kind. The same code predicts the position of a new call, which is refused at once if its start would be late. Where only slots are short, the order stays. `explain` at the upstream's node shows the starts used and their division. A new view updates the window at once, since a queued call that is granted a slot does not refresh it.

`cluster::configuration_of` takes the document of the service. Eleven mutations of the division and its use: two passed at first (spacing, sliding of the prediction), each fails a test that was then added.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,10 +1,12 @@
 //! Admission at the serving node: a concurrency limit and a bounded priority queue per upstream.
 //!
-//! A call that cannot start in time is refused at once, so that the upstream does not work for callers
-//! that have given up; under lasting overload, longer waits would make every answer late. Nested calls
-//! go before external ones while they hold at most half of the slots, since without them the work of
-//! their parents is lost.
+//! A call that cannot start in time is refused at once, so that the upstream does not work for
+//! callers that have given up; under lasting overload, longer waits would make every answer late.
+//! Nested calls go before external ones while they hold at most half of the slots, since without
+//! them the work of their parents is lost. While calls wait for the starts of a cold upstream,
+//! `division` orders them.
 
+mod division;
 mod tokens;
 
 use model::time::Time;
@@ -13,7 +15,14 @@
     time::Duration,
 };
 
-use crate::{admission::tokens::Tokens, bucket::Rate, outcome::Cause, warmup::Limit};
+use crate::{
+    admission::{division::Division, tokens::Tokens},
+    bucket::Rate,
+    outcome::Cause,
+    warmup::{Limit, Usage},
+};
+
+pub use division::Kind;
 
 /// Weight of a new sample in the moving average of service times.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -40,7 +49,7 @@
 pub struct Ticket(pub u64);
 
 /// Traffic class of a call.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub enum Class {
     /// Made by a client of the fleet.
     #[default]
@@ -81,6 +90,12 @@
     class: Class,
 }
 
+impl Waiter {
+    fn kind(&self) -> Kind {
+        Kind::new(self.priority, self.class)
+    }
+}
+
 /// Concurrency limiter with a bounded queue in front of one upstream.
 #[derive(Debug)]
 pub struct Limiter {
@@ -111,10 +126,11 @@
         self.tokens.set_warm_up(limit, now);
     }
 
-    /// Records calls, and limits them by a window of the warm-up rate `limit` until the upstream is warm.
+    /// Records calls, and limits them by a window of the warm-up rate `limit` until the upstream is
+    /// warm.
     ///
-    /// Replaces the limit of [`set_warm_up`](Limiter::set_warm_up). It must be set while the upstream is warm
-    /// too, so that earlier calls count once it is cold.
+    /// Replaces the limit of [`set_warm_up`](Limiter::set_warm_up). It must be set while the
+    /// upstream is warm too, so that earlier calls count once it is cold.
     ///
     /// ```
     /// use model::time::Time;
@@ -175,7 +191,7 @@
     ) -> Decision {
         // If calls wait although a slot is free, they wait for a token; a new call must not overtake them.
         if self.busy < self.slots && self.queue.is_empty() && self.tokens.take(now) {
-            self.start(ticket, rank.class, now);
+            self.start(ticket, Kind::new(rank.priority, rank.class), now);
             return Decision::Run;
         }
         self.drop_expired(now);
@@ -198,7 +214,7 @@
         if self.busy < self.slots && self.tokens.wait(1, now).is_zero() {
             return waiting == 0 || !full;
         }
-        let wait = self.expected_wait(self.position(rank) + 1, now);
+        let wait = self.expected_wait(self.position(rank, now) + 1, now);
         let misses_deadline = now + wait >= deadline;
         let starts_late = now + wait > self.latest_start(rank, now, deadline);
         !full && !misses_deadline && !starts_late
@@ -218,8 +234,11 @@
     }
 
     /// Returns how many of the waiting calls go before a new call of `rank`.
-    fn position(&self, rank: Rank) -> usize {
+    fn position(&self, rank: Rank, now: Time) -> usize {
         let by_rank = self.queue.partition_point(|w| w.priority <= rank.priority);
+        if let Some(position) = self.divided_position(rank, by_rank, now) {
+            return position;
+        }
         let nested = |waiters: usize| {
             self.queue.iter().take(waiters).filter(|w| w.class == Class::Nested).count()
         };
@@ -231,6 +250,24 @@
         }
     }
 
+    /// Returns how many of the waiting calls go before a new call of `rank`, behind `by_rank` calls
+    /// in the queue, if starts of a cold upstream are divided.
+    fn divided_position(&self, rank: Rank, by_rank: usize, now: Time) -> Option<usize> {
+        let kind = Kind::new(rank.priority, rank.class);
+        let before = self.queue.iter().take(by_rank).filter(|w| w.until > now);
+        let ahead = before.filter(|w| w.kind() == kind).count();
+        let division = self.division(Some(kind), now)?;
+        let own = division.enumerate().filter(|(_, next)| *next == kind).nth(ahead);
+        own.map(|(position, _)| position)
+    }
+
+    /// Returns the order of the queue and a `new` call, if it waits for starts of a cold upstream.
+    fn division(&self, new: Option<Kind>, now: Time) -> Option<Division> {
+        let waiting = self.queue.iter().filter(|w| w.until > now).map(Waiter::kind).chain(new);
+        let window = self.tokens.scarce_starts(waiting.clone().count(), self.slot_wait(1), now)?;
+        Some(Division::new(window.per_period(), window.kinds(), waiting))
+    }
+
     /// Returns how many more nested calls may hold slots before rank alone decides.
     ///
     /// With half of the slots, either class that needs less than that is served nearly completely, however
@@ -240,7 +277,11 @@
     }
 
     /// Removes the next call to run from the queue.
-    fn pop_next(&mut self) -> Option<Waiter> {
+    fn pop_next(&mut self, now: Time) -> Option<Waiter> {
+        if let Some(kind) = self.division(None, now).and_then(|mut division| division.next()) {
+            let index = self.queue.iter().position(|w| w.kind() == kind)?;
+            return self.queue.remove(index);
+        }
         let nested = self.queue.iter().position(|w| w.class == Class::Nested);
         match nested {
             Some(index) if self.nested_quota() > 0 => self.queue.remove(index),
@@ -249,10 +290,10 @@
     }
 
     /// Gives a slot to the call `ticket`.
-    fn start(&mut self, ticket: Ticket, class: Class, now: Time) {
+    fn start(&mut self, ticket: Ticket, kind: Kind, now: Time) {
         self.busy += 1;
-        self.tokens.record(ticket, self.busy, now);
-        if class == Class::Nested {
+        self.tokens.record(ticket, kind, self.busy, now);
+        if kind.class == Class::Nested {
             self.nested.insert(ticket);
         }
     }
@@ -280,8 +321,8 @@
         if self.queue.is_empty() || !self.tokens.take(now) {
             return None;
         }
-        let waiter = self.pop_next()?;
-        self.start(waiter.ticket, waiter.class, now);
+        let waiter = self.pop_next(now)?;
+        self.start(waiter.ticket, waiter.kind(), now);
         Some(waiter.ticket)
     }
 
@@ -295,7 +336,8 @@
 
     /// Returns when the next waiting call gets a token, if calls wait for one.
     ///
-    /// Behind calls that take the free starts of a cold upstream, that is when the next start is free.
+    /// Behind calls that take the free starts of a cold upstream, that is when the next start is
+    /// free.
     pub fn next_token(&self, now: Time) -> Option<Time> {
         if self.queue.is_empty() {
             return None;
@@ -359,6 +401,11 @@
         }
     }
 
+    /// Returns the use of the starts of the last second, while a window limits a cold upstream.
+    pub fn starts(&self, now: Time) -> Option<Usage> {
+        self.tokens.starts(now)
+    }
+
     /// Returns the number of calls that hold a slot.
     pub fn busy(&self) -> usize {
         self.busy
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use crate::{
-    admission::Ticket,
+    admission::{Kind, Ticket},
     bucket::{Bucket, Rate},
-    warmup::{self, Limit, Window},
+    warmup::{self, Limit, Usage, Window},
 };
 
 /// Rate limits of one upstream.
@@ -60,10 +60,34 @@
     }
 
     /// Returns how long the call at `position` in a queue waits for a start of a cold upstream.
-    pub(super) fn start_wait(&self, position: usize, now: Time) -> Duration {
+    fn start_wait(&self, position: usize, now: Time) -> Duration {
         self.window.as_ref().map_or(Duration::ZERO, |window| window.wait(position, now))
     }
 
+    /// Returns the window if its starts are scarcer than slots for `waiting` calls, given that a
+    /// slot is freed every `slot_time`.
+    ///
+    /// They are if the last call waits longer for a start than for a slot, or if it waits and
+    /// starts become free at a lower rate than slots.
+    pub(super) fn scarce_starts(
+        &self,
+        waiting: usize,
+        slot_time: Duration,
+        now: Time,
+    ) -> Option<&Window> {
+        let window = self.window.as_ref().filter(|window| window.is_active(now))?;
+        let wait = window.wait(waiting, now);
+        let slot_wait = slot_time * waiting as u32;
+        let is_scarce = wait > slot_wait || (!wait.is_zero() && window.interval(1) > slot_time);
+        is_scarce.then_some(window)
+    }
+
+    /// Returns the use of the starts, while a window limits a cold upstream.
+    pub(super) fn starts(&self, now: Time) -> Option<Usage> {
+        let window = self.window.as_ref().filter(|window| window.is_active(now))?;
+        Some(window.usage(now))
+    }
+
     /// Returns when a start becomes free after those that are free now.
     pub(super) fn next_start(&self, now: Time) -> Option<Time> {
         self.window.as_ref()?.next_start(now)
@@ -89,9 +113,9 @@
     }
 
     /// Records the start of the call `ticket`, one of `held` calls that hold a slot.
-    pub(super) fn record(&mut self, ticket: Ticket, held: usize, now: Time) {
+    pub(super) fn record(&mut self, ticket: Ticket, kind: Kind, held: usize, now: Time) {
         if let Some(window) = &mut self.window {
-            window.record(ticket, held, now);
+            window.record(ticket, kind, held, now);
         }
     }
 
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -28,7 +28,7 @@
 
 /// Ranks within one priority: nested calls of a parent with an answered nested call, other nested
 /// calls, retries, first attempts, early retries, late calls.
-const RANKS_PER_PRIORITY: u8 = 6;
+pub(crate) const RANKS_PER_PRIORITY: u8 = 6;
 
 /// Divides the objective to give the longest wait of the first nested call of a parent.
 ///
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -1,8 +1,8 @@
 //! Rate limit of an upstream during warm-up.
 //!
 //! A cold upstream crashes above a low call rate and restarts cold, so that the normal load keeps
-//! it crashing. All its calls pass its serving node, which limits them with a token bucket or with a
-//! sliding window.
+//! it crashing. All its calls pass its serving node, which limits them with a token bucket or with
+//! a sliding window.
 
 mod window;
 
@@ -11,11 +11,12 @@
 
 use crate::bucket;
 
-pub use window::Window;
+pub use window::{Usage, Window};
 
 /// Share of the bound that the starts of a window use.
 ///
-/// The rest absorbs calls that are admitted one after the other and arrive together, up to 0.18 s late.
+/// The rest absorbs calls that are admitted one after the other and arrive together, up to 0.18 s
+/// late.
 const WINDOW_SHARE: f64 = 0.85;
 
 /// How far the calls in any second may exceed [`WarmUp::calls_per_s`].
@@ -65,8 +66,8 @@
         Limit { rate, burst: (excess.slack / 2.0).max(1.0), until }
     }
 
-    /// Returns the limit by a [`Window`] of an upstream that is cold until `until`; `None` if the bound is
-    /// below one call or too large for a window.
+    /// Returns the limit by a [`Window`] of an upstream that is cold until `until`; `None` if the
+    /// bound is below one call or too large for a window.
     ///
     /// Rate and burst add up to the bound.
     ///
--- a/crates/policy/tests/cold_window.rs
+++ b/crates/policy/tests/cold_window.rs
@@ -52,6 +52,8 @@
     period_ms: u64,
     /// When the node learns that the upstream is cold.
     known_cold_ms: u64,
+    /// When the upstream is warm.
+    warm_ms: u64,
     /// Mean time between restarts of the node, if it restarts.
     restart_ms: Option<u64>,
     /// Whether the upstream is replaced by one of another size from time to time.
@@ -63,6 +65,7 @@
     busy_ms: 700,
     period_ms: 700,
     known_cold_ms: 0,
+    warm_ms: LENGTH_MS,
     restart_ms: None,
     resize_ms: None,
 };
@@ -81,7 +84,7 @@
             limiter = Limiter::new(SLOTS);
             running.clear();
         }
-        let until_ms = if now < scenario.known_cold_ms { 0 } else { LENGTH_MS };
+        let until_ms = if now < scenario.known_cold_ms { 0 } else { scenario.warm_ms };
         limiter.set_window(limit(until_ms), at(now));
         let mut granted = limiter.grant_waiting(at(now));
         if scenario.resize_ms.is_some_and(|mean| random.random_ratio(1, mean as u32)) {
@@ -109,8 +112,8 @@
     reached
 }
 
-/// Guards against a burst that crashes a cold upstream, with calls that never reach it, calls that arrive
-/// late, and upstreams replaced by others of another size.
+/// Guards against a burst that crashes a cold upstream, with calls that never reach it, calls that
+/// arrive late, and upstreams replaced by others of another size.
 #[test]
 fn starts_and_late_arrivals_stay_below_the_bound_in_any_second() {
     let bursts = Scenario { busy_ms: 150, period_ms: 900, arrivals: 0.9, ..OVERLOAD };
@@ -120,7 +123,8 @@
         let starts = play(scenario, seed);
         let passed = peak(&starts, SECOND_MS);
         assert!(passed <= MAX_STARTS, "seed {seed}: {passed} are passed");
-        // If the first calls are late and the others are not, calls of a longer period arrive in a second.
+        // If the first calls are late and the others are not, calls of a longer period arrive in a
+        // second.
         let arrive = peak(&starts, SECOND_MS + MAX_DELAY_MS);
         assert!(arrive <= MAX_ARRIVALS, "seed {seed}: {arrive} may arrive");
     }
@@ -136,6 +140,21 @@
     }
 }
 
+/// Guards against a metastable failure: an upstream that starts cold under normal load stays
+/// limited or is crashed by it.
+#[test]
+fn cold_start_under_normal_load_recovers() {
+    for seed in 0..20 {
+        let starts = play(Scenario { arrivals: 0.06, warm_ms: 3_000, ..OVERLOAD }, seed);
+        let (cold, warm): (Vec<u64>, Vec<u64>) = starts.iter().partition(|start| **start < 3_000);
+        let passed = peak(&cold, SECOND_MS);
+        assert!(passed <= MAX_STARTS, "seed {seed}: {passed}");
+        // Eight in ten of 60 calls per second reach the upstream.
+        let served = warm.iter().filter(|start| **start >= 4_000).count();
+        assert!(served >= 160, "seed {seed}: {served} in four seconds");
+    }
+}
+
 /// Guards against a restarted node that adds its starts to those of the previous process.
 #[test]
 fn calls_of_several_processes_stay_below_the_bound_together() {
@@ -147,7 +166,8 @@
     }
 }
 
-/// Guards against calls in addition to those passed before the node learned that the upstream is cold.
+/// Guards against calls in addition to those passed before the node learned that the upstream is
+/// cold.
 #[test]
 fn calls_passed_before_the_upstream_is_known_to_be_cold_count() {
     for seed in 0..20 {
@@ -223,7 +243,8 @@
     assert!(limiter.next_token(at(2_200)) >= Some(at(3_100)));
 }
 
-/// Guards against a call that waits for a slot and, once another call takes the last start, is woken late.
+/// Guards against a call that waits for a slot and, once another call takes the last start, is
+/// woken late.
 #[test]
 fn the_next_waiting_call_is_woken_when_an_entry_expires() {
     let mut limiter = limiter(9_000);
@@ -275,8 +296,8 @@
     assert!(limiter.next_token(at(2_100)) >= Some(at(3_000)));
 }
 
-/// Guards against calls that wait for a start that comes after their latest start, or while the queue is
-/// full.
+/// Guards against calls that wait for a start that comes after their latest start, or while the
+/// queue is full.
 #[test]
 fn call_without_a_start_in_time_is_refused_at_once() {
     let mut limiter = limiter(3_000);
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -6,7 +6,7 @@
     health::Load,
     named_limit,
     outcome::{Cause, Loss, Outcome, Step, of_loss},
-    warmup::Limit,
+    warmup::{Limit, Usage},
 };
 use std::{
     collections::HashMap,
@@ -179,6 +179,11 @@
         Load { busy: queue.limiter.busy(), waiting: queue.limiter.waiting(), ..Load::default() }
     }
 
+    /// Returns the use of the starts of the last second, while a window limits a cold upstream.
+    pub(crate) fn starts(&self) -> Option<Usage> {
+        self.lock().limiter.starts(self.clock.now())
+    }
+
     /// Sets the number of slots and wakes tasks that fit.
     pub(crate) fn resize(&self, slots: usize) {
         let mut queue = self.lock();
--- a/crates/traffic/src/admission/semaphore/tests.rs
+++ b/crates/traffic/src/admission/semaphore/tests.rs
@@ -89,7 +89,8 @@
     for (sent, is_counted) in [(true, true), (false, false)] {
         let clock = Clock::default();
         let semaphore = Semaphore::new(clock, 4);
-        // One start a second; the one at ten seconds is free whatever was recorded at the beginning.
+        // One start a second; the one at ten seconds is free whatever was recorded at the
+        // beginning.
         let limit = Limit { rate: 1.0, burst: 1.0, ..fifty_starts(clock) };
         semaphore.set_window(limit, Time::default());
         let later = Time::from_millis(10_000);
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -152,6 +152,7 @@
     pub fn set_view(&self, view: Arc<View>) {
         let before = self.view.swap(view.clone());
         self.services.update(&view, &before, self.clock.now());
+        self.refresh_window();
         if let Some(slots) = colocated::slots(&view, &self.settings) {
             self.slots.resize(slots);
         }
--- a/crates/traffic/src/proxy/explain.rs
+++ b/crates/traffic/src/proxy/explain.rs
@@ -1,6 +1,7 @@
 //! Explains to operators which upstreams are eligible now, and why.
 
 use fleet::{member::State, status::Candidate};
+use policy::{admission::Class, warmup::Usage};
 
 use crate::proxy::Proxy;
 
@@ -37,6 +38,9 @@
                     (false, "upstreams are available in this data centre".to_owned())
                 }
                 State::Suspect => (true, "suspected, not yet unreachable".to_owned()),
+                State::Live if self.is_colocated(upstream) => {
+                    (true, live_reason(record.limit(now)) + &starts_reason(self.slots.starts()))
+                }
                 State::Live => (true, live_reason(record.limit(now))),
             };
             all.push(Candidate {
@@ -61,3 +65,19 @@
 fn live_reason(limit: Option<f64>) -> String {
     limit.map_or("live".to_owned(), |limit| format!("live; accepts {limit} calls per second"))
 }
+
+/// Returns the use of the starts of a cold upstream by kind of call; empty for a warm one.
+fn starts_reason(usage: Option<Usage>) -> String {
+    let Some(Usage { used, limit, mut kinds }) = usage else { return String::new() };
+    kinds.sort_by_key(|(kind, _)| (kind.priority, kind.class == Class::Nested));
+    let mut reason = format!("; cold, {used} of {limit} starts of the last second used");
+    let unknown = used - kinds.iter().map(|(_, starts)| starts).sum::<usize>();
+    for (kind, starts) in kinds {
+        let class = if kind.class == Class::Nested { "nested" } else { "callers" };
+        reason += &format!(", priority {} {class}: {starts}", kind.priority);
+    }
+    if unknown > 0 {
+        reason += &format!(", assumed before the start of the node: {unknown}");
+    }
+    reason
+}
--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -37,6 +37,17 @@
         self.slots.set_warm_up(limit, now);
     }
 
+    /// Updates the window of the colocated upstream, if it has one.
+    ///
+    /// A queued call that is granted a slot does not refresh the limit; without this, calls queued
+    /// while the upstream was thought warm could exceed it.
+    pub(crate) fn refresh_window(&self) {
+        let warm_up = self.warm_up(&self.settings.service);
+        if let Some(window) = warm_up.and_then(|warm_up| self.colocated_window(warm_up)) {
+            self.slots.set_window(window, self.clock.now());
+        }
+    }
+
     /// Returns the window of the colocated upstream, also while it is warm; `None` without one.
     fn colocated_window(&self, warm_up: WarmUp) -> Option<Limit> {
         let view = self.view.load();
@@ -45,7 +56,8 @@
         self.window(warm_up, until.unwrap_or_default())
     }
 
-    /// Returns the limit by a window of an upstream that is cold until `until`, if windows are switched on.
+    /// Returns the limit by a window of an upstream that is cold until `until`, if windows are
+    /// switched on.
     fn window(&self, warm_up: WarmUp, until: Time) -> Option<Limit> {
         let tuning = self.tuning();
         let is_on = tuning.overload.cold_window && self.settings.incarnation.is_none();
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -86,7 +86,8 @@
 ) -> Result<Answer, Failure> {
     let begun = proxy.clock.now();
     let remaining = offer.deadline.since(begun);
-    // Set before the first await: if the caller leaves, this future is dropped and the call may have arrived.
+    // Set before the first await: if the caller leaves, this future is dropped and the call may
+    // have arrived.
     slot.sent = true;
     let exchange = async {
         let head = match connection.send(request).await {
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -489,6 +489,11 @@
 }
 
 fn configuration() -> Arc<model::config::Snapshot> {
+    configuration_of(r#"{"profile": "p"}"#)
+}
+
+/// Returns the configuration with the given document of the service.
+pub(crate) fn configuration_of(paydesk: &str) -> Arc<model::config::Snapshot> {
     let document = |(key, text): (&str, &str)| Document {
         key: key.to_owned(),
         modified: 1,
@@ -496,7 +501,7 @@
     };
     let mut documents = vec![
         document(("profiles/p", "{}")),
-        document(("services/paydesk", r#"{"profile": "p"}"#)),
+        document(("services/paydesk", paydesk)),
         document(("services/nobody", r#"{"profile": "p"}"#)),
         document(("limits", r#"{"body_bytes": 200000}"#)),
     ];
