--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use crate::{
+    admission::{Kind, Ticket},
     bucket::{Bucket, Rate},
-    warmup::{self, Limit},
+    warmup::{self, Limit, Usage, Window},
 };
 
 /// Rate limits of one upstream.
@@ -13,6 +14,8 @@
 pub(super) struct Tokens {
     /// During warm-up; `None` once the upstream is warm.
     warm_up: Option<warmup::Bucket>,
+    /// Calls passed to the upstream, if a window limits them during warm-up.
+    window: Option<Window>,
     /// Limit that the upstream named; `None` without one.
     named: Option<Bucket>,
 }
@@ -20,14 +23,25 @@
 impl Tokens {
     /// Applies the warm-up rate `limit` until the upstream is warm.
     pub(super) fn set_warm_up(&mut self, limit: Limit, now: Time) {
+        self.window = None;
         match &mut self.warm_up {
             Some(bucket) if bucket.is_active(now) => bucket.set_limit(limit, now),
             bucket => *bucket = Some(warmup::Bucket::new(limit, now)),
         }
     }
 
+    /// Records calls, and limits them by a window until the upstream is warm.
+    pub(super) fn set_window(&mut self, limit: Limit, now: Time) {
+        self.warm_up = None;
+        match &mut self.window {
+            Some(window) => window.set_limit(limit),
+            None => self.window = Some(Window::new(limit, now)),
+        }
+    }
+
     pub(super) fn end_warm_up(&mut self) {
         self.warm_up = None;
+        self.window = None;
     }
 
     /// Applies the rate of a limit that the upstream named; `None` removes it.
@@ -42,7 +56,41 @@
     pub(super) fn wait(&self, position: usize, now: Time) -> Duration {
         let warm_up = self.warm_up.filter(|bucket| bucket.is_active(now));
         let warm_up = warm_up.map_or(Duration::ZERO, |bucket| bucket.wait(position, now));
-        warm_up.max(self.named_wait(position, now))
+        warm_up.max(self.start_wait(position, now)).max(self.named_wait(position, now))
+    }
+
+    /// Returns how long the call at `position` in a queue waits for a start of a cold upstream.
+    fn start_wait(&self, position: usize, now: Time) -> Duration {
+        self.window.as_ref().map_or(Duration::ZERO, |window| window.wait(position, now))
+    }
+
+    /// Returns the window if its starts are scarcer than slots for `waiting` calls, given that a
+    /// slot is freed every `slot_time`.
+    ///
+    /// They are if the last call waits longer for a start than for a slot, or if it waits and
+    /// starts become free at a lower rate than slots.
+    pub(super) fn scarce_starts(
+        &self,
+        waiting: usize,
+        slot_time: Duration,
+        now: Time,
+    ) -> Option<&Window> {
+        let window = self.window.as_ref().filter(|window| window.is_active(now))?;
+        let wait = window.wait(waiting, now);
+        let slot_wait = slot_time * waiting as u32;
+        let is_scarce = wait > slot_wait || (!wait.is_zero() && window.interval(1) > slot_time);
+        is_scarce.then_some(window)
+    }
+
+    /// Returns the use of the starts, while a window limits a cold upstream.
+    pub(super) fn starts(&self, now: Time) -> Option<Usage> {
+        let window = self.window.as_ref().filter(|window| window.is_active(now))?;
+        Some(window.usage(now))
+    }
+
+    /// Returns when a start becomes free after those that are free now.
+    pub(super) fn next_start(&self, now: Time) -> Option<Time> {
+        self.window.as_ref()?.next_start(now)
     }
 
     /// Returns how long the call at `position` in a queue waits under the limit that the upstream named.
@@ -64,8 +112,25 @@
         true
     }
 
-    /// Returns the tokens of a call that did not reach the upstream.
-    pub(super) fn give_back(&mut self) {
+    /// Records the start of the call `ticket`, one of `held` calls that hold a slot.
+    pub(super) fn record(&mut self, ticket: Ticket, kind: Kind, held: usize, now: Time) {
+        if let Some(window) = &mut self.window {
+            window.record(ticket, kind, held, now);
+        }
+    }
+
+    /// Keeps the start of `ticket`, whose call reached the upstream.
+    pub(super) fn keep(&mut self, ticket: Ticket) {
+        if let Some(window) = &mut self.window {
+            window.keep(ticket);
+        }
+    }
+
+    /// Returns the tokens of the call `ticket`, which did not reach the upstream.
+    pub(super) fn give_back(&mut self, ticket: Ticket) {
+        if let Some(window) = &mut self.window {
+            window.give_back(ticket);
+        }
         if let Some(bucket) = &mut self.warm_up {
             bucket.give_back();
         }
