policy, traffic: fair shares between entry nodes, behind overload/fair_shares

Cause: calls of equal rank wait in order of arrival, so callers whose demand doubles, or who retry often, take slots from callers who want no more than before.

Changed: an entry node counts the calls from callers that were answered for it, by service, with a half-life of one second, and states the count on each offer of such a call (baobab-usage). The serving node orders waiting external calls of equal priority by level (largest power of two at most usage + 1) and then by arrival. Insertion and position use one comparison, Waiter::precedes. A missing or malformed count is replaced by the node's own usage. List mode only. Metrics baobabrelay.usage and baobabrelay.overtaking. Tests in shares.rs state `..Rank::default()` for the new field.

Ruled out: a sort key that gives nested calls a level; it would reorder calls of equal priority although all levels are equal.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -3,17 +3,21 @@
 //! A call that cannot start in time is refused at once, so that the upstream does not work for callers
 //! that have given up; under lasting overload, longer waits would make every answer late. Nested calls
 //! go before external ones while they hold at most half of the slots, since without them the work of
-//! their parents is lost.
+//! their parents is lost. Among external calls of one priority, the order is by level and then by arrival
+//! (`policy::fairness`).
 
 mod tokens;
 
 use model::time::Time;
 use std::{
+    cmp::Ordering,
     collections::{HashSet, VecDeque},
     time::Duration,
 };
 
-use crate::{admission::tokens::Tokens, bucket::Rate, outcome::Cause, warmup::Limit};
+use crate::{
+    admission::tokens::Tokens, bucket::Rate, fairness::Level, outcome::Cause, warmup::Limit,
+};
 
 /// Weight of a new sample in the moving average of service times.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -58,6 +62,8 @@
     pub start_by: Option<Time>,
     /// Traffic class, which the queue order takes into account.
     pub class: Class,
+    /// Order among external calls of equal priority.
+    pub level: Level,
 }
 
 /// Result of an admission check.
@@ -79,6 +85,24 @@
     until: Time,
     priority: u8,
     class: Class,
+    level: Level,
+}
+
+impl Waiter {
+    fn new(ticket: Ticket, until: Time, rank: Rank) -> Self {
+        Waiter { ticket, until, priority: rank.priority, class: rank.class, level: rank.level }
+    }
+
+    /// Returns whether a new call of `rank` goes behind this call.
+    ///
+    /// Levels order external calls only; a nested call neither overtakes nor is overtaken by level.
+    fn precedes(&self, rank: Rank) -> bool {
+        let is_external = self.class == Class::External && rank.class == Class::External;
+        match self.priority.cmp(&rank.priority) {
+            Ordering::Equal if is_external => self.level <= rank.level,
+            order => order.is_le(),
+        }
+    }
 }
 
 /// Concurrency limiter with a bounded queue in front of one upstream.
@@ -91,6 +115,8 @@
     nested: HashSet<Ticket>,
     service_time: Duration,
     tokens: Tokens,
+    /// Calls that were queued before calls of higher levels.
+    overtaking: u64,
 }
 
 impl Limiter {
@@ -103,6 +129,7 @@
             nested: HashSet::new(),
             service_time: Duration::from_millis(1),
             tokens: Tokens::default(),
+            overtaking: 0,
         }
     }
 
@@ -163,11 +190,11 @@
             cov_mark::hit!(admission_refused);
             return Decision::Refuse(self.retry_after(now));
         }
-        let position = self.queue.partition_point(|w| w.priority <= rank.priority);
+        let position = self.insertion_index(rank);
+        self.overtaking += u64::from(position < self.index_by_priority(rank));
         // `expected_wait` is a lower bound: more urgent calls may still arrive.
         let until = self.latest_start(rank, now, deadline);
-        let waiter = Waiter { ticket, until, priority: rank.priority, class: rank.class };
-        self.queue.insert(position, waiter);
+        self.queue.insert(position, Waiter::new(ticket, until, rank));
         Decision::Wait(until)
     }
 
@@ -199,7 +226,7 @@
 
     /// Returns how many of the waiting calls go before a new call of `rank`.
     fn position(&self, rank: Rank) -> usize {
-        let by_rank = self.queue.partition_point(|w| w.priority <= rank.priority);
+        let by_rank = self.insertion_index(rank);
         let nested = |waiters: usize| {
             self.queue.iter().take(waiters).filter(|w| w.class == Class::Nested).count()
         };
@@ -211,6 +238,16 @@
         }
     }
 
+    /// Returns the index in the queue of a new call of `rank`: behind the last call that precedes it.
+    fn insertion_index(&self, rank: Rank) -> usize {
+        self.queue.iter().rposition(|w| w.precedes(rank)).map_or(0, |last| last + 1)
+    }
+
+    /// Returns the index in the queue of a new call of `rank` if all levels were equal.
+    fn index_by_priority(&self, rank: Rank) -> usize {
+        self.queue.partition_point(|w| w.priority <= rank.priority)
+    }
+
     /// Returns how many more nested calls may hold slots before rank alone decides.
     ///
     /// With half of the slots, either class that needs less than that is served nearly completely, however
@@ -337,6 +374,12 @@
         self.queue.len()
     }
 
+    /// Returns the number of calls that were queued before waiting calls of higher levels since the last
+    /// call of this function.
+    pub fn take_overtaking(&mut self) -> u64 {
+        std::mem::take(&mut self.overtaking)
+    }
+
     fn expected_wait(&self, position: usize, now: Time) -> Duration {
         self.slot_wait(position).max(self.tokens.wait(position, now))
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client_retry;
 pub mod connection;
 pub mod drain;
+pub mod fairness;
 pub mod health;
 pub mod latency;
 pub mod named_limit;
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -10,6 +10,7 @@
 use crate::{
     admission::{Class, NESTED_WAIT_DIVISOR, Rank},
     client_retry::Attempt,
+    fairness::Level,
     latency::Estimate,
 };
 
@@ -166,6 +167,7 @@
         priority: combine(priority, step),
         start_by: Some(timing.received + wait),
         class: Class::External,
+        level: Level::default(),
     }
 }
 
@@ -184,6 +186,7 @@
         priority: combine(urgency, step),
         start_by: Some(timing.received + wait),
         class: Class::Nested,
+        level: Level::default(),
     }
 }
 
--- a/crates/policy/tests/shares.rs
+++ b/crates/policy/tests/shares.rs
@@ -139,7 +139,7 @@
 fn nested_calls_go_first_until_they_hold_half_of_the_slots() {
     let mut limiter = Limiter::new(4);
     let now = Time::from_millis(0);
-    let rank = |class, priority| Rank { priority, start_by: None, class };
+    let rank = |class, priority| Rank { priority, class, ..Rank::default() };
     let mut admit = |ticket, class, priority| {
         limiter.admit_ranked(
             Ticket(ticket),
@@ -188,7 +188,8 @@
     for n in 100..100 + slots as u64 {
         assert_eq!(limiter.admit(ticket(n), at(now), at(now + 9_000), 64), Decision::Run);
     }
-    let check = Rank { priority: 1, start_by: Some(at(now + 30)), class: Class::Nested };
+    let check =
+        Rank { priority: 1, start_by: Some(at(now + 30)), class: Class::Nested, ..Rank::default() };
     let decision = limiter.admit_ranked(ticket(200), check, at(now), at(now + 400), 64);
     let Decision::Wait(until) = decision else { panic!("{decision:?}") };
     assert!(until > at(now + LONG_MS / slots as u64), "{until:?}");
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -131,8 +131,21 @@
     help: "Calls that this node holds as entry node",
 };
 
+const USAGE: Entry = Entry {
+    name: "baobabrelay.usage",
+    unit: "{call}",
+    attributes: "service",
+    help: "Calls from callers that this node as entry node recently got answered, with a half-life of one second; offers state it for fair shares",
+};
+const OVERTAKING: Entry = Entry {
+    name: "baobabrelay.overtaking",
+    unit: "{offer}",
+    attributes: "",
+    help: "Offers that this node as serving node queued before others, since their entry nodes recently got less",
+};
+
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 18] = [
+pub const CATALOGUE: [Entry; 20] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -151,6 +164,8 @@
     READS,
     CONTROL_CPU,
     IN_FLIGHT,
+    USAGE,
+    OVERTAKING,
 ];
 
 /// Failure to set up or render metrics.
@@ -192,6 +207,8 @@
     reads: Counter<u64>,
     control_cpu: Gauge<f64>,
     in_flight: Gauge<u64>,
+    usage: Gauge<u64>,
+    overtaking: Counter<u64>,
 }
 
 impl Meter {
@@ -241,6 +258,8 @@
                 .with_description(CONTROL_CPU.help)
                 .build(),
             in_flight: gauge(IN_FLIGHT),
+            usage: gauge(USAGE),
+            overtaking: counter(OVERTAKING),
             registry,
             _provider: provider,
         })
@@ -335,6 +354,16 @@
         self.in_flight.record(calls, &[]);
     }
 
+    /// Sets the recent answered calls of this node's callers to `service`.
+    pub fn set_usage(&self, service: &str, calls: u64) {
+        self.usage.record(calls, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts offers that were queued before others of higher levels.
+    pub fn count_overtaking(&self, offers: u64) {
+        self.overtaking.add(offers, &[]);
+    }
+
     /// Renders all metrics as Prometheus text, histograms last.
     ///
     /// Histograms grow with the number of services. A reader that truncates the text still gets the
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -23,6 +23,8 @@
     meter.count_source_read();
     meter.set_control_cpu(0.5);
     meter.set_in_flight(4);
+    meter.set_usage("stock", 6);
+    meter.count_overtaking(1);
     meter
 }
 
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -172,6 +172,11 @@
         Load { busy: queue.limiter.busy(), waiting: queue.limiter.waiting(), ..Load::default() }
     }
 
+    /// Returns the number of tasks that were queued before tasks of higher levels since the last call.
+    pub(crate) fn take_overtaking(&self) -> u64 {
+        self.lock().limiter.take_overtaking()
+    }
+
     /// Sets the number of slots and wakes tasks that fit.
     pub(crate) fn resize(&self, slots: usize) {
         let mut queue = self.lock();
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -86,6 +86,8 @@
     pub(crate) started_ms: Option<u64>,
     /// Limit of the upstream that the entry node knows, in calls per second.
     pub(crate) limit: Option<f64>,
+    /// Usage of the service that the entry node states, for the order of calls from callers.
+    pub(crate) usage: Option<u64>,
     /// Connection that the request arrived on.
     pub(crate) origin: Probe,
     /// Id of the attempt.
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -7,6 +7,7 @@
     admission::{Class, Rank},
     budget::{Lineage, Standing},
     claim,
+    fairness::Level,
     outcome::{Cause, Outcome},
     retry::Kind,
     transfer,
@@ -56,8 +57,9 @@
     received: Time,
 ) -> Result<Answer, Outcome> {
     let (head, incoming) = request.into_parts();
-    let metadata = read_metadata(&head.headers, received)
+    let mut metadata = read_metadata(&head.headers, received)
         .map_err(|wire::Malformed| Cause::BadRequest.outcome())?;
+    metadata.rank.level = level(proxy, &metadata);
     let config = proxy.config();
     // Without a configuration, the limits of the profile are unknown.
     let service = config.service(&proxy.settings.service);
@@ -100,6 +102,7 @@
     rank: Rank,
     standing: Standing,
     limit: Option<f64>,
+    usage: Option<u64>,
 }
 
 fn read_metadata(headers: &HeaderMap, received: Time) -> Result<Metadata, wire::Malformed> {
@@ -117,6 +120,8 @@
         rank: read_rank(headers, received)?,
         standing: read_standing(headers, received)?,
         limit: wire::header_text(headers, wire::LIMIT).and_then(wire::parse_limit),
+        // A malformed number counts as missing, since it must not refuse a call.
+        usage: wire::read_number(headers, wire::USAGE).unwrap_or(None),
     })
 }
 
@@ -128,9 +133,18 @@
         priority: priority.unwrap_or(0).min(u8::MAX.into()) as u8,
         start_by: start.map(|ms| received + Duration::from_millis(ms)),
         class: if nested { Class::Nested } else { Class::External },
+        level: Level::default(),
     })
 }
 
+/// Returns the level of an offer in the queue.
+///
+/// Nodes of older versions state no usage; that of this node stands for theirs.
+fn level(proxy: &Proxy, metadata: &Metadata) -> Level {
+    let own = proxy.offered_usage(&proxy.settings.service, metadata.rank.class);
+    own.map_or_else(Level::default, |own| Level::of(metadata.usage.unwrap_or(own)))
+}
+
 /// Reads how the run counts towards the retry budget; nodes of older versions do not say so.
 fn read_standing(headers: &HeaderMap, received: Time) -> Result<Standing, wire::Malformed> {
     let is_retry = wire::read_number(headers, wire::RETRY)? == Some(1);
@@ -142,8 +156,18 @@
 }
 
 fn offer(head: Parts, metadata: Metadata, body: Bytes, origin: Probe, received: Time) -> Offer {
-    let Metadata { id, incarnation, identity, started_ms, deadline, kind, rank, standing, limit } =
-        metadata;
+    let Metadata {
+        id,
+        incarnation,
+        identity,
+        started_ms,
+        deadline,
+        kind,
+        rank,
+        standing,
+        limit,
+        usage,
+    } = metadata;
     let mut headers = head.headers;
     wire::strip(&mut headers);
     let payload = Payload::new(head.method, head.uri, headers, body);
@@ -158,6 +182,7 @@
         identity,
         started_ms,
         limit,
+        usage,
         origin,
         id,
     }
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -4,9 +4,10 @@
 use hyper::{Request, Response, header::HeaderValue};
 use model::time::Time;
 use policy::{
-    admission::Class,
+    admission::{Class, Rank},
     budget::{Lineage, Standing},
     claim,
+    fairness::Level,
     outcome::{Cause, Loss, Outcome, Step, Uncertainty, of_loss},
     placement,
     retry::Kind,
@@ -36,17 +37,19 @@
 ) -> Result<Answer, Outcome> {
     let now = proxy.clock.now();
     let limit = proxy.services.with(call.service, |s| s.record(upstream, now).last_limit());
+    let usage = proxy.offered_usage(call.service, call.rank.class);
     let offer = Offer {
         payload: call.payload.clone(),
         received: call.received,
         deadline: now + claim::forwarded_timeout(call.deadline.since(now)),
         kind: call.kind(),
-        rank: call.rank,
+        rank: Rank { level: usage.map_or_else(Level::default, Level::of), ..call.rank },
         standing,
         incarnation: upstream.incarnation,
         identity: upstream.identity.clone(),
         started_ms: upstream.started_ms,
         limit,
+        usage,
         origin: call.origin.clone(),
         id,
     };
@@ -239,6 +242,9 @@
     if let Some(started_ms) = offer.started_ms {
         headers.insert(wire::STARTED, wire::number(started_ms));
     }
+    if let Some(usage) = offer.usage {
+        headers.insert(wire::USAGE, wire::number(usage));
+    }
     if let Some(limit) = offer.limit {
         headers.insert(wire::LIMIT, wire::decimal(limit));
     }
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -81,6 +81,9 @@
     let response = match entry::run(proxy, &call).await {
         Ok(answer) => {
             proxy.running.answered(trace.id());
+            if schedule.origin == Origin::Caller {
+                proxy.count_answer(service);
+            }
             answer.response()
         }
         Err(outcome) => {
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -5,6 +5,7 @@
 mod demand;
 mod estimates;
 mod explain;
+mod fairness;
 pub(crate) mod in_flight;
 mod lifecycle;
 mod quarantine;
@@ -260,6 +261,7 @@
         self.running.remove_expired(self.clock.now());
         self.transfers.remove_expired(self.clock.now());
         self.meter.set_in_flight(self.in_flight.calls() as u64);
+        self.record_fairness();
         let mut events = self.events.take();
         events.extend(self.log.take_dropped());
         events.extend(self.demand.take_events());
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -5,6 +5,7 @@
 use policy::{
     admission::Class,
     budget::{self, Lineage, Part},
+    fairness::Usage,
     health::Record,
     retry::Budget,
 };
@@ -32,6 +33,12 @@
         work(services.get_mut(name).expect("the service was just inserted"))
     }
 
+    /// Returns the usage of each service.
+    pub(crate) fn usages(&self, now: Time) -> Vec<(String, u64)> {
+        let services = lock(&self.known);
+        services.iter().map(|(name, service)| (name.clone(), service.usage.count(now))).collect()
+    }
+
     /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
@@ -73,6 +80,8 @@
     pub(crate) budget: Budget,
     pub(crate) window: budget::Window,
     pub(crate) in_flight: usize,
+    /// Calls from callers that were answered recently.
+    pub(crate) usage: Usage,
     /// Whether the colocated upstream calls it.
     is_nested: bool,
     upstreams: HashMap<Incarnation, Record>,
@@ -129,6 +138,7 @@
             budget: Budget::default(),
             window: budget::Window::default(),
             in_flight: 0,
+            usage: Usage::default(),
             is_nested: false,
             upstreams: HashMap::new(),
         }
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -66,6 +66,9 @@
 /// Ticket of a transfer grant.
 pub const TICKET: HeaderName = HeaderName::from_static("baobab-ticket");
 
+/// Calls from callers of the entry node that the service recently answered, on the offer of a caller's call.
+pub const USAGE: HeaderName = HeaderName::from_static("baobab-usage");
+
 /// Limit that the upstream of an offer named to the entry node, in calls per second.
 pub const LIMIT: HeaderName = HeaderName::from_static("baobab-limit");
 
