policy, traffic: paced returns of refused callers, behind overload/paced_returns

Cause: callers that are refused at the same time are told random times within the same short span, whatever the capacity, and meet the same queue again.

Changed: an entry node that refuses a caller's call as overloaded or limited tells it the first place in a virtual queue that drains at half of the rate at which calls of its callers were answered (the usage of fair shares), plus up to a tenth, within the limits of urgency::retry_after. At most 1,024 promises by service, which expire with their time. As before without answered calls, with 1,024 promises in force, for nested calls, and outside list mode. Metric baobabrelay.promised_returns.

--- a/crates/policy/src/client_retry.rs
+++ b/crates/policy/src/client_retry.rs
@@ -5,6 +5,8 @@
 //! it. A caller stays with its node, so that each node remembers only what it refused itself. Identical
 //! concurrent requests may be confused, which is harmless.
 
+pub mod returns;
+
 use model::{request::Fingerprint, time::Time};
 use std::{
     collections::{HashMap, VecDeque},
--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -38,7 +38,10 @@
 const FIRST_NESTED_DIVISOR: u32 = 4;
 
 /// Shortest `Retry-After` of a refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(15);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(15);
+
+/// Largest share of the slack used as `Retry-After`; the rest is for the wait of the retry.
+const SLACK_RETRY_SHARE: f64 = 0.6;
 
 /// Share of the remaining time used as `Retry-After` if the objective cannot be met; callers honour
 /// at most a third.
@@ -201,10 +204,20 @@
 /// Otherwise it is about as long as callers honour.
 pub fn retry_after(timing: Timing, random: &mut impl Rng) -> Duration {
     let slack = timing.slack();
-    let share = random.random_range(0.25..0.6);
+    let share = random.random_range(0.25..SLACK_RETRY_SHARE);
     if slack > MIN_RETRY_AFTER * 2 {
         return slack.mul_f64(share).max(MIN_RETRY_AFTER);
     }
     let remaining = timing.deadline.since(timing.received);
     remaining.mul_f64(LATE_RETRY_SHARE * random.random_range(0.5..1.0)).max(MIN_RETRY_AFTER)
 }
+
+/// Returns the longest `Retry-After` that a refused caller can use.
+pub(crate) fn latest_return(timing: Timing) -> Duration {
+    let slack = timing.slack();
+    let latest = match slack > MIN_RETRY_AFTER * 2 {
+        true => slack.mul_f64(SLACK_RETRY_SHARE),
+        false => timing.deadline.since(timing.received).mul_f64(LATE_RETRY_SHARE),
+    };
+    latest.max(MIN_RETRY_AFTER)
+}
--- a/crates/policy/tests/fairness.rs
+++ b/crates/policy/tests/fairness.rs
@@ -1,9 +1,9 @@
-//! Fair shares: the queue order of calls from entry nodes whose callers compete for one upstream.
+//! Fair shares and paced returns: calls from entry nodes whose callers compete for one upstream.
 
 use model::time::Time;
 use policy::{
     admission::{Class, Decision, Limiter, Rank, Ticket},
-    client_retry::Attempt,
+    client_retry::{Attempt, returns::Promises},
     fairness::{Level, Usage},
     urgency::{Origin, Timing, rank, retry_after},
 };
@@ -45,6 +45,8 @@
 enum Return {
     /// After the time that it is told.
     AsTold,
+    /// After the time that it is told, which is paced.
+    Paced,
     AtOnce,
 }
 
@@ -105,6 +107,7 @@
     random: SmallRng,
     limiter: Limiter,
     nodes: Vec<Usage>,
+    promises: Vec<Promises>,
     events: BinaryHeap<(Reverse<u64>, Event)>,
     calls: Vec<Call>,
     waiting: HashSet<u64>,
@@ -120,6 +123,7 @@
             random: SmallRng::seed_from_u64(seed),
             limiter: Limiter::new(SLOTS),
             nodes: vec![Usage::default(); groups[0].nodes + groups[1].nodes],
+            promises: Vec::new(),
             events: BinaryHeap::new(),
             calls: Vec::new(),
             waiting: HashSet::new(),
@@ -137,9 +141,22 @@
                 simulation.wanted[group] += 1.0;
             }
         }
+        simulation.promises.resize_with(simulation.nodes.len(), Promises::default);
         simulation
     }
 
+    /// Adds `callers` calls of the first group at once, every `period_ms`.
+    fn add_bursts(&mut self, callers: usize, period_ms: u64) {
+        for first in (period_ms..SPAN_MS as u64).step_by(period_ms as usize) {
+            for _ in 0..callers {
+                let node = self.random.random_range(0..self.groups[0].nodes);
+                let call = Call { group: 0, node, first, attempt: 1, kind: Kind::First };
+                self.events.push((Reverse(first), Event::Arrive(call)));
+                self.wanted[0] += 1.0;
+            }
+        }
+    }
+
     /// Runs to the end; returns the share of the calls of each group that was served.
     fn run(mut self) -> [f64; 2] {
         while let Some((Reverse(now), event)) = self.events.pop() {
@@ -189,6 +206,13 @@
                 let delay = retry_after(call.timing(now), &mut self.random);
                 (Kind::Retry, delay.as_millis() as u64)
             }
+            Return::Paced => {
+                let (timing, usage) = (call.timing(now), self.nodes[call.node]);
+                let promises = &mut self.promises[call.node];
+                let paced = promises.promise(timing, Duration::ZERO, usage, &mut self.random);
+                let delay = paced.unwrap_or_else(|| retry_after(timing, &mut self.random));
+                (Kind::Retry, delay.as_millis() as u64)
+            }
         };
         let next = Call { attempt: call.attempt + 1, kind, ..call };
         self.events.push((Reverse(now + delay), Event::Arrive(next)));
@@ -287,7 +311,7 @@
             restarted.record(at(now));
         }
         let [before, after] = [running, restarted].map(|usage| Level::of(usage.count(at(now))));
-        assert!(after < before || now < 10_000 || now > 10_800, "{now}");
+        assert!(after < before || !(10_000..=10_800).contains(&now), "{now}");
         assert!(after == before || now < 11_600, "{now}");
     }
 }
@@ -392,3 +416,19 @@
         assert_ne!(wrong, decisions(seed, |_| 0), "seed {seed}: no call was reordered");
     }
 }
+
+/// Guards against callers that are refused together, return together, and take the slots of others again.
+#[test]
+fn paced_returns_leave_the_slots_to_first_attempts() {
+    let run = |returns, seed| {
+        let group = Group { nodes: 1, load: 0.2, returns };
+        let mut simulation = Simulation::new([group, group], Usages::Ignored, seed);
+        simulation.add_bursts(60, 1_000);
+        simulation.run()
+    };
+    for seed in 0..5 {
+        let (random, paced) = (run(Return::AsTold, seed), run(Return::Paced, seed));
+        assert!(paced[1] >= 0.995 && paced[1] >= random[1], "seed {seed}: {random:?}, {paced:?}");
+        assert!(paced[0] > random[0] - 0.03, "seed {seed}: {random:?}, {paced:?}");
+    }
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -144,8 +144,15 @@
     help: "Offers that this node as serving node queued before others, since their entry nodes recently got less",
 };
 
+const PROMISED_RETURNS: Entry = Entry {
+    name: "baobabrelay.promised_returns",
+    unit: "{call}",
+    attributes: "service",
+    help: "Refused callers that this node told to return at a time that is not over",
+};
+
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 20] = [
+pub const CATALOGUE: [Entry; 21] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -166,6 +173,7 @@
     IN_FLIGHT,
     USAGE,
     OVERTAKING,
+    PROMISED_RETURNS,
 ];
 
 /// Failure to set up or render metrics.
@@ -209,6 +217,7 @@
     in_flight: Gauge<u64>,
     usage: Gauge<u64>,
     overtaking: Counter<u64>,
+    promised_returns: Gauge<u64>,
 }
 
 impl Meter {
@@ -260,6 +269,7 @@
             in_flight: gauge(IN_FLIGHT),
             usage: gauge(USAGE),
             overtaking: counter(OVERTAKING),
+            promised_returns: gauge(PROMISED_RETURNS),
             registry,
             _provider: provider,
         })
@@ -364,6 +374,11 @@
         self.overtaking.add(offers, &[]);
     }
 
+    /// Sets the refused callers that were told to return to `service` later.
+    pub fn set_promised_returns(&self, service: &str, calls: u64) {
+        self.promised_returns.record(calls, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Renders all metrics as Prometheus text, histograms last.
     ///
     /// Histograms grow with the number of services. A reader that truncates the text still gets the
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -25,6 +25,7 @@
     meter.set_in_flight(4);
     meter.set_usage("stock", 6);
     meter.count_overtaking(1);
+    meter.set_promised_returns("stock", 3);
     meter
 }
 
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -87,7 +87,8 @@
             answer.response()
         }
         Err(outcome) => {
-            refusal::respond(proxy, service, with_retry_after(proxy, outcome, schedule.timing))
+            let outcome = with_retry_after(proxy, service, outcome, &schedule);
+            refusal::respond(proxy, service, outcome)
         }
     };
     client_retry::record(proxy, schedule.caller, &response);
@@ -166,15 +167,25 @@
 }
 
 /// Replaces the default retry-after time by one derived from the call's timing.
-fn with_retry_after(proxy: &Proxy, outcome: Outcome, timing: Option<urgency::Timing>) -> Outcome {
-    match (outcome, timing) {
+fn with_retry_after(
+    proxy: &Proxy,
+    service: &str,
+    outcome: Outcome,
+    schedule: &Schedule,
+) -> Outcome {
+    match (outcome, schedule.timing) {
         // The retry-after time is the end of the quarantine.
         (Outcome::NotRun(Cause::Quarantined, _), _) => outcome,
         (Outcome::NotRun(cause, after), Some(timing)) => {
-            let spread = urgency::retry_after(timing.at(proxy.clock.now()), &mut rand::rng());
+            let timing = timing.at(proxy.clock.now());
             // Before that time, the limit of the upstream has no room.
             let earliest = if cause == Cause::Limited { after } else { Duration::ZERO };
-            Outcome::NotRun(cause, earliest + spread)
+            let paced = match schedule.origin {
+                Origin::Caller => proxy.promise_return(service, cause, timing, earliest),
+                Origin::Upstream(_) => None,
+            };
+            let random = || earliest + urgency::retry_after(timing, &mut rand::rng());
+            Outcome::NotRun(cause, paced.unwrap_or_else(random))
         }
         _ => outcome,
     }
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -10,6 +10,7 @@
 mod lifecycle;
 mod quarantine;
 mod retry_budget;
+mod returns;
 pub(crate) mod services;
 pub(crate) mod settings;
 mod warmup;
@@ -262,6 +263,7 @@
         self.transfers.remove_expired(self.clock.now());
         self.meter.set_in_flight(self.in_flight.calls() as u64);
         self.record_fairness();
+        self.record_promises();
         let mut events = self.events.take();
         events.extend(self.log.take_dropped());
         events.extend(self.demand.take_events());
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -5,6 +5,7 @@
 use policy::{
     admission::Class,
     budget::{self, Lineage, Part},
+    client_retry::returns::Promises,
     fairness::Usage,
     health::Record,
     retry::Budget,
@@ -39,6 +40,13 @@
         services.iter().map(|(name, service)| (name.clone(), service.usage.count(now))).collect()
     }
 
+    /// Returns the number of promised returns in force of each service.
+    pub(crate) fn promises(&self, now: Time) -> Vec<(String, u64)> {
+        let services = lock(&self.known);
+        let count = |service: &Service| service.promises.in_force(now) as u64;
+        services.iter().map(|(name, service)| (name.clone(), count(service))).collect()
+    }
+
     /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
@@ -82,6 +90,8 @@
     pub(crate) in_flight: usize,
     /// Calls from callers that were answered recently.
     pub(crate) usage: Usage,
+    /// Times at which refused callers return.
+    pub(crate) promises: Promises,
     /// Whether the colocated upstream calls it.
     is_nested: bool,
     upstreams: HashMap<Incarnation, Record>,
@@ -139,6 +149,7 @@
             window: budget::Window::default(),
             in_flight: 0,
             usage: Usage::default(),
+            promises: Promises::default(),
             is_nested: false,
             upstreams: HashMap::new(),
         }
--- a/crates/traffic/tests/fair_shares.rs
+++ b/crates/traffic/tests/fair_shares.rs
@@ -1,4 +1,5 @@
-//! Fair shares between entry nodes: the usage that offers state, and the order in which a node runs them.
+//! Fair shares between entry nodes: the usage that offers state, and the order in which a node runs them. Paced
+//! returns of refused callers.
 
 mod cluster;
 
@@ -26,6 +27,9 @@
     paced_returns: false,
 };
 
+const PACED: overload::Settings =
+    overload::Settings { fair_shares: false, paced_returns: true, ..ON };
+
 fn cluster(nodes: usize, slots: usize, overload: overload::Settings) -> Cluster {
     let cluster = Cluster::new(nodes, slots);
     let tuning = Tuning { overload, ..Tuning::default() };
@@ -119,27 +123,53 @@
     (address, receiver)
 }
 
-/// Returns the usage that an offer of a node states after eight calls of its callers were answered.
-fn stated_usage(overload: overload::Settings) -> Option<String> {
+/// Returns the usage that an offer of a node states after eight calls of its callers were answered, and the
+/// response to the refused caller.
+fn refused_offer(overload: overload::Settings) -> (Option<String>, String) {
     let cluster = cluster(2, 4, overload);
     let (address, usages) = refusing_node();
     cluster.show(0, 1, |upstream| upstream.traffic = address);
-    let call = |path: &str| status(&cluster.exchange(0, &request("GET", path, "", ""))).to_owned();
-    (0..8).for_each(|number| assert_eq!(call(&format!("/read/{number}")), "200"));
+    let call = |path: &str| cluster.exchange(0, &request("GET", path, "", ""));
+    (0..8).for_each(|number| assert_eq!(status(&call(&format!("/read/{number}"))), "200"));
     // Only the refusing node is left.
     cluster.show(0, 0, |upstream| upstream.state = State::Evacuated);
-    assert_eq!(call("/read/last"), "503");
-    usages.try_iter().last().expect("the last call was offered to the refusing node")
+    let refusal = call("/read/long/last");
+    assert_eq!(status(&refusal), "503");
+    let usage = usages.try_iter().last();
+    (usage.expect("the last call was offered to the refusing node"), refusal)
 }
 
 /// Guards against offers without the number that the order of other nodes' queues depends on.
 #[test]
 fn offers_state_the_calls_that_were_answered() {
-    let usage = stated_usage(ON).and_then(|text| text.parse().ok());
+    let usage = refused_offer(ON).0.and_then(|text| text.parse().ok());
     assert!(usage.is_some_and(|calls: u64| (1..=8).contains(&calls)), "{usage:?}");
 }
 
 #[test]
 fn with_the_switch_off_offers_state_no_usage() {
-    assert_eq!(stated_usage(overload::Settings::default()), None);
+    assert_eq!(refused_offer(overload::Settings::default()).0, None);
+}
+
+/// Returns the retry-after in seconds of a call with an objective of 9 s.
+fn retry_after(overload: overload::Settings) -> f64 {
+    let (_, refusal) = refused_offer(overload);
+    let text = header(&refusal, "retry-after").expect("a refusal states when to return");
+    text.parse().expect("a number of seconds")
+}
+
+/// Guards against a first refused caller that waits although no other return was promised.
+#[test]
+fn a_refused_caller_gets_the_first_free_place() {
+    let delay = retry_after(PACED);
+    assert!((0.015..0.1).contains(&delay), "{delay}");
+}
+
+/// The random time is at least a quarter of the slack.
+#[test]
+fn with_the_switch_off_a_refused_caller_returns_at_a_random_time() {
+    for overload in [overload::Settings::default(), ON] {
+        let delay = retry_after(overload);
+        assert!(delay > 0.25 * 4.0, "{delay}");
+    }
 }
