--- a/crates/policy/src/urgency.rs
+++ b/crates/policy/src/urgency.rs
@@ -10,6 +10,7 @@
 use crate::{
     admission::{Class, NESTED_WAIT_DIVISOR, Rank},
     client_retry::Attempt,
+    fairness::Level,
     latency::Estimate,
 };
 
@@ -37,7 +38,10 @@
 const FIRST_NESTED_DIVISOR: u32 = 4;
 
 /// Shortest `Retry-After` of a refusal.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(15);
+pub(crate) const MIN_RETRY_AFTER: Duration = Duration::from_millis(15);
+
+/// Largest share of the slack used as `Retry-After`; the rest is for the wait of the retry.
+const SLACK_RETRY_SHARE: f64 = 0.6;
 
 /// Share of the remaining time used as `Retry-After` if the objective cannot be met; callers honour
 /// at most a third.
@@ -166,6 +170,7 @@
         priority: combine(priority, step),
         start_by: Some(timing.received + wait),
         class: Class::External,
+        level: Level::default(),
     }
 }
 
@@ -183,6 +188,7 @@
         priority: combine(route_priority(parent.rank), step),
         start_by: Some(timing.received + wait),
         class: Class::Nested,
+        level: Level::default(),
     }
 }
 
@@ -204,10 +210,20 @@
 /// Otherwise it is about as long as callers honour.
 pub fn retry_after(timing: Timing, random: &mut impl Rng) -> Duration {
     let slack = timing.slack();
-    let share = random.random_range(0.25..0.6);
+    let share = random.random_range(0.25..SLACK_RETRY_SHARE);
     if slack > MIN_RETRY_AFTER * 2 {
         return slack.mul_f64(share).max(MIN_RETRY_AFTER);
     }
     let remaining = timing.deadline.since(timing.received);
     remaining.mul_f64(LATE_RETRY_SHARE * random.random_range(0.5..1.0)).max(MIN_RETRY_AFTER)
 }
+
+/// Returns the longest `Retry-After` that a refused caller can use.
+pub(crate) fn latest_return(timing: Timing) -> Duration {
+    let slack = timing.slack();
+    let latest = match slack > MIN_RETRY_AFTER * 2 {
+        true => slack.mul_f64(SLACK_RETRY_SHARE),
+        false => timing.deadline.since(timing.received).mul_f64(LATE_RETRY_SHARE),
+    };
+    latest.max(MIN_RETRY_AFTER)
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -143,8 +143,28 @@
     help: "Headers and bodies of offers to other data centres and of their answers",
 };
 
+const USAGE: Entry = Entry {
+    name: "baobabrelay.usage",
+    unit: "{call}",
+    attributes: "service",
+    help: "Calls from callers that this node as entry node recently got answered, with a half-life of one second; offers state it for fair shares",
+};
+const OVERTAKING: Entry = Entry {
+    name: "baobabrelay.overtaking",
+    unit: "{offer}",
+    attributes: "",
+    help: "Offers that this node as serving node queued before others, since their entry nodes recently got less",
+};
+
+const PROMISED_RETURNS: Entry = Entry {
+    name: "baobabrelay.promised_returns",
+    unit: "{call}",
+    attributes: "service",
+    help: "Refused callers that this node told to return at a time that is not over",
+};
+
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 20] = [
+pub const CATALOGUE: [Entry; 23] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -165,6 +185,9 @@
     IN_FLIGHT,
     REMOTE,
     REMOTE_BYTES,
+    USAGE,
+    OVERTAKING,
+    PROMISED_RETURNS,
 ];
 
 /// Failure to set up or render metrics.
@@ -208,6 +231,9 @@
     in_flight: Gauge<u64>,
     remote: Counter<u64>,
     remote_bytes: Counter<u64>,
+    usage: Gauge<u64>,
+    overtaking: Counter<u64>,
+    promised_returns: Gauge<u64>,
 }
 
 impl Meter {
@@ -259,6 +285,9 @@
             in_flight: gauge(IN_FLIGHT),
             remote: counter(REMOTE),
             remote_bytes: counter(REMOTE_BYTES),
+            usage: gauge(USAGE),
+            overtaking: counter(OVERTAKING),
+            promised_returns: gauge(PROMISED_RETURNS),
             registry,
             _provider: provider,
         })
@@ -363,6 +392,21 @@
         self.remote_bytes.add(bytes, &[]);
     }
 
+    /// Sets the recent answered calls of this node's callers to `service`.
+    pub fn set_usage(&self, service: &str, calls: u64) {
+        self.usage.record(calls, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Counts offers that were queued before others of higher levels.
+    pub fn count_overtaking(&self, offers: u64) {
+        self.overtaking.add(offers, &[]);
+    }
+
+    /// Sets the refused callers that were told to return to `service` later.
+    pub fn set_promised_returns(&self, service: &str, calls: u64) {
+        self.promised_returns.record(calls, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Renders all metrics as Prometheus text, histograms last.
     ///
     /// Histograms grow with the number of services. A reader that truncates the text still gets the
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -5,6 +5,8 @@
 use policy::{
     admission::Class,
     budget::{self, Lineage, Part},
+    client_retry::returns::Promises,
+    fairness::Usage,
     health::Record,
     overflow::Acceptances,
     retry::Budget,
@@ -33,6 +35,19 @@
         work(services.get_mut(name).expect("the service was just inserted"))
     }
 
+    /// Returns the usage of each service.
+    pub(crate) fn usages(&self, now: Time) -> Vec<(String, u64)> {
+        let services = lock(&self.known);
+        services.iter().map(|(name, service)| (name.clone(), service.usage.count(now))).collect()
+    }
+
+    /// Returns the number of promised returns in force of each service.
+    pub(crate) fn promises(&self, now: Time) -> Vec<(String, u64)> {
+        let services = lock(&self.known);
+        let count = |service: &Service| service.promises.in_force(now) as u64;
+        services.iter().map(|(name, service)| (name.clone(), count(service))).collect()
+    }
+
     /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
@@ -77,6 +92,10 @@
     pub(crate) in_flight: usize,
     /// Share of offers that other data centres do not refuse.
     pub(crate) acceptances: Acceptances,
+    /// Calls from callers that were answered recently.
+    pub(crate) usage: Usage,
+    /// Times at which refused callers return.
+    pub(crate) promises: Promises,
     /// Whether the colocated upstream calls it.
     is_nested: bool,
     upstreams: HashMap<Incarnation, Record>,
@@ -135,6 +154,8 @@
             demand: budget::Demand::default(),
             in_flight: 0,
             acceptances: Acceptances::default(),
+            usage: Usage::default(),
+            promises: Promises::default(),
             is_nested: false,
             upstreams: HashMap::new(),
         }
