policy, traffic: findings of the reviews of cold starts, fair shares and paced returns

Reviewed by two readers who had not written them, by reading. Mended, each seen in the code: - an offer that had read an older view could set the window of a cold upstream back to warm: the limit is set again until the view is the one it was computed from; - a new call was queued without looking at its position while a start was free and others waited for one; a waiting call could sleep beside a free start; without a window, two more passes over the queue were made; - a due promise took no capacity, so that callers refused one after the other were all told the shortest time; callers whose time is too late were told the same one; - the level of a call ordered transfers of large bodies, and calls whose body had crossed the link. New test: client_retry, refusals spread over six seconds. Not taken up: two starts more than 24 in 1.18 s are possible across a restart within 0.2 s; positions deep in the queue are underestimated.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -238,7 +238,11 @@
         let waiting = self.queue.iter().filter(|w| w.until > now).count();
         let full = waiting >= queue_limit;
         if self.busy < self.slots && self.tokens.wait(1, now).is_zero() {
-            return waiting == 0 || !full;
+            // Under a window, a free start belongs to the calls that wait for one.
+            let may_start = waiting == 0 || !self.tokens.is_window_active(now);
+            if may_start {
+                return waiting == 0 || !full;
+            }
         }
         let wait = self.expected_wait(self.position(rank, now) + 1, now);
         let misses_deadline = now + wait >= deadline;
@@ -279,6 +283,9 @@
     /// Returns how many of the waiting calls go before a new call of `rank`, behind `by_rank` calls
     /// in the queue, if starts of a cold upstream are divided.
     fn divided_position(&self, rank: Rank, by_rank: usize, now: Time) -> Option<usize> {
+        if !self.tokens.is_window_active(now) {
+            return None;
+        }
         let kind = Kind::new(rank.priority, rank.class);
         let before = self.queue.iter().take(by_rank).filter(|w| w.until > now);
         let ahead = before.filter(|w| w.kind() == kind).count();
@@ -289,6 +296,9 @@
 
     /// Returns the order of the queue and a `new` call, if it waits for starts of a cold upstream.
     fn division(&self, new: Option<Kind>, now: Time) -> Option<Division> {
+        if !self.tokens.is_window_active(now) {
+            return None;
+        }
         let waiting = self.queue.iter().filter(|w| w.until > now).map(Waiter::kind).chain(new);
         let window = self.tokens.scarce_starts(waiting.clone().count(), self.slot_wait(1), now)?;
         Some(Division::new(window.per_period(), window.kinds(), waiting))
@@ -379,7 +389,12 @@
             return None;
         }
         let wait = self.tokens.wait(1, now);
-        if wait.is_zero() { self.tokens.next_start(now) } else { Some(now + wait) }
+        match wait.is_zero() {
+            // A call that waits beside a free start must not sleep until the next one.
+            true if self.busy < self.slots && self.tokens.is_window_active(now) => Some(now),
+            true => self.tokens.next_start(now),
+            false => Some(now + wait),
+        }
     }
 
     /// Returns the configured number of slots.
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -82,6 +82,11 @@
         is_scarce.then_some(window)
     }
 
+    /// Returns whether a window limits a cold upstream.
+    pub(super) fn is_window_active(&self, now: Time) -> bool {
+        self.window.as_ref().is_some_and(|window| window.is_active(now))
+    }
+
     /// Returns the use of the starts, while a window limits a cold upstream.
     pub(super) fn starts(&self, now: Time) -> Option<Usage> {
         let window = self.window.as_ref().filter(|window| window.is_active(now))?;
--- a/crates/policy/src/client_retry/returns.rs
+++ b/crates/policy/src/client_retry/returns.rs
@@ -7,7 +7,7 @@
 
 use model::time::Time;
 use rand::{Rng, RngExt};
-use std::{collections::VecDeque, time::Duration};
+use std::{collections::VecDeque, ops::Range, time::Duration};
 
 use crate::{
     fairness::Usage,
@@ -24,6 +24,10 @@
 /// Largest random part that is added to the delay of a caller, as a share of the delay.
 const JITTER: f64 = 0.1;
 
+/// Shares of the latest usable time that callers are told who cannot use a later one; they must not all return
+/// together.
+const LATE_SHARES: Range<f64> = 0.75..1.0;
+
 /// Returns whether callers refused for `cause` return by promised times.
 ///
 /// These causes end when capacity becomes free; the times of the others do not depend on other callers.
@@ -42,6 +46,8 @@
 pub struct Promises {
     /// In order of time.
     times: VecDeque<Time>,
+    /// Until when the latest return that is due takes capacity.
+    busy_until: Time,
 }
 
 impl Promises {
@@ -79,11 +85,14 @@
         random: &mut impl Rng,
     ) -> Option<Duration> {
         let now = timing.received;
-        self.remove_expired(now);
-        if usage.count(now) == 0 || self.times.len() >= MAX_PROMISES {
+        if usage.count(now) == 0 {
             return None;
         }
         let gap = Duration::from_secs_f64(1.0 / (usage.per_s(now) * RETURN_SHARE));
+        self.remove_expired(now, gap);
+        if self.times.len() >= MAX_PROMISES {
+            return None;
+        }
         let limit = urgency::latest_return(timing);
         let place = self.first_free(now, now + earliest.max(MIN_RETRY_AFTER), gap);
         if place <= now + limit {
@@ -94,7 +103,11 @@
             return Some((delay + jitter).min(limit));
         }
         // Callers whose place is too late for them must not all be told the limit and return together.
-        let delay = (earliest + urgency::retry_after(timing, random)).min(limit);
+        let spread = earliest + urgency::retry_after(timing, random);
+        let delay = match spread > limit {
+            true => limit.mul_f64(random.random_range(LATE_SHARES)).max(MIN_RETRY_AFTER.min(limit)),
+            false => spread,
+        };
         self.remember(now + delay);
         Some(delay)
     }
@@ -109,15 +122,20 @@
         self.times.insert(index, time);
     }
 
-    fn remove_expired(&mut self, now: Time) {
+    /// Removes the promises that are due. Each still takes capacity for `gap` from its time.
+    fn remove_expired(&mut self, now: Time, gap: Duration) {
         let expired = self.times.partition_point(|time| *time <= now);
-        self.times.drain(..expired);
+        for due in self.times.drain(..expired) {
+            self.busy_until = self.busy_until.max(due) + gap;
+        }
+        // Returns that were due long ago have ended.
+        self.busy_until = self.busy_until.min(now + gap);
     }
 
     /// Returns the first time from `earliest` at which the virtual queue is empty for `gap`, the time that it
     /// takes for one return.
     fn first_free(&self, now: Time, earliest: Time, gap: Duration) -> Time {
-        let mut empty_at = now;
+        let mut empty_at = now.max(self.busy_until);
         for promised in &self.times {
             let free = empty_at.max(earliest);
             if free + gap <= *promised {
--- a/crates/policy/tests/client_retry.rs
+++ b/crates/policy/tests/client_retry.rs
@@ -112,6 +112,25 @@
     assert!((2.9..3.4).contains(&last), "{last}");
 }
 
+/// Guards against callers who are refused one after the other and are all told to return at once, since no
+/// promise is in force any more.
+#[test]
+fn returns_of_a_lasting_overload_use_at_most_half_of_the_answered_rate() {
+    let (mut promises, mut random) = (Promises::default(), SmallRng::seed_from_u64(7));
+    let mut usage = Usage::default();
+    let mut returns = Vec::new();
+    for now in (10_000..16_000).step_by(20) {
+        if now % 100 == 0 {
+            usage.record(at(now));
+        }
+        let delay = promises.promise(caller(now, 60_000), Duration::ZERO, usage, &mut random);
+        returns.extend(delay.map(|delay| at(now) + delay));
+    }
+    // Ten calls are answered per second; the count of the first second is still low.
+    let early = returns.iter().filter(|time| **time < at(16_000)).count();
+    assert!(early <= 6 * 5 + 2, "{early}");
+}
+
 /// Guards against a `Retry-After` that callers do not honour or that misses the objective.
 #[test]
 fn returns_stay_within_what_the_caller_can_use() {
--- a/crates/policy/tests/cold_window_off.rs
+++ b/crates/policy/tests/cold_window_off.rs
@@ -51,7 +51,8 @@
             let ticket = Ticket(now);
             let class = if random.random_bool(0.5) { Class::Nested } else { Class::External };
             let start_by = Some(at + Duration::from_millis(random.random_range(10..300)));
-            let rank = Rank { priority: random.random_range(0..24), start_by, class };
+            let rank =
+                Rank { priority: random.random_range(0..24), start_by, class, ..Rank::default() };
             let decision = limiter.admit_ranked(ticket, rank, at, at + DEADLINE, 16);
             note(decision, record);
             if decision == Decision::Run {
--- a/crates/policy/tests/division.rs
+++ b/crates/policy/tests/division.rs
@@ -59,7 +59,12 @@
             let ticket = Ticket(kinds.len() as u64);
             kinds.push(demand.kind);
             let priority = demand.kind.priority * RANKS_PER_PRIORITY + random.random_range(0..6);
-            let rank = Rank { priority, start_by: Some(at(now + 150)), class: demand.kind.class };
+            let rank = Rank {
+                priority,
+                start_by: Some(at(now + 150)),
+                class: demand.kind.class,
+                ..Rank::default()
+            };
             let decision = limiter.admit_ranked(ticket, rank, at(now), at(now + 800), QUEUE);
             granted.extend((decision == Decision::Run).then_some(ticket));
         }
@@ -137,7 +142,7 @@
 fn check_order(waiting: &[(u8, Class)], expected: &[u64]) {
     let mut limiter = limiter(STARTS_PER_SECOND);
     for (ticket, &(priority, class)) in waiting.iter().enumerate() {
-        let rank = Rank { priority, start_by: None, class };
+        let rank = Rank { priority, start_by: None, class, ..Rank::default() };
         let decision = limiter.admit_ranked(Ticket(ticket as u64), rank, at(0), at(50_000), QUEUE);
         assert!(matches!(decision, Decision::Wait(_)), "{decision:?}");
     }
@@ -167,7 +172,7 @@
     let mut limiter = limiter(STARTS_PER_SECOND);
     for ticket in 0..61 {
         let (priority, class) = if ticket < 4 { (13, Class::Nested) } else { (3, Class::External) };
-        let rank = Rank { priority, start_by: None, class };
+        let rank = Rank { priority, start_by: None, class, ..Rank::default() };
         limiter.admit_ranked(Ticket(ticket), rank, at(0), at(50_000), QUEUE);
     }
     (1..=20).for_each(|step| drop(grant(&mut limiter, step * 50)));
@@ -187,7 +192,7 @@
 #[test]
 fn a_call_is_refused_exactly_if_it_would_start_late() {
     let admit = |limiter: &mut Limiter, start_by| {
-        let rank = Rank { priority: 13, start_by, class: Class::Nested };
+        let rank = Rank { priority: 13, start_by, class: Class::Nested, ..Rank::default() };
         limiter.admit_ranked(Ticket(99), rank, at(1_000), at(50_000), QUEUE)
     };
     let mut limiter = with_queue();
@@ -206,7 +211,7 @@
 fn a_call_that_gets_no_start_in_this_order_is_refused_at_once() {
     let mut limiter = limiter(STARTS_PER_SECOND);
     let mut admit = |ticket, priority, class, start_by| {
-        let rank = Rank { priority, start_by: Some(at(start_by)), class };
+        let rank = Rank { priority, start_by: Some(at(start_by)), class, ..Rank::default() };
         limiter.admit_ranked(Ticket(ticket), rank, at(0), at(900), QUEUE)
     };
     // One start every 50 ms: six posts, after the first of which the read starts.
@@ -228,7 +233,7 @@
         for (ticket, priority, class) in
             [(1, 3, Class::External), (2, 12, Class::Nested), (3, 13, Class::Nested)]
         {
-            let rank = Rank { priority, start_by: None, class };
+            let rank = Rank { priority, start_by: None, class, ..Rank::default() };
             limiter.admit_ranked(Ticket(ticket), rank, now, at(9_000), QUEUE);
         }
         (0..3).filter_map(|held| limiter.finish(Ticket(held), now, None)).collect()
@@ -240,7 +245,7 @@
 #[test]
 fn usage_counts_the_starts_of_the_last_second_by_kind() {
     let mut limiter = limiter(STARTS_PER_SECOND);
-    let rank = |class| Rank { priority: 7, start_by: None, class };
+    let rank = |class| Rank { priority: 7, start_by: None, class, ..Rank::default() };
     for (ticket, class) in [(0, Class::Nested), (1, Class::Nested), (2, Class::External)] {
         limiter.admit_ranked(Ticket(ticket), rank(class), at(2_000), at(9_000), QUEUE);
     }
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -81,7 +81,8 @@
     let mut offer = offer(head, metadata, body, origin, received);
     if let Some(grant) = grant {
         let start_by = transfer::start_after_transfer(proxy.clock.now(), offer.deadline);
-        offer.rank = Rank { start_by: Some(start_by), ..offer.rank };
+        // Its body has crossed the link, which would be lost if others overtook it.
+        offer.rank = Rank { start_by: Some(start_by), level: Level::default(), ..offer.rank };
         proxy.transfers.finish(grant);
     }
     if is_reservation {
--- a/crates/traffic/src/proxy/fairness.rs
+++ b/crates/traffic/src/proxy/fairness.rs
@@ -7,6 +7,10 @@
 impl Proxy {
     /// Counts an answered call of a caller to `service`.
     pub(crate) fn count_answer(&self, service: &str) {
+        let overload = self.tuning().overload;
+        if !overload.fair_shares && !overload.paced_returns {
+            return;
+        }
         let now = self.clock.now();
         self.services.with(service, |records| records.usage.record(now));
     }
--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -1,8 +1,9 @@
 //! Rate limits of cold upstreams.
 
-use fleet::view::Upstream;
+use fleet::view::{Upstream, View};
 use model::{service::WarmUp, time::Time};
 use policy::warmup::Limit;
+use std::sync::Arc;
 
 use crate::proxy::{Proxy, colocated};
 
@@ -29,8 +30,8 @@
     pub(crate) fn refresh_warm_up(&self) {
         let now = self.clock.now();
         let warm_up = self.warm_up(&self.settings.service);
-        if let Some(window) = warm_up.and_then(|warm_up| self.colocated_window(warm_up)) {
-            self.slots.set_window(window, now);
+        if self.uses_window() {
+            self.refresh_window();
             return;
         }
         let limit = warm_up.and_then(|warm_up| self.colocated_limit(warm_up, now));
@@ -42,16 +43,30 @@
     /// A queued call that is granted a slot does not refresh the limit; without this, calls queued
     /// while the upstream was thought warm could exceed it.
     pub(crate) fn refresh_window(&self) {
-        let warm_up = self.warm_up(&self.settings.service);
-        if let Some(window) = warm_up.and_then(|warm_up| self.colocated_window(warm_up)) {
+        if !self.uses_window() {
+            return;
+        }
+        let Some(warm_up) = self.warm_up(&self.settings.service) else { return };
+        loop {
+            let view = self.view();
+            let Some(window) = self.colocated_window(&view, warm_up) else { return };
             self.slots.set_window(window, self.clock.now());
+            // A thread with an older view must not undo the limit of a newer one.
+            if Arc::ptr_eq(&view, &self.view()) {
+                return;
+            }
         }
     }
 
+    /// Returns whether the colocated upstream is limited by a window while it is cold.
+    fn uses_window(&self) -> bool {
+        let warm_up = self.warm_up(&self.settings.service);
+        warm_up.is_some_and(|warm_up| self.window(warm_up, Time::default()).is_some())
+    }
+
     /// Returns the window of the colocated upstream, also while it is warm; `None` without one.
-    fn colocated_window(&self, warm_up: WarmUp) -> Option<Limit> {
-        let view = self.view.load();
-        let entries = colocated::entries(&view, &self.settings);
+    fn colocated_window(&self, view: &View, warm_up: WarmUp) -> Option<Limit> {
+        let entries = colocated::entries(view, &self.settings);
         let until = entries.map(|upstream| cold_until(upstream, warm_up)).max();
         self.window(warm_up, until.unwrap_or_default())
     }
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -4,8 +4,10 @@
 
 use model::profile::Profile;
 use policy::{
+    admission::Rank,
     budget::Lineage,
     claim,
+    fairness::Level,
     outcome::{Cause, Outcome},
 };
 use std::{sync::Arc, time::Duration};
@@ -167,7 +169,9 @@
         return Err(Cause::Overloaded.outcome());
     }
     let ticket = proxy.next_id();
-    proxy.transfers.reserve(ticket, offer.rank, offer.deadline).await?;
+    // Levels order the queue for slots only.
+    let rank = Rank { level: Level::default(), ..offer.rank };
+    proxy.transfers.reserve(ticket, rank, offer.deadline).await?;
     Ok(ticket)
 }
 
