policy, traffic: nested admission refuses parents whose nested calls would find no capacity

Cause: while a service that other upstreams call is short of capacity, parents run, their nested calls are refused and their work is lost.

Ruled out: counting the nested calls of a refused parent as wanted at every service of its route. A route that calls only a service with capacity would then be refused, since another route is refused for a short one. They count only at the services that refuse the parent; one random number per parent decides for all of them. Counting a nested call when it begins was ruled out too: calls in flight would look like missing capacity.

Changed: policy::nested decides; traffic applies it before a slot is acquired, and before the body of a large request is sent, behind overload.nested_admission and in list mode only. Cause nested-overloaded, metric nested_calls, timeline event nested-overload, operators' pages. An entry node gives up after two such refusals.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -225,6 +225,13 @@
         /// Number of attempts or calls.
         count: u64,
     },
+    /// This node began to refuse calls whose nested calls would find no capacity, or ceased to.
+    NestedOverload {
+        /// The service that the nested calls go to.
+        service: String,
+        /// Share of the calls with such nested calls that is refused; 0 if none are refused any more.
+        share: f64,
+    },
     /// Calls took more than half of their deadline within one second.
     Slow {
         /// The called service.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod latency;
 pub mod named_limit;
+pub mod nested;
 pub mod outcome;
 pub mod overload;
 pub mod pause;
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -20,6 +20,8 @@
     Overloaded,
     /// The limit that the upstream named leaves no call in time.
     Limited,
+    /// Too many nested calls of its kind found no capacity at the services that they called.
+    NestedOverloaded,
     /// The upstream refused the call before running it.
     Refused,
     /// The upstream is leaving the fleet.
@@ -183,6 +185,7 @@
             | Cause::Unreachable
             | Cause::Overloaded
             | Cause::Limited
+            | Cause::NestedOverloaded
             | Cause::Refused
             | Cause::Saturated => MEDIUM_DELAY,
             Cause::UnknownService
@@ -206,13 +209,14 @@
 const LONG_DELAY: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 17] = [
+const CAUSES: [(Cause, &str); 18] = [
     (Cause::Unready, "unready"),
     (Cause::Outdated, "outdated"),
     (Cause::UnknownService, "unknown-service"),
     (Cause::NoUpstream, "no-upstream"),
     (Cause::Overloaded, "overloaded"),
     (Cause::Limited, "limited"),
+    (Cause::NestedOverloaded, "nested-overloaded"),
     (Cause::Refused, "refused"),
     (Cause::Leaving, "leaving"),
     (Cause::Unreachable, "unreachable"),
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -174,6 +174,23 @@
     offers < MAX_OFFERS
 }
 
+/// Upper bound of serving nodes that refuse one call for its nested calls.
+///
+/// Another node may know more of the nested service's capacity; that a third one differs is unlikely.
+const MAX_NESTED_REFUSALS: u32 = 2;
+
+/// Returns whether a call may be offered once more that so many serving nodes have refused as
+/// [`Cause::NestedOverloaded`].
+///
+/// ```
+/// use policy::retry::may_offer_after_nested;
+/// assert!(may_offer_after_nested(1));
+/// assert!(!may_offer_after_nested(2));
+/// ```
+pub fn may_offer_after_nested(refusals: u32) -> bool {
+    refusals < MAX_NESTED_REFUSALS
+}
+
 /// Returns whether the call may have reached the upstream.
 pub fn may_have_reached_upstream(outcome: Outcome) -> bool {
     match outcome {
@@ -273,6 +290,7 @@
     match cause {
         Cause::Overloaded
         | Cause::Limited
+        | Cause::NestedOverloaded
         | Cause::Refused
         | Cause::Leaving
         | Cause::Unreachable
@@ -298,7 +316,10 @@
 fn adds_load(outcome: Outcome) -> bool {
     match outcome {
         Outcome::NotRun(cause, _) => {
-            matches!(cause, Cause::Overloaded | Cause::Limited | Cause::Refused)
+            matches!(
+                cause,
+                Cause::Overloaded | Cause::Limited | Cause::NestedOverloaded | Cause::Refused
+            )
         }
         Outcome::Unknown(_) => true,
     }
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -56,6 +56,12 @@
     attributes: "cause",
     help: "Offers that this node as serving node refused before running them",
 };
+const NESTED_CALLS: Entry = Entry {
+    name: "baobabrelay.nested_calls",
+    unit: "{call}",
+    attributes: "service, outcome",
+    help: "Nested calls of the own upstream that found capacity (found) or were not run for lack of it (refused), where nested admission is on",
+};
 const EJECTIONS: Entry = Entry {
     name: "baobabrelay.ejections",
     unit: "{upstream}",
@@ -132,12 +138,13 @@
 };
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 18] = [
+pub const CATALOGUE: [Entry; 19] = [
     CALLS,
     NOT_RUN,
     RETRIES,
     RETRY_BUDGET,
     REFUSED,
+    NESTED_CALLS,
     EJECTIONS,
     ENDS,
     QUARANTINED,
@@ -179,6 +186,7 @@
     retries: Counter<u64>,
     retry_budget: Counter<u64>,
     refused: Counter<u64>,
+    nested_calls: Counter<u64>,
     ejections: Counter<u64>,
     ends: Counter<u64>,
     quarantined: Gauge<u64>,
@@ -219,6 +227,7 @@
             retries: counter(RETRIES),
             retry_budget: counter(RETRY_BUDGET),
             refused: counter(REFUSED),
+            nested_calls: counter(NESTED_CALLS),
             ejections: counter(EJECTIONS),
             ends,
             quarantined: gauge(QUARANTINED),
@@ -275,6 +284,12 @@
         self.refused.add(1, &[KeyValue::new("cause", cause)]);
     }
 
+    /// Counts a nested call of the colocated upstream by whether it found capacity.
+    pub fn count_nested_call(&self, service: &str, outcome: &'static str) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.nested_calls.add(1, &[service, KeyValue::new("outcome", outcome)]);
+    }
+
     /// Counts the ejection of an upstream.
     pub fn count_ejection(&self, service: &str) {
         self.ejections.add(1, &[KeyValue::new("service", service.to_owned())]);
--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -67,6 +67,9 @@
         }
         "no-upstream" => "no upstream of the service was listed and reachable",
         "overloaded" => "every upstream that was asked had no slot in time",
+        "nested-overloaded" => {
+            "the calls that it would have made to other services found no capacity there"
+        }
         "refused" => "the upstream refused to execute it",
         "leaving" => "the node was shutting down",
         "unreachable" => "no connection to the upstream's node, or from that node to the upstream",
--- a/crates/traffic/src/admission/running.rs
+++ b/crates/traffic/src/admission/running.rs
@@ -4,7 +4,7 @@
 //! same address as other calls; their id is the parent's id, a dot and a suffix.
 
 use model::time::Time;
-use policy::{admission::Rank, budget::Lineage, urgency::Parent};
+use policy::{admission::Rank, budget::Lineage, nested, urgency::Parent};
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, MutexGuard},
@@ -34,7 +34,7 @@
 }
 
 /// State of a request that the upstream is processing.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Run {
     /// Number of concurrent runs with this id.
     count: usize,
@@ -42,6 +42,8 @@
     /// How it counts towards the retry budget.
     lineage: Lineage,
     deadline: Time,
+    /// Its route and nested calls, where nested admission is on.
+    nested: Option<nested::Run>,
 }
 
 /// Keeps a request registered until dropped.
@@ -55,7 +57,8 @@
     /// Registers the request `id`, admitted with `rank`, which counts as `lineage` says and ends at
     /// `deadline`.
     pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage, deadline: Time) -> Guard {
-        let run = Run { count: 0, parent: Parent { rank, answered: 0 }, lineage, deadline };
+        let parent = Parent { rank, answered: 0 };
+        let run = Run { count: 0, parent, lineage, deadline, nested: None };
         let mut state = self.lock();
         let known = state.runs.entry(id.to_owned()).or_insert(run);
         known.count += 1;
@@ -85,6 +88,16 @@
         }
     }
 
+    /// Counts the nested call `id` to `service`, and returns the priority of its parent's route; `None` if no
+    /// running request is its parent, or the parent's route is not known.
+    pub(crate) fn count_nested(&self, id: &str, service: &str) -> Option<u8> {
+        let (parent, _) = id.rsplit_once(SEPARATOR)?;
+        let mut state = self.lock();
+        let run = state.runs.get_mut(parent)?.nested.as_mut()?;
+        run.count(service);
+        Some(run.priority())
+    }
+
     /// Counts an answered nested call for its parent, if `id` is one.
     pub(crate) fn answered(&self, id: &str) {
         let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return };
@@ -110,6 +123,23 @@
     }
 }
 
+impl Guard {
+    /// Sets the route whose nested calls are counted for the request; one that is known stays.
+    pub(crate) fn set_nested(&self, run: nested::Run) {
+        let mut state = self.registry.lock();
+        if let Some(known) = state.runs.get_mut(&self.id) {
+            known.nested.get_or_insert(run);
+        }
+    }
+
+    /// Takes the nested calls of a run that ends; `None` if another run with its id goes on.
+    pub(crate) fn take_nested(&self) -> Option<nested::Run> {
+        let mut state = self.registry.lock();
+        let known = state.runs.get_mut(&self.id).filter(|run| run.count == 1)?;
+        known.nested.take()
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         let mut state = self.registry.lock();
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -10,7 +10,7 @@
     budget::{Lineage, Standing},
     retry::Kind,
 };
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, OnceLock, atomic::AtomicU32};
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{net::stream::Probe, record::Trace, wire};
@@ -51,6 +51,8 @@
     /// How the call counts towards the retry budget.
     pub(crate) lineage: Lineage,
     pub(crate) origin: Probe,
+    /// Number of serving nodes that refused it since its nested calls would find no capacity.
+    pub(crate) nested_refusals: AtomicU32,
     pub(crate) trace: &'a Trace,
 }
 
@@ -86,6 +88,8 @@
     pub(crate) started_ms: Option<u64>,
     /// Limit of the upstream that the entry node knows, in calls per second.
     pub(crate) limit: Option<f64>,
+    /// Whether it was admitted when the transfer of its body was reserved.
+    pub(crate) is_reserved: bool,
     /// Connection that the request arrived on.
     pub(crate) origin: Probe,
     /// Id of the attempt.
--- a/crates/traffic/src/entry/attempt.rs
+++ b/crates/traffic/src/entry/attempt.rs
@@ -5,9 +5,12 @@
 use policy::{
     budget::Standing,
     health::{Change, Sample},
-    outcome::Outcome,
+    outcome::{Cause, Outcome},
+};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
 };
-use std::{sync::Arc, time::Duration};
 
 use crate::{
     call::{Answer, Call},
@@ -39,6 +42,9 @@
         proxy.services.with(call.service, |s| s.record(upstream, begun).mark_leaving());
     }
     trace_end(proxy, call, id, &result, elapsed);
+    if matches!(result, Err(Outcome::NotRun(Cause::NestedOverloaded, _))) {
+        call.nested_refusals.fetch_add(1, Ordering::Relaxed);
+    }
     if result.is_ok() && elapsed > remaining / 2 {
         proxy.events.add(Event::Slow(call.service.to_owned(), upstream.address));
     }
--- a/crates/traffic/src/entry/retries.rs
+++ b/crates/traffic/src/entry/retries.rs
@@ -8,7 +8,7 @@
     outcome::{Cause, Outcome},
     retry::{self, Kind},
 };
-use std::time::Duration;
+use std::{sync::atomic::Ordering, time::Duration};
 
 use crate::{call::Call, proxy::Proxy, record::events::BudgetUse};
 
@@ -92,6 +92,9 @@
         // A retry could crash another upstream before this crash is reported.
         return Next::GiveUp;
     }
+    if !retry::may_offer_after_nested(call.nested_refusals.load(Ordering::Relaxed)) {
+        return Next::GiveUp;
+    }
     let limit = call.options.attempts;
     let kind = call.kind();
     let Some(settings) = proxy.tuning().budget else {
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -80,6 +80,7 @@
     if let Some(grant) = grant {
         let start_by = transfer::start_after_transfer(proxy.clock.now(), offer.deadline);
         offer.rank = Rank { start_by: Some(start_by), ..offer.rank };
+        offer.is_reserved = true;
         proxy.transfers.finish(grant);
     }
     if is_reservation {
@@ -158,6 +159,7 @@
         identity,
         started_ms,
         limit,
+        is_reserved: false,
         origin,
         id,
     }
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -47,6 +47,7 @@
         identity: upstream.identity.clone(),
         started_ms: upstream.started_ms,
         limit,
+        is_reserved: false,
         origin: call.origin.clone(),
         id,
     };
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -7,7 +7,10 @@
     outcome::{Cause, Outcome},
     urgency::{self, Origin},
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 use trace::Step;
 
 use crate::{
@@ -78,7 +81,10 @@
     let Upload { body, guard: _guard, reserved: _reserved } = upload;
     let service = target.service;
     let call = build_call(proxy, head, target, &schedule, body, origin, trace);
-    let response = match entry::run(proxy, &call).await {
+    let parent = proxy.begin_nested_call(trace.id(), service);
+    let result = entry::run(proxy, &call).await;
+    proxy.record_nested_call(parent, service, &result);
+    let response = match result {
         Ok(answer) => {
             proxy.running.answered(trace.id());
             answer.response()
@@ -158,6 +164,7 @@
         rank: schedule.rank,
         lineage: proxy.running.lineage_of(trace.id()),
         origin,
+        nested_refusals: AtomicU32::new(0),
         trace,
     }
 }
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -7,6 +7,7 @@
 mod explain;
 pub(crate) mod in_flight;
 mod lifecycle;
+mod nested;
 mod quarantine;
 mod retry_budget;
 pub(crate) mod services;
@@ -20,7 +21,7 @@
     view::{Upstream, View},
 };
 use model::{config::Snapshot, time::Time};
-use policy::{budget::Share, client_retry, health, pause, split::Split};
+use policy::{budget::Share, client_retry, health, nested::Throttle, pause, split::Split};
 use std::{
     collections::HashMap,
     sync::{
@@ -82,6 +83,8 @@
     refused: Mutex<client_retry::History>,
     /// Part of the fleet's retry budget.
     share: Mutex<Share>,
+    /// Nested calls of the colocated upstream.
+    nested: Mutex<Throttle>,
     pub(crate) in_flight: Usage,
 }
 
@@ -119,6 +122,7 @@
             splits: Mutex::default(),
             refused: Mutex::default(),
             share: Mutex::new(Share::new(rand::random())),
+            nested: Mutex::default(),
             in_flight: Usage::default(),
         })
     }
@@ -263,6 +267,7 @@
         let mut events = self.events.take();
         events.extend(self.log.take_dropped());
         events.extend(self.demand.take_events());
+        events.extend(self.take_nested_events());
         events
     }
 
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -60,6 +60,10 @@
     }
     proxy.refresh_warm_up();
     proxy.adopt_named_limit(offer.limit);
+    let parent = proxy.nested_run(&offer.payload);
+    if !offer.is_reserved {
+        proxy.admit_nested(parent.as_ref())?;
+    }
     let mut slot = proxy.slots.acquire(offer.rank, offer.deadline, profile.queue_limit).await?;
     let idle = proxy.pool.take(proxy.settings.upstream, idle_timeout(profile), offer.kind);
     let was_reused = idle.is_some();
@@ -69,7 +73,10 @@
     };
     trace_claim(proxy, offer, trace, "run");
     let lineage = offer.standing.at(proxy.clock.now());
-    let _running = proxy.running.begin(trace.id(), offer.rank, lineage, offer.deadline);
+    let running = proxy.running.begin(trace.id(), offer.rank, lineage, offer.deadline);
+    if let Some(parent) = parent {
+        running.set_nested(parent);
+    }
     let run = crash::Run::begin(proxy, offer);
     let result = send_once(proxy, profile, offer, trace, connection, &mut slot).await;
     let result = match result {
@@ -81,7 +88,11 @@
         result => result,
     };
     run.end(&result);
-    result.map_err(Failure::outcome)
+    let result = result.map_err(Failure::outcome);
+    if !matches!(result, Err(Outcome::NotRun(..))) {
+        proxy.record_nested_run(running.take_nested());
+    }
+    result
 }
 
 /// Sends the call on one connection and traces the result.
@@ -166,6 +177,8 @@
     if !proxy.slots.admits(offer.rank, offer.deadline, profile.queue_limit) {
         return Err(Cause::Overloaded.outcome());
     }
+    // Refused before its body is sent.
+    proxy.admit_nested(proxy.nested_run(&offer.payload).as_ref())?;
     let ticket = proxy.next_id();
     proxy.transfers.reserve(ticket, offer.rank, offer.deadline).await?;
     Ok(ticket)
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -306,6 +306,11 @@
     ),
 ];
 
+/// Returns the settings that every node starts with and that may change at run time.
+pub(crate) fn tuning() -> Tuning {
+    Tuning { budget: Some(BUDGET), ..Tuning::default() }
+}
+
 fn names() -> Names {
     let name = |text: &'static str| traffic::wire::HeaderName::from_static(text);
     Names {
@@ -370,7 +375,7 @@
             slots,
             link_mbps: 5,
             names: names(),
-            tuning: Tuning { budget: Some(BUDGET), ..Tuning::default() },
+            tuning: tuning(),
             // Long enough that load on the machine isn't detected as a pause.
             pause: policy::pause::Settings { gap: TIMEOUT, ..policy::pause::Settings::default() },
             ..Settings::default()
