policy, traffic: tests of nested admission with large bodies and of the registry

Cause: calls with large bodies are decided when their transfer is reserved; no test showed that they are refused at all. The registry's counts of nested calls had no test beside it.

Changed: both have tests; the causes' tests of wire names and retries include nested-overloaded.

--- a/crates/policy/src/nested.rs
+++ b/crates/policy/src/nested.rs
@@ -1,8 +1,8 @@
 //! Nested admission: refuses calls whose nested calls would find no capacity.
 //!
-//! Load: a service that other upstreams call is short of capacity. Parents run, their nested calls are
-//! refused, and the work of the parents is lost. The serving node therefore refuses a part of the parents
-//! before they run, by adaptive throttling of each nested service and parent priority.
+//! Load: a service that other upstreams call is short of capacity. Parents run, their nested calls
+//! are refused, and the work of the parents is lost. The serving node therefore refuses a part of
+//! the parents before they run, by adaptive throttling of each nested service and parent priority.
 //!
 //! All state is in memory and bounded. A node without recent observations admits every call.
 
@@ -39,12 +39,12 @@
 /// Above 1, so that some calls are refused and returning capacity is noticed.
 const HEADROOM: f64 = 1.25;
 
-/// Largest share of parents that is refused, so that no route is served less than a quarter as often as
-/// all calls together.
+/// Largest share of parents that is refused, so that no route is served less than a quarter as
+/// often as all calls together.
 const MAX_SHARE: f64 = 0.75;
 
-/// Refused nested calls within the window below which no parent is refused; a few refusals are no lasting
-/// shortage.
+/// Refused nested calls within the window below which no parent is refused; a few refusals are no
+/// lasting shortage.
 const MIN_MISSING: u32 = 5;
 
 /// Number of slots that the window is divided into.
@@ -66,10 +66,11 @@
 }
 
 impl Capacity {
-    /// Returns whether a call without an answer found capacity, from its final `outcome` at the node.
+    /// Returns whether a call without an answer found capacity, from its final `outcome` at the
+    /// node.
     ///
-    /// A refusal by the upstream itself does not count as missing capacity: fewer parents would not make it
-    /// rarer.
+    /// A refusal by the upstream itself does not count as missing capacity: fewer parents would not
+    /// make it rarer.
     ///
     /// ```
     /// use policy::{nested::Capacity, outcome::Cause};
@@ -208,8 +209,8 @@
 
     /// Decides whether `run` may begin.
     ///
-    /// Each service that its route calls refuses it with a probability of its own; the largest applies. The
-    /// nested calls of a refused run count as wanted for the services that refuse it.
+    /// Each service that its route calls refuses it with a probability of its own; the largest
+    /// applies. The nested calls of a refused run count as wanted for the services that refuse it.
     pub fn decide(&mut self, run: &Run, now: Time, random: &mut impl Rng) -> Decision {
         let Some(route) = self.routes.get(&run.route) else { return Decision::Admit };
         let draw = random.random();
@@ -234,8 +235,9 @@
         refusals
     }
 
-    /// Returns the services for which parents began to be refused since the last call, and with a share of
-    /// zero those for which none were refused for the length of the window. Removes unused services.
+    /// Returns the services for which parents began to be refused since the last call, and with a
+    /// share of zero those for which none were refused for the length of the window. Removes unused
+    /// services.
     pub fn take_changes(&mut self, now: Time) -> Vec<Refusals> {
         let mut changes = Vec::new();
         for (service, window) in &mut self.services {
@@ -321,7 +323,8 @@
         }
     }
 
-    /// Decides on a parent that makes `mean` calls to the service; `draw` is a random number below 1.
+    /// Decides on a parent that makes `mean` calls to the service; `draw` is a random number below
+    /// 1.
     fn decide(&mut self, draw: f64, priority: u8, mean: f64, now: Time) -> Decision {
         let is_refused = draw < self.probability(priority, now);
         let slot = self.slot(now);
--- a/crates/policy/tests/nested.rs
+++ b/crates/policy/tests/nested.rs
@@ -42,7 +42,8 @@
     (0..400).filter(|_| decide() == Decision::Refuse).count()
 }
 
-/// Parents with two nested calls each, at a nested service with half of the capacity that they want.
+/// Parents with two nested calls each, at a nested service with half of the capacity that they
+/// want.
 struct Day {
     completed: u32,
     runs: u32,
@@ -185,7 +186,8 @@
     assert_eq!(refused(&mut throttle, &after, at(0)), 0);
 }
 
-/// Guards against refusals of a route that hardly ever calls the short service, and of unknown routes.
+/// Guards against refusals of a route that hardly ever calls the short service, and of unknown
+/// routes.
 #[test]
 fn routes_without_calls_to_the_short_service_are_admitted() {
     let parent = run("orders", 2, &["loyalty"]);
@@ -209,8 +211,8 @@
     assert_eq!(refused(&mut throttle, &one, at(0)), 0);
 }
 
-/// Guards against refusals for upstreams that refuse by themselves, which fewer parents would not change, and
-/// against a cut-off data centre that is taken for one with capacity.
+/// Guards against refusals for upstreams that refuse by themselves, which fewer parents would not
+/// change, and against a cut-off data centre that is taken for one with capacity.
 #[test]
 fn only_missing_capacity_counts() {
     let check = |outcome, expect| assert_eq!(Capacity::of_failure(outcome), expect, "{outcome:?}");
--- a/crates/policy/tests/outcome.rs
+++ b/crates/policy/tests/outcome.rs
@@ -35,7 +35,8 @@
 
 #[test]
 fn wire_names_round_trip() {
-    for cause in ["overloaded", "leaving", "late", "paused", "replaced", "no-upstream"] {
+    let causes = ["overloaded", "leaving", "late", "paused", "replaced", "no-upstream"];
+    for cause in causes.into_iter().chain(["nested-overloaded"]) {
         assert_eq!(Cause::parse(cause).map(Cause::name), Some(cause));
     }
     for name in ["broken", "timeout", "bad-answer"] {
--- a/crates/policy/tests/retry.rs
+++ b/crates/policy/tests/retry.rs
@@ -33,6 +33,7 @@
     check(not_run(Cause::Unreachable), Step::Retry, Step::Retry);
     check(not_run(Cause::Leaving), Step::Retry, Step::Retry);
     check(not_run(Cause::Overloaded), Step::Retry, Step::Retry);
+    check(not_run(Cause::NestedOverloaded), Step::Retry, Step::Retry);
     check(not_run(Cause::Paused), Step::Retry, Step::Retry);
 }
 
--- a/crates/traffic/src/admission/running/tests.rs
+++ b/crates/traffic/src/admission/running/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the attribution of nested calls to running requests.
 
 use model::time::Time;
-use policy::{admission::Rank, budget::Lineage};
+use policy::{admission::Rank, budget::Lineage, nested::Run};
 
 use super::{Guard, Registry};
 
@@ -93,3 +93,33 @@
     drop(retry);
     assert_eq!(running.lineage_of("9c41.7"), Lineage::Retry);
 }
+
+/// Guards against nested calls that are counted for no route or for that of another request.
+#[test]
+fn nested_calls_are_counted_for_the_route_of_their_parent() {
+    let running = Registry::default();
+    let first = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let second = begin(&running, "9c42", Rank::default(), Lineage::First);
+    first.set_nested(Run::new("orders", 2));
+    assert_eq!(running.count_nested("9c41.7", "loyalty"), Some(2));
+    assert_eq!(running.count_nested("9c42.7", "loyalty"), None);
+    assert_eq!(running.count_nested("9c41", "loyalty"), None);
+    assert_eq!(running.count_nested("9c43.7", "loyalty"), None);
+    assert!(first.take_nested().is_some());
+    assert!(second.take_nested().is_none());
+}
+
+/// Guards against a run that counts twice, or without the nested calls of another run with its id.
+#[test]
+fn the_last_of_two_runs_with_one_id_takes_the_nested_calls() {
+    let running = Registry::default();
+    let first = begin(&running, "9c41", Rank::default(), Lineage::First);
+    let second = begin(&running, "9c41", Rank::default(), Lineage::First);
+    first.set_nested(Run::new("orders", 2));
+    second.set_nested(Run::new("orders", 2));
+    assert_eq!(running.count_nested("9c41.7", "loyalty"), Some(2));
+    assert!(first.take_nested().is_none());
+    drop(first);
+    assert_eq!(running.count_nested("9c41.8", "loyalty"), Some(2));
+    assert!(second.take_nested().is_some());
+}
--- a/crates/traffic/src/proxy/nested.rs
+++ b/crates/traffic/src/proxy/nested.rs
@@ -1,4 +1,5 @@
-//! Nested admission, as this node applies it: observes the nested calls of its upstream and refuses parents.
+//! Nested admission, as this node applies it: observes the nested calls of its upstream and refuses
+//! parents.
 
 use fleet::timeline::Kind;
 use policy::{
@@ -19,7 +20,8 @@
         self.settings.incarnation.is_none() && self.tuning().overload.nested_admission
     }
 
-    /// Returns the run of a request, by its route; `None` without nested admission or a known route.
+    /// Returns the run of a request, by its route; `None` without nested admission or a known
+    /// route.
     pub(crate) fn nested_run(&self, payload: &Payload) -> Option<Run> {
         if !self.is_nested_admission_on() {
             return None;
@@ -46,8 +48,8 @@
         }
     }
 
-    /// Counts the nested call `id` to `service` for its parent, and returns the priority of the parent's
-    /// route; `None` if the call is not nested or nested admission is off.
+    /// Counts the nested call `id` to `service` for its parent, and returns the priority of the
+    /// parent's route; `None` if the call is not nested or nested admission is off.
     pub(crate) fn begin_nested_call(&self, id: &str, service: &str) -> Option<u8> {
         self.is_nested_admission_on().then(|| self.running.count_nested(id, service))?
     }
--- a/crates/traffic/tests/nested_admission.rs
+++ b/crates/traffic/tests/nested_admission.rs
@@ -8,8 +8,8 @@
 use std::{cell::Cell, thread, time::Duration};
 use traffic::Tuning;
 
-/// How long each run takes: long enough for nested calls, and equal at all nodes, so that calls are offered to
-/// all of them.
+/// How long each run takes: long enough for nested calls, and equal at all nodes, so that calls are
+/// offered to all of them.
 const RUN_TIME: Duration = Duration::from_millis(100);
 
 /// Nested calls of such a run; more than are needed for a refusal.
@@ -38,7 +38,8 @@
     received.iter().filter(|seen| seen.header("x-id") == Some(id)).count()
 }
 
-/// Lets the upstream of `node` run a call whose nested calls find no upstream; returns whether it ran one.
+/// Lets the upstream of `node` run a call whose nested calls find no upstream; returns whether it
+/// ran one.
 fn run_in_vain(cluster: &Cluster, node: usize, id: &str) -> bool {
     thread::scope(|scope| {
         let answer = scope.spawn(|| cluster.exchange(node, &post(id)));
@@ -56,7 +57,8 @@
     })
 }
 
-/// Returns whether node 0 reports that it refuses calls for their nested calls, and discards its events.
+/// Returns whether node 0 reports that it refuses calls for their nested calls, and discards its
+/// events.
 fn has_begun_to_refuse(cluster: &Cluster) -> bool {
     let events = cluster.proxies[0].collect_events();
     events.into_iter().any(|event| match event {
@@ -65,9 +67,18 @@
     })
 }
 
-/// Sends `post` calls to node 0 while the nested calls of `short` nodes find no capacity, until one is refused;
-/// returns its id and answer.
+/// Sends `post` calls like [`refused_call_of`].
 fn refused_call(cluster: &Cluster, short: &[usize]) -> (String, String) {
+    refused_call_of(cluster, short, post)
+}
+
+/// Sends calls to node 0 while the nested calls of `short` nodes find no capacity, until one is
+/// refused; returns its id and answer.
+fn refused_call_of(
+    cluster: &Cluster,
+    short: &[usize],
+    call: impl Fn(&str) -> String,
+) -> (String, String) {
     let round = Cell::new(0);
     let refused = Cell::new(None);
     cluster.wait(|| {
@@ -76,7 +87,7 @@
             run_in_vain(cluster, *node, &format!("vain{}-{node}", round.get()));
         }
         let ids = (0..10).map(|n| format!("p{}-{n}", round.get()));
-        let answers = ids.map(|id| (cluster.exchange(0, &post(&id)), id));
+        let answers = ids.map(|id| (cluster.exchange(0, &call(&id)), id));
         let found = answers.into_iter().find(|(answer, _)| status(answer) != "200");
         let is_found = found.is_some();
         refused.set(found.map(|(answer, id)| (id, answer)));
@@ -85,8 +96,8 @@
     refused.take().expect("a call was refused")
 }
 
-/// Guards against parents whose work is lost since their nested calls find no capacity, and against a refused
-/// parent that ran.
+/// Guards against parents whose work is lost since their nested calls find no capacity, and against
+/// a refused parent that ran.
 #[test]
 fn a_parent_whose_nested_calls_find_no_capacity_is_refused_and_does_not_run() {
     let cluster = cluster(1, on());
@@ -116,7 +127,8 @@
     });
 }
 
-/// Guards against offers to node after node while a nested service is short: the third node would run the call.
+/// Guards against offers to node after node while a nested service is short: the third node would
+/// run the call.
 #[test]
 fn a_parent_is_refused_after_two_nodes_have_refused_it() {
     let cluster = cluster(3, on());
@@ -125,6 +137,20 @@
     assert_eq!((0..3).map(|node| arrivals(&cluster, node, &id)).sum::<usize>(), 0);
 }
 
+/// Guards against calls with large bodies that are never refused: the decision on them is made when
+/// their transfer is reserved, not when they run.
+#[test]
+fn a_parent_with_a_large_body_is_refused_and_does_not_run() {
+    let cluster = cluster(2, on());
+    let body = "x".repeat(64 * 1024);
+    let large = |id: &str| {
+        request("POST", "/post/a", "", &body).replace("x-id: r1", &format!("x-id: {id}"))
+    };
+    let (id, answer) = refused_call_of(&cluster, &[0, 1], large);
+    assert_eq!(header(&answer, "baobab-cause"), Some("nested-overloaded"), "{answer}");
+    assert_eq!((0..2).map(|node| arrivals(&cluster, node, &id)).sum::<usize>(), 0);
+}
+
 /// Guards against refusals where the switch is off, also after it was on.
 #[test]
 fn every_parent_runs_while_the_switch_is_off() {
