telemetry: the catalogue's test records the metric of nested calls

Cause: every_metric_of_the_catalogue_is_rendered failed since nested_calls was added without a record in the test's meter; a counter without a record is not rendered.

Changed: the test records it, as it does every other metric. The check is the same.

--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -11,6 +11,7 @@
     meter.count_retry("stock");
     meter.count_budget_use("stock", "granted");
     meter.count_refusal("full");
+    meter.count_nested_call("paydesk", "found");
     meter.count_ejection("stock");
     meter.count_upstream_crash();
     meter.set_quarantined(1);
