--- a/crates/policy/src/client_retry/returns.rs
+++ b/crates/policy/src/client_retry/returns.rs
@@ -38,7 +38,7 @@
 /// assert!(!returns::is_paced(Cause::Quarantined));
 /// ```
 pub fn is_paced(cause: Cause) -> bool {
-    matches!(cause, Cause::Overloaded | Cause::Limited)
+    matches!(cause, Cause::Overloaded | Cause::Limited | Cause::NestedOverloaded)
 }
 
 /// Times at which refused callers of one service were told to return.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod health;
 pub mod latency;
 pub mod named_limit;
+pub mod nested;
 pub mod outcome;
 pub mod overflow;
 pub mod overload;
--- a/crates/policy/src/overflow.rs
+++ b/crates/policy/src/overflow.rs
@@ -141,7 +141,7 @@
 /// Returns whether a serving node that refuses for `cause` lacks capacity.
 pub fn is_refusal(cause: Cause) -> bool {
     match cause {
-        Cause::Overloaded | Cause::Limited => true,
+        Cause::Overloaded | Cause::Limited | Cause::NestedOverloaded => true,
         Cause::UnknownService
         | Cause::Unready
         | Cause::Outdated
--- a/crates/traffic/src/admission/running.rs
+++ b/crates/traffic/src/admission/running.rs
@@ -7,6 +7,7 @@
 use policy::{
     admission::Rank,
     budget::{Benefit, Lineage, Siblings},
+    nested,
     urgency::Parent,
 };
 use std::{
@@ -47,6 +48,8 @@
     lineage: Lineage,
     deadline: Time,
     siblings: Siblings,
+    /// Its route and nested calls, where nested admission is on.
+    nested: Option<nested::Run>,
 }
 
 /// Keeps a request registered until dropped.
@@ -61,7 +64,14 @@
     /// `deadline`.
     pub(crate) fn begin(&self, id: &str, rank: Rank, lineage: Lineage, deadline: Time) -> Guard {
         let parent = Parent { rank, answered: 0 };
-        let run = Run { count: 0, parent, lineage, deadline, siblings: Siblings::default() };
+        let run = Run {
+            count: 0,
+            parent,
+            lineage,
+            deadline,
+            siblings: Siblings::default(),
+            nested: None,
+        };
         let mut state = self.lock();
         let known = state.runs.entry(id.to_owned()).or_insert(run);
         known.count += 1;
@@ -91,6 +101,16 @@
         }
     }
 
+    /// Counts the nested call `id` to `service`, and returns the priority of its parent's route; `None` if no
+    /// running request is its parent, or the parent's route is not known.
+    pub(crate) fn count_nested(&self, id: &str, service: &str) -> Option<u8> {
+        let (parent, _) = id.rsplit_once(SEPARATOR)?;
+        let mut state = self.lock();
+        let run = state.runs.get_mut(parent)?.nested.as_mut()?;
+        run.count(service);
+        Some(run.priority())
+    }
+
     /// Counts an answered nested call for its parent, if `id` is one.
     pub(crate) fn answered(&self, id: &str) {
         let Some((parent, _)) = id.rsplit_once(SEPARATOR) else { return };
@@ -162,6 +182,23 @@
     }
 }
 
+impl Guard {
+    /// Sets the route whose nested calls are counted for the request; one that is known stays.
+    pub(crate) fn set_nested(&self, run: nested::Run) {
+        let mut state = self.registry.lock();
+        if let Some(known) = state.runs.get_mut(&self.id) {
+            known.nested.get_or_insert(run);
+        }
+    }
+
+    /// Takes the nested calls of a run that ends; `None` if another run with its id goes on.
+    pub(crate) fn take_nested(&self) -> Option<nested::Run> {
+        let mut state = self.registry.lock();
+        let known = state.runs.get_mut(&self.id).filter(|run| run.count == 1)?;
+        known.nested.take()
+    }
+}
+
 impl Drop for Guard {
     fn drop(&mut self) {
         let mut state = self.registry.lock();
--- a/crates/traffic/src/entry/level/tests.rs
+++ b/crates/traffic/src/entry/level/tests.rs
@@ -10,7 +10,11 @@
     pause,
     retry::Kind,
 };
-use std::{net::TcpListener, sync::Arc, time::Duration};
+use std::{
+    net::TcpListener,
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 use telemetry::metric::Meter;
 use tokio::runtime::Builder;
 
@@ -108,6 +112,7 @@
         transfer_by: None,
         rank: Rank::default(),
         lineage: Lineage::First,
+        nested_refusals: AtomicU32::new(0),
         origin,
         trace,
     }
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -83,6 +83,7 @@
         let start_by = transfer::start_after_transfer(proxy.clock.now(), offer.deadline);
         // Its body has crossed the link, which would be lost if others overtook it.
         offer.rank = Rank { start_by: Some(start_by), level: Level::default(), ..offer.rank };
+        offer.is_reserved = true;
         proxy.transfers.finish(grant);
     }
     if is_reservation {
@@ -184,6 +185,7 @@
         started_ms,
         limit,
         usage,
+        is_reserved: false,
         origin,
         id,
     }
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -50,6 +50,7 @@
         started_ms: upstream.started_ms,
         limit,
         usage,
+        is_reserved: false,
         origin: call.origin.clone(),
         id,
     };
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -4,10 +4,14 @@
 use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request::Parts};
 use model::time::Time;
 use policy::{
+    budget::Lineage,
     outcome::{Cause, Outcome},
     urgency::{self, Origin},
 };
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::AtomicU32},
+    time::Duration,
+};
 use trace::Step;
 
 use crate::{
@@ -78,7 +82,12 @@
     let Upload { body, guard: _guard, reserved: _reserved } = upload;
     let service = target.service;
     let call = build_call(proxy, head, target, &schedule, body, origin, trace);
-    let response = match entry::run(proxy, &call).await {
+    let parent = proxy.begin_nested_call(trace.id(), service);
+    // A call nested in a retry may be refused for the retry budget, which is no lack of capacity.
+    let parent = parent.filter(|_| call.lineage == Lineage::First);
+    let result = entry::run(proxy, &call).await;
+    proxy.record_nested_call(parent, service, &result);
+    let response = match result {
         Ok(answer) => {
             proxy.running.answered(trace.id());
             if schedule.origin == Origin::Caller {
@@ -162,6 +171,7 @@
         rank: schedule.rank,
         lineage: proxy.running.lineage_of(trace.id()),
         origin,
+        nested_refusals: AtomicU32::new(0),
         trace,
     }
 }
