Retry priority: the test with sockets ejects no upstream

Cause: with_the_switch_off_retries_are_granted_as_they_come failed in one of three runs on unchanged code: 30 refused calls in a row had ejected an upstream at the entry node (read from policy::health, not traced), so no parent ran there in 100 tries. Ruled out: answers between the refusals; they raise the gain of the budget above the demand (7 of 7 runs failed). Changed: one refused call after a quiet time, and the parent comes through the other node. What is asserted is the same.

--- a/crates/traffic/tests/retry_priority.rs
+++ b/crates/traffic/tests/retry_priority.rs
@@ -11,11 +11,14 @@
 /// How long the parent runs; shorter than the timeout of its route.
 const RUN_TIME: Duration = Duration::from_millis(1_300);
 
-/// A quarter of a retry comes with each call. The window is long, so that what is reserved exceeds what is
+/// Four half-lives of the number of calls per second.
+const QUIET_TIME: Duration = Duration::from_secs(4);
+
+/// A tenth of a retry comes with each call. The window is long, so that what is reserved exceeds what is
 /// left for many half-lives of the demand.
 const BUDGET: budget::Settings = budget::Settings {
     window: Duration::from_secs(600),
-    ratio: 0.5,
+    ratio: 0.2,
     slack: 0.0,
     usable_share: 1.0,
 };
@@ -24,8 +27,8 @@
     request("POST", "/post/a", "", "{}").replace("x-id: r1", &format!("x-id: {id}"))
 }
 
-fn send(cluster: &Cluster, id: &str, expect: &str) {
-    assert_eq!(status(&cluster.exchange(1, &post(id))), expect, "{id}");
+fn send(cluster: &Cluster, node: usize, id: &str, expect: &str) {
+    assert_eq!(status(&cluster.exchange(node, &post(id))), expect, "{id}");
 }
 
 fn set(cluster: &Cluster, behaviour: Behaviour) {
@@ -42,10 +45,13 @@
 fn refused_siblings(overload: overload::Settings) -> ([usize; 2], u64) {
     let cluster = Cluster::new(2, 4);
     cluster.proxies[1].set_tuning(Tuning { budget: Some(BUDGET), overload, ..Tuning::default() });
+    (0..100).for_each(|n| send(&cluster, 1, &format!("earlier{n}"), "200"));
+    // The budget gains less per second from here on than is wanted.
+    thread::sleep(QUIET_TIME);
     set(&cluster, Behaviour::Refuse);
-    (0..30).for_each(|n| send(&cluster, &format!("refused{n}"), "503"));
+    // A single call: three failures in a row would eject an upstream.
+    send(&cluster, 1, "refused", "503");
     set(&cluster, Behaviour::Answer);
-    (0..16).for_each(|n| send(&cluster, &format!("answered{n}"), "200"));
     cluster.upstreams[1].set(Behaviour::Slowly(RUN_TIME));
     let is_at_1 = |id: &str| {
         let received = cluster.upstreams[1].received();
@@ -53,13 +59,13 @@
     };
     let reached = (0..100).map(|n| format!("p{n}")).find_map(|id| {
         thread::scope(|scope| {
-            scope.spawn(|| send(&cluster, &id, "200"));
+            scope.spawn(|| send(&cluster, 0, &id, "200"));
             cluster.wait(|| arrivals(&cluster, &id) == 1);
             is_at_1(&id).then(|| {
                 set(&cluster, Behaviour::Refuse);
                 ["1", "2"].map(|suffix| {
                     let nested = format!("{id}.{suffix}");
-                    send(&cluster, &nested, "503");
+                    send(&cluster, 1, &nested, "503");
                     arrivals(&cluster, &nested)
                 })
             })
