baobabctl, traffic: the command load shows which calls a node refuses, and why

Cause: operators see refusals only as counters of each node's metrics, and the load of an upstream only in the log.

Ruled out: reading the values back out of the meter, whose counters cannot be read one by one.

Changed: `traffic` counts calls answered, refused by cause and retries denied by service since the node's start; the operators' endpoint has the page /load, and `baobabctl load` shows it. The page is `fleet::status::Load`, to which the other mechanisms add their figures. The unit of `baobabrelay.remote_bytes` is {byte}: By was appended to the name that already contains it.

--- /dev/null
+++ b/crates/baobabctl/src/load.rs
@@ -0,0 +1,34 @@
+//! Text of `baobabctl load`.
+
+use fleet::status::{EntryLoad, Load};
+
+/// Returns the lines that show `load`.
+pub(crate) fn lines(load: &Load) -> Vec<String> {
+    let Load { instance, entry, serving } = load;
+    let mut lines = vec![format!("{instance} as entry node, since its start:")];
+    if entry.is_empty() {
+        lines.push("  no calls".to_owned());
+    }
+    lines.extend(entry.iter().map(entry_line));
+    lines.push(format!(
+        "{instance} as serving node of {}: {} slots, {} busy, {} waiting",
+        serving.service, serving.slots, serving.busy, serving.waiting
+    ));
+    lines
+}
+
+fn entry_line(entry: &EntryLoad) -> String {
+    let total: u64 = entry.refused.values().sum();
+    let causes: Vec<String> =
+        entry.refused.iter().map(|(cause, count)| format!("{cause} {count}")).collect();
+    let causes =
+        if causes.is_empty() { String::new() } else { format!(" ({})", causes.join(", ")) };
+    format!(
+        "  {}: answered {}, refused {total}{causes}, retries denied {}, accepted elsewhere {:.2}, nested {:.2}",
+        entry.service,
+        entry.answered,
+        entry.retries_denied,
+        entry.acceptance,
+        entry.nested_acceptance
+    )
+}
--- a/crates/baobabctl/src/main.rs
+++ b/crates/baobabctl/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod fleet;
+mod load;
 mod logs;
 mod output;
 mod show;
@@ -20,6 +21,8 @@
                                             the nodes that need attention; --all names every node
   baobabctl explain SERVICE --node IP:PORT [--json]
                                             profile and upstreams as that node would choose now
+  baobabctl load --node IP:PORT [--json]    calls that the node answered and refused, by service and cause,
+                                            and the load of its upstream
   baobabctl timeline --node IP:PORT [--follow] [--json]
                                             events of all reachable nodes in causal order
   baobabctl timeline FILE... [--json]       the same, out of what nodes logged
@@ -87,6 +90,11 @@
             reject_rest(arguments)?;
             Ok(show::explain(node, &service, format))
         }
+        Some("load") => {
+            let (node, format) = node_and_format(&mut arguments)?;
+            reject_rest(arguments)?;
+            Ok(show::load(node, format))
+        }
         Some("trace") => {
             let format = format(&mut arguments);
             let id: String = arguments.free_from_str().map_err(|e| e.to_string())?;
--- a/crates/baobabctl/src/show.rs
+++ b/crates/baobabctl/src/show.rs
@@ -2,7 +2,7 @@
 
 use ::fleet::{
     clock::Stamp,
-    status::{Explanation, Fleet},
+    status::{Explanation, Fleet, Load},
     timeline::Event,
 };
 use serde::de::DeserializeOwned;
@@ -11,7 +11,7 @@
 use crate::{
     Exit,
     fleet::{self, Detail},
-    logs,
+    load, logs,
     output::print_line,
 };
 
@@ -62,6 +62,18 @@
     if is_routable { Exit::Success } else { Exit::Failure }
 }
 
+/// Prints the calls and the load of a node; fails if it does not answer.
+pub(crate) fn load(node: SocketAddr, format: Format) -> Exit {
+    let Some(text) = fetch(node, "/load") else { return Exit::Failure };
+    let Some(load) = parse::<Load>(&text) else { return Exit::Failure };
+    if format == Format::Json {
+        print_line!("{text}");
+    } else {
+        load::lines(&load).iter().for_each(|line| print_line!("{line}"));
+    }
+    Exit::Success
+}
+
 /// Prints the events of all reachable nodes, in causal order.
 pub(crate) fn timeline(node: SocketAddr, format: Format) -> Exit {
     let Some(events) = events_after(node, Stamp::default()) else { return Exit::Failure };
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -2,7 +2,7 @@
 
 use model::{config::Version, fault::Fault, profile::Profile};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{clock::Stamp, member::State};
 
@@ -131,3 +131,45 @@
     /// Mean latency of this node's calls, in ms, if any.
     pub latency_ms: Option<f64>,
 }
+
+/// Calls that a node handles and refuses, and the load of its upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Load {
+    /// The platform's name of the instance.
+    pub instance: String,
+    /// Services that it had calls of as entry node, by name.
+    pub entry: Vec<EntryLoad>,
+    /// What it does as serving node.
+    pub serving: ServingLoad,
+}
+
+/// Calls of one service at an entry node since its start.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct EntryLoad {
+    /// The service.
+    pub service: String,
+    /// Calls with an answer of an upstream.
+    pub answered: u64,
+    /// Calls that were answered as not run, by cause.
+    pub refused: BTreeMap<String, u64>,
+    /// Retries that the fleet's budget did not allow.
+    pub retries_denied: u64,
+    /// Recent share of offers of callers' calls to other data centres that were not refused for lack of capacity;
+    /// 1 while `overload.overflow` is off.
+    pub acceptance: f64,
+    /// The same for nested calls.
+    pub nested_acceptance: f64,
+}
+
+/// Load of the upstream of a serving node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct ServingLoad {
+    /// Service of the upstream.
+    pub service: String,
+    /// Calls that it may run at the same time.
+    pub slots: usize,
+    /// Calls that it runs.
+    pub busy: usize,
+    /// Calls that wait for it.
+    pub waiting: usize,
+}
--- a/crates/node/src/operators.rs
+++ b/crates/node/src/operators.rs
@@ -1,4 +1,4 @@
-//! The operators' HTTP endpoint: status, timeline, routing explanations and metrics, read only.
+//! The operators' HTTP endpoint: status, timeline, routing explanations, load and metrics, read only.
 //!
 //! It serves one request at a time, which bounds the CPU time that it takes from calls.
 
@@ -76,13 +76,15 @@
                     "the parameter service is missing: /explain?service=NAME\n".to_owned(),
                 ),
             },
+            "/load" => json(&Some(self.proxy.load_report())),
             "/metrics" => match self.meter.render() {
                 Ok(metrics) => text(200, metrics),
                 Err(error) => text(500, format!("{error}\n")),
             },
             _ => text(
                 404,
-                "unknown path; use /status, /fleet, /timeline, /explain or /metrics\n".to_owned(),
+                "unknown path; use /status, /fleet, /timeline, /explain, /load or /metrics\n"
+                    .to_owned(),
             ),
         }
     }
--- a/crates/policy/src/overflow.rs
+++ b/crates/policy/src/overflow.rs
@@ -22,6 +22,9 @@
 const SAMPLE_WEIGHT: f64 = 0.1;
 
 /// Half-life of the difference of the acceptance from 1, after which other data centres are tried again.
+///
+/// With this half-life and weight, the acceptance falls below [`MIN_ACCEPTANCE`] only if about 37 offers a second or
+/// more are refused. Below that, only the knowledge about each upstream restricts offers.
 const HALF_LIFE: Duration = Duration::from_millis(500);
 
 /// Response of another data centre to an offer.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -138,7 +138,8 @@
 };
 const REMOTE_BYTES: Entry = Entry {
     name: "baobabrelay.remote_bytes",
-    unit: "By",
+    // A unit of UCUM would be appended to the name, which contains it.
+    unit: "{byte}",
     attributes: "",
     help: "Headers and bodies of offers to other data centres and of their answers",
 };
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -172,6 +172,11 @@
         Load { busy: queue.limiter.busy(), waiting: queue.limiter.waiting(), ..Load::default() }
     }
 
+    /// Returns the number of slots.
+    pub(crate) fn slots(&self) -> usize {
+        self.lock().limiter.slots()
+    }
+
     /// Sets the number of slots and wakes tasks that fit.
     pub(crate) fn resize(&self, slots: usize) {
         let mut queue = self.lock();
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -81,6 +81,7 @@
     let response = match entry::run(proxy, &call).await {
         Ok(answer) => {
             proxy.running.answered(trace.id());
+            proxy.count_answered(service);
             answer.response()
         }
         Err(outcome) => {
--- a/crates/traffic/src/intake/refusal.rs
+++ b/crates/traffic/src/intake/refusal.rs
@@ -39,6 +39,7 @@
     match outcome {
         Outcome::NotRun(cause, _) => {
             proxy.meter.count_not_run(service, cause.name());
+            proxy.count_refused(service, cause);
             proxy.events.add(Event::NotRun(service.to_owned(), cause));
         }
         Outcome::Unknown(uncertainty) => {
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -7,6 +7,7 @@
 mod explain;
 pub(crate) mod in_flight;
 mod lifecycle;
+mod load;
 mod quarantine;
 mod retry_budget;
 pub(crate) mod services;
--- a/crates/traffic/src/proxy/retry_budget.rs
+++ b/crates/traffic/src/proxy/retry_budget.rs
@@ -44,6 +44,9 @@
     /// Counts how an attempt or a call counted towards the retry budget of `service`.
     pub(crate) fn count_budget_use(&self, service: &str, how: BudgetUse) {
         self.meter.count_budget_use(service, how.name());
+        if how == BudgetUse::Refused {
+            self.count_denied_retry(service);
+        }
         self.events.add(Event::Budget(service.to_owned(), how));
     }
 }
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -1,6 +1,9 @@
 //! Records of this node's calls, by service and upstream.
 
-use fleet::view::{Upstream, View};
+use fleet::{
+    status::EntryLoad,
+    view::{Upstream, View},
+};
 use model::time::Time;
 use policy::{
     admission::Class,
@@ -15,7 +18,7 @@
     sync::{Arc, Mutex},
 };
 
-use crate::lock::lock;
+use crate::{lock::lock, proxy::load::Counts};
 
 /// Records by service name.
 #[derive(Default)]
@@ -33,6 +36,19 @@
         work(services.get_mut(name).expect("the service was just inserted"))
     }
 
+    /// Returns what `describe` returns for each service, by name.
+    pub(crate) fn entry_loads(
+        &self,
+        describe: impl Fn(&str, &Service) -> Option<EntryLoad>,
+    ) -> Vec<EntryLoad> {
+        let services = lock(&self.known);
+        let described = services.iter().filter_map(|(name, service)| describe(name, service));
+        let mut loads: Vec<EntryLoad> = described.collect();
+        drop(services);
+        loads.sort_by(|a, b| a.service.cmp(&b.service));
+        loads
+    }
+
     /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
@@ -74,6 +90,8 @@
     pub(crate) budget: Budget,
     pub(crate) window: budget::Window,
     pub(crate) in_flight: usize,
+    /// Calls for operators.
+    pub(crate) counts: Counts,
     /// Share of offers that other data centres do not refuse.
     pub(crate) acceptances: Acceptances,
     /// Whether the colocated upstream calls it.
@@ -132,6 +150,7 @@
             budget: Budget::default(),
             window: budget::Window::default(),
             in_flight: 0,
+            counts: Counts::default(),
             acceptances: Acceptances::default(),
             is_nested: false,
             upstreams: HashMap::new(),
