--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -189,6 +189,11 @@
         self.lock().limiter.take_overtaking()
     }
 
+    /// Returns the number of slots.
+    pub(crate) fn slots(&self) -> usize {
+        self.lock().limiter.slots()
+    }
+
     /// Sets the number of slots and wakes tasks that fit.
     pub(crate) fn resize(&self, slots: usize) {
         let mut queue = self.lock();
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -91,8 +91,9 @@
         Ok(answer) => {
             proxy.running.answered(trace.id());
             if schedule.origin == Origin::Caller {
-                proxy.count_answer(service);
+                proxy.record_usage(service);
             }
+            proxy.count_answered(service);
             answer.response()
         }
         Err(outcome) => {
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -8,6 +8,7 @@
 mod fairness;
 pub(crate) mod in_flight;
 mod lifecycle;
+mod load;
 mod nested;
 mod quarantine;
 mod retry_budget;
--- a/crates/traffic/src/proxy/fairness.rs
+++ b/crates/traffic/src/proxy/fairness.rs
@@ -6,7 +6,7 @@
 
 impl Proxy {
     /// Counts an answered call of a caller to `service`.
-    pub(crate) fn count_answer(&self, service: &str) {
+    pub(crate) fn record_usage(&self, service: &str) {
         let overload = self.tuning().overload;
         if !overload.fair_shares && !overload.paced_returns {
             return;
--- a/crates/traffic/src/proxy/services.rs
+++ b/crates/traffic/src/proxy/services.rs
@@ -1,6 +1,9 @@
 //! Records of this node's calls, by service and upstream.
 
-use fleet::view::{Upstream, View};
+use fleet::{
+    status::EntryLoad,
+    view::{Upstream, View},
+};
 use model::time::Time;
 use policy::{
     admission::Class,
@@ -17,7 +20,7 @@
     sync::{Arc, Mutex},
 };
 
-use crate::lock::lock;
+use crate::{lock::lock, proxy::load::Counts};
 
 /// Records by service name.
 #[derive(Default)]
@@ -48,6 +51,19 @@
         services.iter().map(|(name, service)| (name.clone(), count(service))).collect()
     }
 
+    /// Returns what `describe` returns for each service, by name.
+    pub(crate) fn entry_loads(
+        &self,
+        describe: impl Fn(&str, &Service) -> Option<EntryLoad>,
+    ) -> Vec<EntryLoad> {
+        let services = lock(&self.known);
+        let described = services.iter().filter_map(|(name, service)| describe(name, service));
+        let mut loads: Vec<EntryLoad> = described.collect();
+        drop(services);
+        loads.sort_by(|a, b| a.service.cmp(&b.service));
+        loads
+    }
+
     /// Returns whether `calls` retries are left for each service that the colocated upstream calls.
     pub(crate) fn may_retry_nested(
         &self,
@@ -90,6 +106,8 @@
     pub(crate) window: budget::Window,
     pub(crate) demand: budget::Demand,
     pub(crate) in_flight: usize,
+    /// Calls for operators.
+    pub(crate) counts: Counts,
     /// Share of offers that other data centres do not refuse.
     pub(crate) acceptances: Acceptances,
     /// Calls from callers that were answered recently.
@@ -153,6 +171,7 @@
             window: budget::Window::default(),
             demand: budget::Demand::default(),
             in_flight: 0,
+            counts: Counts::default(),
             acceptances: Acceptances::default(),
             usage: Usage::default(),
             promises: Promises::default(),
