policy, baobabctl: acceptance for small instances; load shows cold upstreams and short nested services

Change: weight 0.2, half-life 2 s; five refused offers a second suffice, and it is above 0.5 again two seconds after ten.

--- a/crates/baobabctl/src/load.rs
+++ b/crates/baobabctl/src/load.rs
@@ -1,6 +1,6 @@
 //! Text of `baobabctl load`.
 
-use fleet::status::{EntryLoad, Load};
+use fleet::status::{EntryLoad, Load, NestedLoad};
 
 /// Returns the lines that show `load`.
 pub(crate) fn lines(load: &Load) -> Vec<String> {
@@ -14,9 +14,18 @@
         "{instance} as serving node of {}: {} slots, {} busy, {} waiting",
         serving.service, serving.slots, serving.busy, serving.waiting
     ));
+    if let Some(starts) = serving.starts {
+        lines.push(format!("  cold: {} of {} calls in the last second", starts.used, starts.limit));
+    }
+    lines.extend(serving.nested.iter().map(nested_line));
     lines
 }
 
+fn nested_line(nested: &NestedLoad) -> String {
+    let share = nested.refused_share * 100.0;
+    format!("  refuses {share:.0} in 100 calls that need {}", nested.service)
+}
+
 fn entry_line(entry: &EntryLoad) -> String {
     let total: u64 = entry.refused.values().sum();
     let causes: Vec<String> =
--- a/crates/baobabctl/tests/load.rs
+++ b/crates/baobabctl/tests/load.rs
@@ -55,6 +55,19 @@
     assert_eq!(text, expect);
 }
 
+/// Guards against operators who do not see why a node refuses calls while its upstream has free slots.
+#[test]
+fn cold_upstreams_and_short_nested_services_are_shown() {
+    let mut page = page();
+    page["serving"]["starts"] = json!({"used": 18, "limit": 20});
+    page["serving"]["nested"] = json!([{"service": "stock", "refused_share": 0.31}]);
+    let (code, text) = load(&["--node", &serve(&page)]);
+    assert_eq!(code, Some(0));
+    let expect = "3 waiting\n  cold: 18 of 20 calls in the last second\n  \
+        refuses 31 in 100 calls that need stock\n";
+    assert!(text.ends_with(expect), "{text}");
+}
+
 /// Guards against output that programs cannot read, or that lacks fields of newer nodes.
 #[test]
 fn json_output_is_the_page_of_the_node() {
--- a/crates/fleet/src/listed/rounds.rs
+++ b/crates/fleet/src/listed/rounds.rs
@@ -1,7 +1,7 @@
 //! Selects gossip targets, in shuffled round-robin order, at a rate that does not grow with the fleet.
 //!
-//! In a full mesh each peer gets a digest within [`MAX_ROUND`]. In larger fleets a node sends a fixed
-//! number per slice, mostly within its data centre; [`super::partition`] and [`super::rumours`] then
+//! In a full mesh each peer gets a digest within two seconds. In larger fleets a node sends a fixed
+//! number per slice, mostly within its data centre; `partition` and `rumours` then
 //! complement the failure detector.
 
 use model::time::Time;
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -172,4 +172,28 @@
     pub busy: usize,
     /// Calls that wait for it.
     pub waiting: usize,
+    /// Use of the calls that it may get while it is cold; `None` while it is warm.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub starts: Option<Starts>,
+    /// Services that it calls for which calls are refused before they run.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub nested: Vec<NestedLoad>,
+}
+
+/// Calls passed to a cold upstream.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Starts {
+    /// Calls of the last second.
+    pub used: usize,
+    /// Limit in any second.
+    pub limit: usize,
+}
+
+/// A service that an upstream calls and that is short of capacity.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct NestedLoad {
+    /// Name of the service.
+    pub service: String,
+    /// Share of the calls that need it and are refused.
+    pub refused_share: f64,
 }
--- a/crates/policy/src/overflow.rs
+++ b/crates/policy/src/overflow.rs
@@ -19,13 +19,13 @@
 pub const MIN_ACCEPTANCE: f64 = 0.25;
 
 /// Weight of a new offer in the acceptance.
-const SAMPLE_WEIGHT: f64 = 0.1;
+const SAMPLE_WEIGHT: f64 = 0.2;
 
 /// Half-life of the difference of the acceptance from 1, after which other data centres are tried again.
 ///
-/// With this half-life and weight, the acceptance falls below [`MIN_ACCEPTANCE`] only if about 37 offers a second or
-/// more are refused. Below that, only the knowledge about each upstream restricts offers.
-const HALF_LIFE: Duration = Duration::from_millis(500);
+/// With this half-life and weight, some five refused offers a second keep the acceptance below [`MIN_ACCEPTANCE`]; a
+/// node of a small instance makes few offers.
+const HALF_LIFE: Duration = Duration::from_secs(2);
 
 /// Response of another data centre to an offer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -52,8 +52,8 @@
     /// let mut acceptance = Acceptance::default();
     /// let at = Time::from_millis;
     /// acceptance.record(Response::Refused, at(0));
-    /// assert_eq!(acceptance.share(at(0)), 0.9);
-    /// assert_eq!(acceptance.share(at(500)), 0.95);
+    /// assert_eq!(acceptance.share(at(0)), 0.8);
+    /// assert_eq!(acceptance.share(at(2_000)), 0.9);
     /// ```
     pub fn record(&mut self, response: Response, now: Time) {
         let sample = match response {
--- a/crates/policy/src/warmup/window.rs
+++ b/crates/policy/src/warmup/window.rs
@@ -29,7 +29,7 @@
 /// Starts of calls on one upstream, which limit further starts while the upstream is cold.
 ///
 /// With rate L and burst b of its [`Limit`], at most L starts are in any second, at most L + b in
-/// any [`SPAN`], and at most L x + b in any x seconds. The second keeps late arrivals within the
+/// any 1.18 s, and at most L x + b in any x seconds. The second keeps late arrivals within the
 /// bound of L + b per second. The third does so across a restart of the node, whose window begins
 /// with the starts of its predecessor assumed evenly spread.
 #[derive(Clone, Debug)]
--- a/crates/traffic/src/proxy/load.rs
+++ b/crates/traffic/src/proxy/load.rs
@@ -1,6 +1,6 @@
 //! Shows operators which calls this node refuses, and how loaded its upstream is.
 
-use fleet::status::{EntryLoad, Load, ServingLoad};
+use fleet::status::{EntryLoad, Load, ServingLoad, Starts};
 use model::time::Time;
 use policy::{admission::Class, outcome::Cause};
 use std::collections::HashMap;
@@ -51,6 +51,8 @@
                 slots: self.slots.slots(),
                 busy: load.busy,
                 waiting: load.waiting,
+                starts: self.slots.starts().map(|u| Starts { used: u.used, limit: u.limit }),
+                nested: self.nested_load(),
             },
         }
     }
--- a/crates/traffic/src/proxy/nested.rs
+++ b/crates/traffic/src/proxy/nested.rs
@@ -1,7 +1,7 @@
 //! Nested admission, as this node applies it: observes the nested calls of its upstream and refuses
 //! parents.
 
-use fleet::timeline::Kind;
+use fleet::{status::NestedLoad, timeline::Kind};
 use policy::{
     nested::{Capacity, Decision, Run},
     outcome::{Cause, Outcome},
@@ -70,6 +70,16 @@
         lock(&self.nested).record_call(service, priority, capacity, self.clock.now());
     }
 
+    /// Returns the services for which this node refuses calls, with the shares.
+    pub(super) fn nested_load(&self) -> Vec<NestedLoad> {
+        let refusals = lock(&self.nested).refusals(self.clock.now());
+        let load = |refusals: policy::nested::Refusals| NestedLoad {
+            service: refusals.service,
+            refused_share: refusals.share,
+        };
+        refusals.into_iter().map(load).collect()
+    }
+
     /// Takes the services for which this node began to refuse calls, or stopped.
     pub(super) fn take_nested_events(&self) -> Vec<Kind> {
         let changes = lock(&self.nested).take_changes(self.clock.now());
