--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -25,7 +25,7 @@
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub id: String,
-    /// When its last byte was sent; `None` if it could not be sent.
+    /// When it was sent; `None` if it could not be sent.
     pub sent: Option<f64>,
     /// Status and stamp of the answer; `None` if the connection ended without a complete one.
     pub answer: Option<(String, Option<String>)>,
@@ -64,9 +64,10 @@
         ("Work-Ms", work.as_str()),
         ("Pause-Ms", pause.as_str()),
     ];
-    http::write(&mut stream, &format!("{method} {path} HTTP/1.1"), &headers, &vec![b'x'; *body])
-        .ok()?;
+    // Taken before the first byte, so that no request counts as sent later than it was.
     *sent = Some(record.note(format!("sent: {id}")));
+    let start = format!("{method} {path} HTTP/1.1");
+    http::write(&mut stream, &start, &headers, &vec![b'x'; *body]).ok()?;
     let answer = http::read(&mut BufReader::new(stream)).ok()??;
     let stamp = answer.header("X-Baobabrelay-Server-Stamp").map(str::to_owned);
     Some((answer.second().to_owned(), stamp))
--- a/review/standins/src/stop.rs
+++ b/review/standins/src/stop.rs
@@ -18,20 +18,21 @@
 /// Work of the measured requests, in ms.
 const WORK_MS: u64 = 2_700;
 
-/// When the measured requests are sent, in seconds after SIGTERM.
-const FIRST: f64 = 2.980;
-const GAP: f64 = 0.006;
-const COUNT: usize = 22;
+/// When the measured requests are sent, in seconds after SIGTERM; few enough for the slots of two backends.
+const SENT: [f64; 22] = [
+    2.900, 2.950, 3.001, 3.003, 3.005, 3.007, 3.009, 3.011, 3.014, 3.017, 3.020, 3.024, 3.028,
+    3.032, 3.040, 3.048, 3.056, 3.064, 3.072, 3.080, 3.090, 3.100,
+];
 
 pub fn run(root: &Path, file: &Path, trouble: bool) -> i32 {
     let Some(mut site) = Site::start(root) else { return 2 };
     let (zero, start) = stop(&site, trouble);
     let address = site.machines[0].at("outbound");
-    let clients: Vec<_> = (0..COUNT)
+    let clients: Vec<_> = (0..SENT.len())
         .map(|number| {
             let record = site.record.clone();
             let request = Request { work_ms: WORK_MS, ..site::request(&format!("late-{number}")) };
-            let at = Duration::from_secs_f64(FIRST + GAP * number as f64);
+            let at = Duration::from_secs_f64(SENT[number]);
             thread::spawn(move || {
                 thread::sleep(at.saturating_sub(start.elapsed()));
                 client::send(&request, address, &record)
