review: a route name with an underscore keeps all nodes at an old version

Cause: the whole version is rejected for a name outside a-z, 0-9 and -, which the adapter passes on as the store has it.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review/release/review
 test -x "$program" && test -x target/release/baobabrelay-platform || exit 2
-exec "$program" upload "$PWD" review/2/record.txt "${TROUBLE:-1}"
+exec "$program" route-name "$PWD" review/2/record.txt "${TROUBLE:-1}"
--- a/review/standins/src/backend.rs
+++ b/review/standins/src/backend.rs
@@ -77,12 +77,12 @@
         }
         let expected = request.header("X-Baobabrelay-Expect-Instance");
         if expected.is_some_and(|expected| expected != self.id) {
-            read_body(input, request.length(), Duration::ZERO).ok()?;
+            read_body(input, request.length()).ok()?;
             return reply("421 Misdirected Request", &refused, b"");
         }
         if self.busy.fetch_add(1, Ordering::SeqCst) >= self.slots {
             self.busy.fetch_sub(1, Ordering::SeqCst);
-            read_body(input, request.length(), Duration::ZERO).ok()?;
+            read_body(input, request.length()).ok()?;
             return reply("503 Service Unavailable", &refused, b"");
         }
         let number = |name: &str| request.header(name).and_then(|text| text.parse::<u64>().ok());
@@ -91,10 +91,9 @@
         let limit = number("X-Baobabrelay-Deadline-Ms").map_or(work, Duration::from_millis);
         let (head, _) = request.start.rsplit_once(' ').unwrap_or((&request.start, ""));
         self.record.begin(&id, &self.id, head);
-        let pause = number("Pause-Ms").map_or(Duration::ZERO, Duration::from_millis);
-        if let Err(error) = read_body(input, request.length(), pause) {
+        if read_body(input, request.length()).is_err() {
             self.busy.fetch_sub(1, Ordering::SeqCst);
-            self.record.end(&id, &self.id, &format!("{LEFT} within the body: {error}"));
+            self.record.end(&id, &self.id, &format!("{LEFT} within the body"));
             return None;
         }
         let is_left = loop {
@@ -122,22 +121,7 @@
     }
 }
 
-/// Bytes of a body after which a slow backend pauses once.
-const BEFORE_PAUSE: usize = 16 * 1024;
-
-/// Reads a body as a backend does that works on it while it comes in, with one pause.
-fn read_body(input: &mut impl Read, length: usize, pause: Duration) -> std::io::Result<()> {
-    let mut left = length;
-    let mut chunk = [0; 4096];
-    let mut has_paused = pause.is_zero();
-    while left > 0 {
-        let wanted = left.min(chunk.len());
-        input.read_exact(&mut chunk[..wanted])?;
-        left -= wanted;
-        if !has_paused && length - left >= BEFORE_PAUSE {
-            has_paused = true;
-            thread::sleep(pause);
-        }
-    }
-    Ok(())
+/// Reads the body of a request.
+fn read_body(input: &mut impl Read, length: usize) -> std::io::Result<()> {
+    input.read_exact(&mut vec![0; length])
 }
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -16,9 +16,6 @@
     pub path: String,
     pub deadline_ms: u64,
     pub work_ms: u64,
-    /// Pause of the backend while it reads the body.
-    pub pause_ms: u64,
-    pub body: usize,
 }
 
 /// What a client saw of its request.
@@ -52,22 +49,21 @@
     record: &Record,
     sent: &mut Option<f64>,
 ) -> Option<(String, Option<String>)> {
-    let Request { id, method, host, path, deadline_ms, work_ms, pause_ms, body } = request;
+    let Request { id, method, host, path, deadline_ms, work_ms } = request;
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(Duration::from_millis(*deadline_ms))).ok()?;
-    let [deadline, work, pause] = [deadline_ms, work_ms, pause_ms].map(u64::to_string);
+    let [deadline, work] = [deadline_ms, work_ms].map(u64::to_string);
     let headers = [
         ("Host", *host),
         ("X-Baobabrelay-Request-Id", id.as_str()),
         ("X-Baobabrelay-Deadline-Ms", deadline.as_str()),
         ("Work-Ms", work.as_str()),
-        ("Pause-Ms", pause.as_str()),
     ];
     // Taken before the first byte, so that no request counts as sent later than it was.
     *sent = Some(record.note(format!("sent: {id}")));
     let start = format!("{method} {path} HTTP/1.1");
-    http::write(&mut stream, &start, &headers, &vec![b'x'; *body]).ok()?;
+    http::write(&mut stream, &start, &headers, b"{}").ok()?;
     let answer = http::read(&mut BufReader::new(stream)).ok()??;
     let stamp = answer.header("X-Baobabrelay-Server-Stamp").map(str::to_owned);
     Some((answer.second().to_owned(), stamp))
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,10 +8,10 @@
 mod fleet;
 mod http;
 mod record;
+mod route_name;
 mod site;
 mod stop;
 mod store;
-mod upload;
 
 use std::{env, path::Path, process};
 
@@ -25,7 +25,7 @@
     let result = std::panic::catch_unwind(|| match case.as_str() {
         "dropped-route" => dropped_route::run(root, record, trouble),
         "stop" => stop::run(root, record, trouble),
-        "upload" => upload::run(root, record, trouble),
+        "route-name" => route_name::run(root, record, trouble),
         other => panic!("no case {other}"),
     });
     process::exit(result.unwrap_or(2));
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -124,8 +124,6 @@
         path: "/receipts/reprint".to_owned(),
         deadline_ms: 8_000,
         work_ms: 5,
-        pause_ms: 0,
-        body: 2,
     }
 }
 
