--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -116,7 +116,7 @@
             .args(words)
             .current_dir(&self.root)
             .env_clear()
-            .env("PATH", "/usr/local/bin:/usr/bin:/bin")
+            .env("PATH", env::var_os("PATH").unwrap_or_default())
             .env("HOME", &self.folder)
             .env("BAOBABRELAY_SETTINGS", &settings)
             .stdin(Stdio::null())
