--- a/review/standins/src/route_name.rs
+++ b/review/standins/src/route_name.rs
@@ -1,8 +1,10 @@
-//! The operator adds a route whose name has an underscore, and later removes another route.
+//! The operator adds a route whose name has an underscore, and later removes another route; at last all nodes
+//! are killed and start again.
 
 use crate::{
     client::Seen,
-    site::{self, APPLY, CONTACT, HOST, SERVICE, Site},
+    fleet,
+    site::{self, APPLY, CONTACT, HOST, RECOVER, SERVICE, Site},
 };
 use std::{path::Path, thread, time::Duration};
 
@@ -10,7 +12,7 @@
 const REQUESTS: usize = 5;
 
 pub fn run(root: &Path, file: &Path, trouble: bool) -> i32 {
-    let Some(site) = Site::start(root) else { return 2 };
+    let Some(mut site) = Site::start(root) else { return 2 };
     let name = if trouble { "sales_file_upload" } else { "sales-file-upload" };
     let added = format!(
         r#""{name}":{{"host":"{HOST}","prefix":"/files/","service":"{SERVICE}","kind":"upload","timeout_s":4.0,"slo_s":2.5,"attempts":2,"priority":1}}"#
@@ -27,13 +29,30 @@
     thread::sleep(APPLY + CONTACT);
     let to_dropped = send(&site, "dropped", "/receipts/reprint");
     let run = count(&site, &to_dropped, zero, &mut report, |_, has_run| has_run);
+    kill_all(&mut site);
+    thread::sleep(RECOVER + Duration::from_secs(1));
+    let to_restarted = send(&site, "restarted", "/files/today");
+    let unserved = count(&site, &to_restarted, zero, &mut report, |status, _| status != "200");
     report += &format!(
-        "{refused} of {} requests refused with 404 though r4 has their route; {run} of {} run though r5 has dropped theirs\n",
+        "{refused} of {} requests refused with 404 though r4 has their route; {run} of {} run though r5 has dropped \
+         theirs; {unserved} of {} not served after the restart of all nodes\n",
         to_added.len(),
-        to_dropped.len()
+        to_dropped.len(),
+        to_restarted.len()
     );
     site.finish(file, &report, zero);
-    i32::from(refused + run > 0)
+    let is_recovered = unserved * 4 <= to_restarted.len() * 3;
+    i32::from(refused + run > 0 || !is_recovered)
+}
+
+/// Kills all nodes at the same moment and starts them again.
+fn kill_all(site: &mut Site) {
+    site.nodes.iter().for_each(|node| fleet::signal(&node.child, "KILL"));
+    site.record.note("SIGKILL to all nodes");
+    site.nodes.clear();
+    let start = |machine| site.deployment.start(machine, false);
+    site.nodes = site.machines.iter().map(start).collect();
+    site.record.note("all nodes are started again");
 }
 
 /// Sends requests for `path` to every node.
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -26,6 +26,9 @@
 /// Time of calm after which a machine is in touch, of the bounds.
 pub const CONTACT: Duration = Duration::from_secs(3);
 
+/// Time after a restart within which requests are served again, of the bounds.
+pub const RECOVER: Duration = Duration::from_secs(15);
+
 pub const HOST: &str = "shop.example";
 pub const SERVICE: &str = "receipts";
 
