traffic: a configuration without routes no longer switches to service names

Seen by callers: after operators removed the last route, every node answered 200 to paths that begin with the name of a service.

It is a property of the deployment. With an empty table, a node took the product's own addressing, which also reads the header baobab-service of callers.

Evidence: on the code before, the logs show the version without routes in force on all three nodes before the first call, and the upstreams' record shows the shortened path, which rules out an old version and a stale table.

Without a route a call gets 404. "service", the default, keeps the product's own addressing and its precedence of routes while there are any.

Same cause, fixed with it: the limit on bodies at the serving node and the fingerprints of quarantined requests also depended on the table. Searched: all uses of has_routes, each is_empty in fleet, policy, traffic and node, and the headers that a listener for callers reads. Where one listener serves callers and nodes (deployments without listen.nodes), an offer is still recognized by its header.

--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -86,7 +86,7 @@
         self.services.get(key)
     }
 
-    /// Returns whether calls are addressed by route rather than by service name.
+    /// Returns whether there are any routes.
     pub fn has_routes(&self) -> bool {
         !self.routes.is_empty()
     }
--- a/crates/model/src/route.rs
+++ b/crates/model/src/route.rs
@@ -1,7 +1,8 @@
 //! Routes: map host and path of a call to services, with the call's timeouts and priority.
 //!
-//! Without routes, a call's path starts with the name of its service. With routes, only routes are
-//! used, so that a path that starts with a service's name can't bypass them.
+//! While a configuration has routes, only they are used, so that a path that starts with a service's
+//! name can't bypass them. Whether calls may be addressed by service once there are none is a setting of
+//! the node.
 
 use serde::{Deserialize, Serialize};
 use std::{ops::RangeInclusive, sync::Arc};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -222,6 +222,7 @@
         },
         service: settings.service.clone(),
         upstream: settings.upstream.address,
+        addressing: settings.addressing,
         slots: settings.upstream.slots,
         split_offset: rand::random(),
         tuning: tuning(settings),
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -6,7 +6,10 @@
 use model::{fault::Fault, json, read::Object};
 use policy::{budget, overload, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
-use traffic::wire::{HeaderName, Names, Precision};
+use traffic::{
+    Addressing,
+    wire::{HeaderName, Names, Precision},
+};
 
 /// Settings of a node, with defaults for the optional ones.
 #[derive(Clone, Debug, PartialEq)]
@@ -39,6 +42,8 @@
     pub log: bool,
     /// How upstreams and other nodes are discovered.
     pub discovery: Discovery,
+    /// How requests of callers name what they are for.
+    pub addressing: Addressing,
     /// Names of the headers exchanged with callers and upstreams.
     pub names: Names,
     /// Retry budget of the whole fleet; `None` leaves it to the profiles.
@@ -158,6 +163,7 @@
             dissemination: Dissemination::Epidemic,
             log: true,
             discovery: Discovery::Gossip,
+            addressing: Addressing::default(),
             names: Names::default(),
             retry_budget: None,
             cold_excess: Excess::default(),
@@ -225,6 +231,7 @@
         dissemination: dissemination(object),
         log: object.flag("log", default.log),
         discovery: discovery(object),
+        addressing: addressing(object),
         names: names(object),
         retry_budget: retry_budget(object),
         cold_excess: cold_excess(object),
@@ -262,6 +269,14 @@
     }
 }
 
+fn addressing(object: &mut Object<'_>) -> Addressing {
+    let is_known = |text: &str| matches!(text, "service" | "route");
+    match object.optional_text("addressing", "\"service\" or \"route\"", is_known).as_deref() {
+        Some("route") => Addressing::Route,
+        _ => Addressing::Service,
+    }
+}
+
 fn names(object: &mut Object<'_>) -> Names {
     let default = Names::default();
     let names = object.object("headers", |headers| Names {
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -47,7 +47,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 46] = [
+pub const FIELDS: [Field; 47] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -128,6 +128,12 @@
         "\"gossip\"",
         "whether upstreams are discovered by gossip among nodes or from the platform's list",
     ),
+    optional(
+        "/addressing",
+        "\"service\" or \"route\"",
+        "\"service\"",
+        "whether callers name a service, in a header or the path, or are matched with routes; with \"service\", routes are used instead while there are any, and calls are addressed by service again once the last one is removed",
+    ),
     optional(
         "/headers/deadline",
         HEADER,
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -64,8 +64,10 @@
     // Without a configuration, the limits of the profile are unknown.
     let service = config.service(&proxy.settings.service);
     let profile = service.map(|s| config.profile(s)).ok_or_else(|| Cause::Unreachable.outcome())?;
-    let limit =
-        if config.has_routes() { config.limits.body_bytes } else { profile.max_request_bytes };
+    let limit = match proxy.settings.addressing.uses_routes(&config) {
+        true => config.limits.body_bytes,
+        false => profile.max_request_bytes,
+    };
     let grant = match wire::read_number(&head.headers, wire::TICKET) {
         Ok(Some(ticket)) => proxy.transfers.redeem(ticket),
         _ => None,
--- a/crates/traffic/src/lib.rs
+++ b/crates/traffic/src/lib.rs
@@ -27,7 +27,7 @@
     },
     proxy::{
         Proxy,
-        settings::{Settings, Tuning},
+        settings::{Addressing, Settings, Tuning},
     },
     record::events::Event,
 };
--- a/crates/traffic/src/proxy/quarantine.rs
+++ b/crates/traffic/src/proxy/quarantine.rs
@@ -60,6 +60,7 @@
 
     /// Returns the fingerprint of a call to `service`.
     pub(crate) fn fingerprint(&self, payload: &Payload, service: &str) -> Fingerprint {
-        payload.fingerprint((!self.config().has_routes()).then_some(service))
+        let uses_routes = self.settings.addressing.uses_routes(&self.config());
+        payload.fingerprint((!uses_routes).then_some(service))
     }
 }
--- a/crates/traffic/src/proxy/settings.rs
+++ b/crates/traffic/src/proxy/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the data plane of a node.
 
+use model::config::Snapshot;
 use policy::{budget, overload, pause, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 
@@ -17,6 +18,8 @@
     pub service: String,
     /// Address of the colocated upstream.
     pub upstream: SocketAddr,
+    /// How requests of callers name what they are for.
+    pub addressing: Addressing,
     /// Concurrency limit of the upstream, until the list gives one.
     pub slots: usize,
     /// Start of each route's split sequence; random, so that nodes start at different targets.
@@ -37,6 +40,26 @@
     pub names: wire::Names,
 }
 
+/// How requests of callers name what they are for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Addressing {
+    /// By the name of a service, in a header or the path; by route while the configuration has routes.
+    #[default]
+    Service,
+    /// By route only, also in a configuration without routes, which then serves no request.
+    Route,
+}
+
+impl Addressing {
+    /// Returns whether requests are matched with the routes of `config`.
+    pub(crate) fn uses_routes(self, config: &Snapshot) -> bool {
+        match self {
+            Addressing::Service => config.has_routes(),
+            Addressing::Route => true,
+        }
+    }
+}
+
 /// Settings of the data plane that may change at run time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
@@ -73,6 +96,7 @@
             incarnation: None,
             service: String::new(),
             upstream: nowhere,
+            addressing: Addressing::default(),
             slots: 10,
             split_offset: 0,
             tuning: Tuning::default(),
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -11,7 +11,7 @@
     wire::{self, header_text},
 };
 
-/// Finds the target of a request: by route if the configuration has routes, else by service name.
+/// Finds the target of a request: by route or by service name, as the settings say.
 ///
 /// Fails with the cause of the refusal.
 pub(crate) fn find<'a>(
@@ -27,7 +27,7 @@
         // Without a configuration, a missing route does not mean that it is unknown.
         return Err(Cause::Unready);
     }
-    let found = if config.has_routes() {
+    let found = if proxy.settings.addressing.uses_routes(config) {
         find_route(proxy, config, request)
     } else {
         find_service(config, request)
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -22,7 +22,7 @@
 };
 use telemetry::metric::Meter;
 use tokio::runtime::{Builder, Runtime};
-use traffic::{Audience, Clock, Listener, Proxy, Settings, Tuning, wire::Names};
+use traffic::{Addressing, Audience, Clock, Listener, Proxy, Settings, Tuning, wire::Names};
 
 /// Time limit of a waiting test; results don't depend on it otherwise.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(20);
@@ -379,6 +379,7 @@
             address: node_address(number),
             service: "paydesk".to_owned(),
             upstream: self.upstreams[number].address,
+            addressing: Addressing::Route,
             slots,
             link_mbps: 5,
             names: names(),
@@ -508,6 +509,19 @@
 
 /// Returns the configuration with the given document of the service.
 pub(crate) fn configuration_of(paydesk: &str) -> Arc<model::config::Snapshot> {
+    build_configuration(1, paydesk, &ROUTES)
+}
+
+/// Returns the next configuration, which has no routes.
+pub(crate) fn configuration_without_routes() -> Arc<model::config::Snapshot> {
+    build_configuration(2, r#"{"profile": "p"}"#, &[])
+}
+
+fn build_configuration(
+    revision: u64,
+    paydesk: &str,
+    routes: &[(&str, &str)],
+) -> Arc<model::config::Snapshot> {
     let document = |(key, text): (&str, &str)| Document {
         key: key.to_owned(),
         modified: 1,
@@ -519,8 +533,8 @@
         document(("services/nobody", r#"{"profile": "p"}"#)),
         document(("limits", r#"{"body_bytes": 200000}"#)),
     ];
-    documents.extend(ROUTES.map(document));
-    let delta = Delta { revision: 1, full: true, documents, ..Delta::default() };
+    documents.extend(routes.iter().copied().map(document));
+    let delta = Delta { revision, full: true, documents, ..Delta::default() };
     Arc::new(build(&Set::default().with(delta)).expect("the routes are valid"))
 }
 
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -2,7 +2,7 @@
 
 mod cluster;
 
-use cluster::{Behaviour, Cluster, header, request, status};
+use cluster::{Behaviour, Cluster, configuration_without_routes, header, request, status};
 use std::{io::Write, thread, time::Duration};
 
 #[track_caller]
@@ -26,6 +26,19 @@
     assert!(cluster.received()[0].head.starts_with("GET /read/a?b=1 HTTP/1.1"));
 }
 
+/// Guards against a node that addresses calls by service name once the last route is removed.
+#[test]
+fn without_routes_no_call_is_addressed_by_service_name() {
+    let cluster = Cluster::new(2, 4);
+    check(&cluster, &request("POST", "/post/a", "", "{}"), "200");
+    cluster.proxies.iter().for_each(|proxy| proxy.set_config(configuration_without_routes()));
+    check(&cluster, &request("POST", "/post/a", "", "{}"), "404");
+    check(&cluster, &request("POST", "/paydesk/a", "", "{}"), "404");
+    check(&cluster, &request("GET", "/paydesk?a=1", "", ""), "404");
+    check(&cluster, &request("GET", "/", "baobab-service: paydesk\r\n", ""), "404");
+    assert_eq!(cluster.received().len(), 1);
+}
+
 /// Guards against a starting node that reports routes as unknown, which callers do not retry.
 #[test]
 fn without_a_configuration_calls_are_refused_as_unready() {
