traffic: the refusing test node reports an offer before it answers

Cause: the test node wrote its refusal first and reported the offer to the test afterwards. The caller could read the refusal, and the test look for the report, in between.

Ruled out: a change of the product; the code was untouched.

Change: the report comes first. The assertions are unchanged.

--- a/crates/traffic/tests/fair_shares.rs
+++ b/crates/traffic/tests/fair_shares.rs
@@ -116,8 +116,8 @@
                 "HTTP/1.1 503 Busy\r\nbaobab-id: {id}\r\nbaobab-outcome: not-run\r\n\
                  baobab-cause: overloaded\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
             );
-            let _ = stream.write_all(refusal.as_bytes());
             let _ = sender.send(header(&head, "baobab-usage").map(str::to_owned));
+            let _ = stream.write_all(refusal.as_bytes());
         }
     });
     (address, receiver)
