platform, model: a node accepts each configuration that the store has accepted

Cause: the store acknowledges a configuration, and with it promises that it is in force. The node applied a narrower definition, made for documents that operators of the product's own platform write by hand: names of 1 to 63 of a-z, 0-9 and -. A version is accepted as a whole, so one document held up all others and all later versions.

Evidence: the logs have a "rejected" line with that reason for each version; the same steps with sales-file-upload pass. That rules out versions that do not arrive and routes that are in force but not found.

What a node still cannot use affects nothing else: such a route refuses its calls with 503 "unusable-route" and hides shorter prefixes, malformed options and limits fall back to defaults. Each is a source-fault with its place; "baobabctl status" lists refusing routes. A fix of the alphabet alone would leave the next difference between the two definitions with the same effect.

Same cause, fixed with it: names in the node's settings, in records between nodes and in evacuation orders, and headers that carry names. Searched: each check in model::read, route, config, document, limits and service, the settings, fleet::member, fleet::evacuation, and the size of a digest, which longer names would have exceeded.

Tests changed because they asserted the narrower definition: a route of an unknown kind or without services skipped the whole configuration; now the test asserts that this route alone refuses, in more cases. "Pay Desk" and names of 64 bytes are valid in records; longer ones, empty ones and control characters are still rejected, the limits are asserted on both sides.

--- a/crates/baobabctl/src/fleet.rs
+++ b/crates/baobabctl/src/fleet.rs
@@ -5,8 +5,8 @@
     source::READERS,
     status::{Fleet, Member, Node},
 };
-use model::revision;
-use std::collections::BTreeMap;
+use model::{fault::Fault, revision};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Nodes or requests listed one by one without `--all`; with the table of data centres they fit on a
 /// screen of 50 lines.
@@ -52,6 +52,7 @@
         lines.extend(fleet.answered.iter().map(|node| row(node, &notes(node, newest).join(", "))));
     }
     lines.extend(rejections(fleet));
+    lines.extend(truncated(refusing(fleet), limit));
     lines.extend(truncated(evacuated(fleet), limit));
     lines.extend(truncated(quarantined(fleet), limit));
     lines
@@ -161,6 +162,12 @@
     lines
 }
 
+/// Returns a line for each route that refuses its calls at any node.
+fn refusing(fleet: &Fleet) -> Vec<String> {
+    let faults: BTreeSet<&Fault> = fleet.answered.iter().flat_map(|node| &node.refusing).collect();
+    faults.into_iter().map(|fault| format!("calls are refused: {fault}")).collect()
+}
+
 /// Returns a line for each request that is quarantined at any node.
 fn quarantined(fleet: &Fleet) -> Vec<String> {
     let mut requests: BTreeMap<&str, (usize, u64, usize)> = BTreeMap::new();
--- a/crates/baobabctl/tests/fleet.rs
+++ b/crates/baobabctl/tests/fleet.rs
@@ -31,6 +31,10 @@
         "source_age_ms": 100,
         "stale_source": null,
         "members": [],
+        "refusing": match number {
+            0..10 => vec![json!({ "document": "routes/sales", "pointer": "", "reason": "unknown kind" })],
+            _ => vec![],
+        },
         "evacuated": match number {
             1..NODES => vec![json!({ "data_centre": "lalitpur-b", "revision": 41 })],
             _ => vec![],
@@ -84,6 +88,14 @@
     (output.status.code(), text.lines().map(str::to_owned).collect())
 }
 
+/// Guards against refused calls whose reason operators cannot see.
+#[test]
+fn status_lists_routes_that_refuse_their_calls_once() {
+    let (_, lines) = status(0, 0, &[]);
+    let refused = lines.iter().filter(|line| line.starts_with("calls are refused: "));
+    assert_eq!(refused.collect::<Vec<_>>(), ["calls are refused: routes/sales: : unknown kind"]);
+}
+
 /// Guards against one line per node, which would hide the nodes that need attention.
 #[test]
 fn status_of_hundreds_of_nodes_fits_on_one_screen() {
--- a/crates/fleet/src/control.rs
+++ b/crates/fleet/src/control.rs
@@ -225,6 +225,7 @@
             version: self.fence.version(),
             stamp: self.clock.stamp(now),
             rejected: self.fence.rejections(),
+            refusing: self.fence.refusing(),
             quarantined: self.quarantine.status(now.time),
             evacuated: Vec::new(),
             reader_rank: self.rank,
--- a/crates/fleet/src/fence.rs
+++ b/crates/fleet/src/fence.rs
@@ -19,6 +19,9 @@
 /// Maximum number of rejected versions remembered.
 const MAX_REJECTIONS: usize = 16;
 
+/// Maximum number of routes that refuse their calls in a report to operators.
+const MAX_REFUSING: usize = 32;
+
 /// A version that failed validation.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rejection {
@@ -130,6 +133,11 @@
         self.rejected.iter().map(rejected).collect()
     }
 
+    /// Returns the routes in force whose calls are refused, as shown to operators.
+    pub fn refusing(&self) -> Vec<Fault> {
+        self.snapshot.refusing().take(MAX_REFUSING).collect()
+    }
+
     /// Returns the documents in force.
     pub fn set(&self) -> &Set {
         &self.set
--- a/crates/fleet/src/listed/view.rs
+++ b/crates/fleet/src/listed/view.rs
@@ -20,6 +20,7 @@
             version: self.fence.version(),
             stamp: self.clock.stamp(now),
             rejected: self.fence.rejections(),
+            refusing: self.fence.refusing(),
             quarantined: self.quarantine.status(now.time),
             evacuated: self.directory.orders().in_force().map(evacuation).collect(),
             reader_rank: self.peers.rank(now.time),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -3,7 +3,7 @@
 //! Records arrive in any order and repeatedly. [`Record::supersedes`] is a total order on the records of
 //! one address, so all nodes converge to the same one.
 
-use model::read::is_name;
+use model::read::{is_label, is_service};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::Xxh3;
@@ -84,9 +84,10 @@
     ///
     /// Bounds the names, which fill the tables of all nodes, and rejects numbers too large to be refuted.
     pub fn fault(&self) -> Option<&'static str> {
-        let names = [&self.instance, &self.service, &self.data_centre];
-        if !names.into_iter().all(|name| is_name(name)) {
-            return Some("a name in a member record is not 1 to 63 characters of a-z, 0-9 and -");
+        let are_valid =
+            is_label(&self.instance) && is_service(&self.service) && is_label(&self.data_centre);
+        if !are_valid {
+            return Some("a name in a member record is empty, too long or has control characters");
         }
         if self.state == State::Evacuated {
             return Some("a member record has the state \"evacuated\", which nodes never gossip");
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -29,6 +29,9 @@
     pub stamp: Stamp,
     /// Configuration versions that it rejected, oldest first.
     pub rejected: Vec<Rejected>,
+    /// Routes in force whose calls are refused, with the reason.
+    #[serde(default)]
+    pub refusing: Vec<Fault>,
     /// Rank among the readers of its data centre; the first two read the platform.
     pub reader_rank: usize,
     /// Age of the latest platform contact known in its data centre, in ms.
--- a/crates/model/src/read.rs
+++ b/crates/model/src/read.rs
@@ -8,9 +8,21 @@
 
 use crate::{fault::Fault, json};
 
-/// Maximum length of the name of a profile, service, data centre or region, in bytes.
+/// Maximum length of the name of a profile, in bytes.
 pub const MAX_NAME_BYTES: usize = 63;
 
+/// Maximum length of the name of an instance or data centre, in bytes: that of a key of the platform.
+pub const MAX_LABEL_BYTES: usize = 200;
+
+/// Maximum length of the name of the service of a node, in bytes; it is sent as a header.
+pub const MAX_SERVICE_BYTES: usize = 4_096;
+
+/// Format of the name of an instance or data centre, as shown in faults.
+pub const LABEL: &str = "1 to 200 bytes without control characters";
+
+/// Format of the name of the service of a node, as shown in faults.
+pub const SERVICE: &str = "1 to 4096 bytes without control characters";
+
 /// An object being parsed; fields are removed as they are taken.
 pub struct Object<'a> {
     document: &'a str,
@@ -86,6 +98,11 @@
         self.text(name, "a name (1 to 63 of a-z, 0-9 and -)", is_name)
     }
 
+    /// Takes a required name of an instance or data centre, see [`is_label`].
+    pub fn label(&mut self, name: &str) -> String {
+        self.text(name, LABEL, is_label)
+    }
+
     /// Takes a list of strings that satisfy `valid`, or `default` if the field is absent.
     pub fn texts(
         &mut self,
@@ -184,6 +201,33 @@
     !text.is_empty() && text.len() <= MAX_NAME_BYTES && text.bytes().all(allowed)
 }
 
+/// Returns whether `text` is a valid name of an instance or data centre.
+///
+/// The platform chooses these names, so no alphabet is required; the length is limited, since nodes store
+/// and send them.
+///
+/// ```
+/// assert!(model::read::is_label("Ktm_A"));
+/// assert!(!model::read::is_label(""));
+/// ```
+pub fn is_label(text: &str) -> bool {
+    text.len() <= MAX_LABEL_BYTES && is_printable(text)
+}
+
+/// Returns whether `text` is a valid name of the service of a node; see [`is_label`].
+///
+/// ```
+/// assert!(model::read::is_service("sales_file.upload"));
+/// assert!(!model::read::is_service("sales\nfile"));
+/// ```
+pub fn is_service(text: &str) -> bool {
+    text.len() <= MAX_SERVICE_BYTES && is_printable(text)
+}
+
+fn is_printable(text: &str) -> bool {
+    !text.is_empty() && !text.contains(char::is_control)
+}
+
 fn type_name(value: &Value) -> &'static str {
     match value {
         Value::Null => "null",
--- a/crates/model/tests/validation.rs
+++ b/crates/model/tests/validation.rs
@@ -218,6 +218,14 @@
     );
     check_route(&route("/a/", "").replace("once", "twice"), &["routes/r /kind"]);
     check_route(&route("/a/", "").replace("\"h\"", "\"H\""), &["routes/r /host"]);
+    check_route(&route("/a/", "").replace("\"h\"", "\"\""), &["routes/r /host"]);
+    check_route(&route("/a/", "").replace("\"h\"", "\"ä_h:80\""), &[]);
+    let refusing = route("/a/", "").replace("\"kind\"", "\"refuse\": \"no\", \"kind\"");
+    check_route(&refusing, &["routes/r /refuse"]);
+    let refusing = refusing.replace("{\"service\": \"s\"}", "");
+    check_route(&refusing, &[]);
+    check_route(&refusing.replace("\"no\"", "\"\""), &["routes/r /refuse"]);
+    check_route(&route("/a/", "").replace("{\"service\": \"s\"}", ""), &["routes/r /targets"]);
     let same = route("/a/", "");
     check(
         &[services[0], services[1], ("routes/q", &same), ("routes/r", &same)],
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -3,7 +3,11 @@
 mod fields;
 
 use fleet::listed::{joining::Occasion, rounds::MAX_FULL_MESH};
-use model::{fault::Fault, json, read::Object};
+use model::{
+    fault::Fault,
+    json,
+    read::{self, Object},
+};
 use policy::{budget, overload, share::Capacity, warmup::Excess};
 use std::{net::SocketAddr, time::Duration};
 use traffic::{
@@ -203,9 +207,9 @@
         bytes: object.number("body_bytes", 1_024..=1 << 34, default.capacity.bytes as u64) as usize,
     };
     Settings {
-        instance: object.name("instance"),
-        service: object.name("service"),
-        data_centre: object.name("data_centre"),
+        instance: object.label("instance"),
+        service: object.text("service", read::SERVICE, read::is_service),
+        data_centre: object.label("data_centre"),
         listen: object.object("listen", |listen| Listen {
             traffic: address(listen, "traffic"),
             nodes: optional_address(listen, "nodes"),
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -1,5 +1,7 @@
 //! Table of all settings, from which the reference page `SETTINGS.md` is generated.
 
+use model::read;
+
 /// Description of one setting.
 #[derive(Clone, Copy, Debug)]
 pub struct Field {
@@ -42,14 +44,15 @@
     Field { pointer, shape, default: Some("absent"), example, help }
 }
 
-const NAME: &str = "1 to 63 of a-z, 0-9 and -";
+const NAME: &str = read::LABEL;
+const SERVICE: &str = read::SERVICE;
 const ADDRESS: &str = "IP:PORT";
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
 pub const FIELDS: [Field; 47] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
-    required("/service", NAME, "\"paydesk\"", "service of this node's upstream"),
+    required("/service", SERVICE, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
     required(
         "/listen/traffic",
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -70,7 +70,8 @@
 }
 
 /// Encodes a digest in one packet. If it does not fit, drops the piggybacked changes, which
-/// receivers then pull, and as many reports as necessary, which later digests carry.
+/// receivers then pull, and as many reports and rumours as necessary, which later digests carry. Without
+/// contact ages, which long names of data centres make large, receivers rely on their own.
 fn encode(digest: &Digest) -> Result<Vec<u8>, serde_json::Error> {
     let text = serde_json::to_vec(digest)?;
     if text.len() <= MAX_DIGEST_BYTES {
@@ -79,7 +80,10 @@
     let mut reduced = Digest { piggyback: Piggyback::default(), ..digest.clone() };
     loop {
         let text = serde_json::to_vec(&reduced)?;
-        if text.len() <= MAX_DIGEST_BYTES || reduced.reports.pop().is_none() {
+        let is_reduced = reduced.reports.pop().is_some()
+            || reduced.rumours.pop().is_some()
+            || reduced.contact_ages_ms.pop_last().is_some();
+        if text.len() <= MAX_DIGEST_BYTES || !is_reduced {
             return Ok(text);
         }
     }
--- a/crates/peer/tests/datagram.rs
+++ b/crates/peer/tests/datagram.rs
@@ -124,6 +124,17 @@
     assert_eq!(received.reports.len(), REPORTS_PER_MESSAGE);
 }
 
+/// Guards against names of data centres that make a digest exceed one packet.
+#[test]
+fn contact_ages_are_limited_to_the_space_left_in_a_digest() {
+    let name = |number: u64| format!("{number}{}", "n".repeat(199));
+    let contact_ages_ms = (0..6).map(|number| (name(number), number)).collect();
+    let long = Digest { data_centre: name(7), contact_ages_ms, ..full(REPORTS_PER_DIGEST as u64) };
+    let received = round_trip(&long);
+    assert_eq!((received.data_centre, received.config), (long.data_centre, long.config));
+    assert!((1..6).contains(&received.contact_ages_ms.len()));
+}
+
 #[test]
 fn digest_of_the_previous_version_is_parsed() {
     let received: Digest = serde_json::from_str(PREVIOUS).expect("a valid digest");
--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -14,6 +14,8 @@
     /// The node's configuration lacks the service or route, and a newer version is active
     /// elsewhere.
     Outdated,
+    /// The route of the call cannot be used as it stands in the configuration.
+    UnusableRoute,
     /// The service has no upstream that accepts calls.
     NoUpstream,
     /// No slot of the upstream will be free before the deadline, or its queue is full.
@@ -189,6 +191,7 @@
             | Cause::Refused
             | Cause::Saturated => MEDIUM_DELAY,
             Cause::UnknownService
+            | Cause::UnusableRoute
             | Cause::NoUpstream
             | Cause::Late
             | Cause::Evacuated
@@ -209,10 +212,11 @@
 const LONG_DELAY: Duration = Duration::from_secs(2);
 
 /// Names of causes on the wire and in metrics.
-const CAUSES: [(Cause, &str); 18] = [
+const CAUSES: [(Cause, &str); 19] = [
     (Cause::Unready, "unready"),
     (Cause::Outdated, "outdated"),
     (Cause::UnknownService, "unknown-service"),
+    (Cause::UnusableRoute, "unusable-route"),
     (Cause::NoUpstream, "no-upstream"),
     (Cause::Overloaded, "overloaded"),
     (Cause::Limited, "limited"),
--- a/crates/policy/src/overflow.rs
+++ b/crates/policy/src/overflow.rs
@@ -146,6 +146,7 @@
     match cause {
         Cause::Overloaded | Cause::Limited | Cause::NestedOverloaded => true,
         Cause::UnknownService
+        | Cause::UnusableRoute
         | Cause::Unready
         | Cause::Outdated
         | Cause::NoUpstream
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -315,6 +315,7 @@
         | Cause::Evacuated
         | Cause::Replaced => true,
         Cause::UnknownService
+        | Cause::UnusableRoute
         | Cause::Unready
         | Cause::Outdated
         | Cause::NoUpstream
--- a/crates/trace/src/cause.rs
+++ b/crates/trace/src/cause.rs
@@ -65,6 +65,7 @@
         "outdated" => {
             "no route led anywhere in the configuration of the node, which was older than another's"
         }
+        "unusable-route" => "its route cannot be used as it stands in the configuration",
         "no-upstream" => "no upstream of the service was listed and reachable",
         "overloaded" => "every upstream that was asked had no slot in time",
         "nested-overloaded" => {
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -1,7 +1,7 @@
 //! Sends one offer of a call to the serving node of an upstream.
 
 use fleet::view::Upstream;
-use hyper::{Request, Response, body::Body as _, header::HeaderValue};
+use hyper::{Request, Response, body::Body as _};
 use model::time::Time;
 use policy::{
     admission::{Class, Rank},
@@ -225,7 +225,7 @@
     headers.insert(wire::ID, wire::number(offer.id));
     headers.insert(wire::DEADLINE, wire::number(remaining.as_millis() as u64));
     headers.insert(wire::IDEMPOTENT, wire::number((offer.kind == Kind::Idempotent).into()));
-    if let Ok(service) = HeaderValue::from_str(call.service) {
+    if let Some(service) = wire::text(call.service) {
         headers.insert(wire::SERVICE, service);
     }
     headers.insert(wire::PRIORITY, wire::number(offer.rank.priority.into()));
@@ -246,7 +246,7 @@
         headers.insert(wire::START, wire::number(start_by.since(now).as_millis() as u64));
     }
     if let Some(identity) = &offer.identity
-        && let Ok(identity) = HeaderValue::from_str(identity)
+        && let Some(identity) = wire::text(identity)
     {
         headers.insert(wire::IDENTITY, identity);
     }
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -1,7 +1,7 @@
 //! Handles a caller's request: routes it, admits it, runs it and builds the response.
 
 use bytes::Bytes;
-use hyper::{Request, Response, StatusCode, header::HeaderValue, http::request::Parts};
+use hyper::{Request, Response, StatusCode, http::request::Parts};
 use model::time::Time;
 use policy::{
     budget::Lineage,
@@ -155,9 +155,7 @@
     let mut headers = head.headers;
     wire::strip(&mut headers);
     wire::strip_reserved(&mut headers, names);
-    if let (Some(name), Ok(service)) =
-        (&names.caller, HeaderValue::from_str(&proxy.settings.service))
-    {
+    if let (Some(name), Some(service)) = (&names.caller, wire::text(&proxy.settings.service)) {
         headers.insert(name.clone(), service);
     }
     Call {
--- a/crates/traffic/src/routing/target.rs
+++ b/crates/traffic/src/routing/target.rs
@@ -1,7 +1,11 @@
 //! Finds the service, options and limits of a request.
 
 use hyper::{Request, Uri, http::uri::PathAndQuery};
-use model::{config::Snapshot, profile::Profile, route};
+use model::{
+    config::Snapshot,
+    profile::Profile,
+    route::{self, Route},
+};
 use policy::{outcome::Cause, retry::Kind};
 
 use crate::{
@@ -27,12 +31,14 @@
         // Without a configuration, a missing route does not mean that it is unknown.
         return Err(Cause::Unready);
     }
-    let found = if proxy.settings.addressing.uses_routes(config) {
-        find_route(proxy, config, request)
-    } else {
-        find_service(config, request)
-    };
-    found.ok_or_else(|| unknown_cause(proxy, config))
+    if !proxy.settings.addressing.uses_routes(config) {
+        return find_service(config, request).ok_or_else(|| unknown_cause(proxy, config));
+    }
+    match config.route(&wire::host(request.headers()), request.uri().path()) {
+        Some(route) if route.refusal.is_some() => Err(Cause::UnusableRoute),
+        Some(route) => route_target(proxy, config, route, request.uri()),
+        None => Err(unknown_cause(proxy, config)),
+    }
 }
 
 /// Returns the cause of refusing a request without a target.
@@ -78,14 +84,15 @@
     route.is_some_and(|route| route.spec.kind == route::Kind::Idempotent)
 }
 
-fn find_route<'a>(
+/// Chooses one of the route's targets by weight.
+fn route_target<'a>(
     proxy: &Proxy,
     config: &'a Snapshot,
-    request: &Request<Inbound>,
-) -> Option<Target<'a>> {
-    let route = config.route(&wire::host(request.headers()), request.uri().path())?;
+    route: &Route,
+    path: &Uri,
+) -> Result<Target<'a>, Cause> {
     let weights: Vec<u32> = route.targets.iter().map(|t| t.weight).collect();
-    let index = proxy.next_target(&route.name, &weights)?;
+    let index = proxy.next_target(&route.name, &weights).ok_or(Cause::UnusableRoute)?;
     let service = config.target(route.targets[index].service);
     let idempotent = route.spec.kind == route::Kind::Idempotent;
     let options = Options {
@@ -96,10 +103,10 @@
         priority: route.spec.priority,
         route: route.name.clone(),
     };
-    Some(Target {
+    Ok(Target {
         service: &service.name,
         profile: config.profile(service),
-        path: request.uri().clone(),
+        path: path.clone(),
         options,
         body_limit: config.limits.body_bytes,
         header_limit: config.limits.header_bytes,
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -4,7 +4,7 @@
 mod demand;
 mod validation;
 
-use hyper::{Request, Response, header::HeaderValue};
+use hyper::{Request, Response};
 use model::profile::Profile;
 use policy::outcome::{Cause, Loss, Outcome, Step, Uncertainty, of_loss};
 use std::{sync::Arc, time::Duration};
@@ -68,7 +68,7 @@
         headers.insert(wire::ID, wire::number(offer.id));
     }
     if let (Some(name), Some(identity)) = (&names.identity, &offer.identity)
-        && let Ok(identity) = HeaderValue::from_str(identity)
+        && let Some(identity) = wire::text(identity)
     {
         headers.insert(name.clone(), identity);
     }
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -308,9 +308,14 @@
     Some(Load { busy, waiting, bodies, limit })
 }
 
-/// Returns the value of a header as text; `None` if absent or not ASCII.
+/// Returns the value of a header as text; `None` if absent or not UTF-8.
 pub(crate) fn header_text(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
-    headers.get(name)?.to_str().ok()
+    str::from_utf8(headers.get(name)?.as_bytes()).ok()
+}
+
+/// Returns `text` as a header value; `None` if it has control characters.
+pub(crate) fn text(text: &str) -> Option<HeaderValue> {
+    HeaderValue::from_bytes(text.as_bytes()).ok()
 }
 
 /// Returns the `Host` of a request in lower case, without its port; empty if absent.
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -512,6 +512,12 @@
     build_configuration(1, paydesk, &ROUTES)
 }
 
+/// Returns the next configuration, which also has the given route.
+pub(crate) fn configuration_with(route: (&str, &str)) -> Arc<model::config::Snapshot> {
+    let routes: Vec<(&str, &str)> = ROUTES.into_iter().chain([route]).collect();
+    build_configuration(2, r#"{"profile": "p"}"#, &routes)
+}
+
 /// Returns the next configuration, which has no routes.
 pub(crate) fn configuration_without_routes() -> Arc<model::config::Snapshot> {
     build_configuration(2, r#"{"profile": "p"}"#, &[])
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -2,7 +2,9 @@
 
 mod cluster;
 
-use cluster::{Behaviour, Cluster, configuration_without_routes, header, request, status};
+use cluster::{
+    Behaviour, Cluster, configuration_with, configuration_without_routes, header, request, status,
+};
 use std::{io::Write, thread, time::Duration};
 
 #[track_caller]
@@ -39,6 +41,20 @@
     assert_eq!(cluster.received().len(), 1);
 }
 
+/// Guards against calls of an unusable route that are denied for good, or run by the route of a shorter prefix.
+#[test]
+fn a_route_that_refuses_calls_hides_shorter_prefixes() {
+    let cluster = Cluster::new(1, 4);
+    let route =
+        r#"{"host": "shop.example", "prefix": "/post/some/", "kind": "once", "refuse": "no"}"#;
+    cluster.proxies[0].set_config(configuration_with(("routes/Some_Route", route)));
+    let answer = check(&cluster, &request("POST", "/post/some/a", "", "{}"), "503");
+    assert_eq!(header(&answer, "baobab-cause"), Some("unusable-route"));
+    assert!(header(&answer, "retry-after").is_some());
+    assert!(cluster.received().is_empty());
+    check(&cluster, &request("POST", "/post/a", "", "{}"), "200");
+}
+
 /// Guards against a starting node that reports routes as unknown, which callers do not retry.
 #[test]
 fn without_a_configuration_calls_are_refused_as_unready() {
