node, platform: a planned stop refuses new calls before their late answers count

Cause: the platform excuses missing answers of calls sent until 3 s after the signal. The plan closed at exactly that time, the sum of two shares of the grace period, counted from when the signal was noticed; signals were polled every 100 ms. With a grace period of 10 s the same shares gave 5 s.

Change: the close is 2.75 s after the signal, at most half of the grace period, whatever the end is. A thread waits for signals instead of a poll. The rest of a stop is planned from what is left of its limit when the stop is announced, and the limit includes the last messages, as its description says; so far they came on top of it. A call whose body arrives after the close is refused. The end stays at 5.2 to 5.4 s of a grace period of 6 s.

Same cause: the end of a stop, exactly at the grace period where that is 2 s, and bodies received after the close, both fixed. Read without finding it: removal grace, standby takeover and read timeouts against drain_s and apply_s; the idle timeout of 75 s, which no deployment comes near.

--- a/crates/baobabrelayd/src/main.rs
+++ b/crates/baobabrelayd/src/main.rs
@@ -73,11 +73,14 @@
         Ok(signals) => signals,
         Err(error) => return fail(&format!("cannot install signal handlers: {error}")),
     };
-    match Node::start(settings) {
-        Ok(node) => reload::run(signals, node, file, &|text| parse(file, text)),
+    let node = match Node::start(settings) {
+        Ok(node) => node,
         Err(error) => return fail(&error.to_string()),
+    };
+    match reload::run(signals, node, file, &|text| parse(file, text)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&format!("cannot wait for signals: {error}")),
     }
-    ExitCode::SUCCESS
 }
 
 fn usage(reason: &str) -> ExitCode {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `source-0`, `source-1` | blocking calls to the platform |
 //! | `pause-monitor` | detects pauses of the process |
 //! | `operators` | operators' HTTP endpoint |
+//! | `signals` | waits for signals, in [`reload::run`] only |
 //! | `traffic` | worker threads that proxy calls |
 
 mod control;
--- a/crates/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -2,6 +2,7 @@
 //!
 //! New settings are applied only if all of them are valid.
 
+use crossbeam::channel::{self, Receiver, RecvTimeoutError};
 use signal_hook::{
     consts::{SIGHUP, SIGINT, SIGTERM},
     iterator::Signals as SignalIterator,
@@ -10,11 +11,11 @@
 
 use crate::{Node, settings::Settings};
 
-/// Interval at which signals are polled; bounds the delay before a planned stop.
-const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which the settings file is read, in case it changes without a signal.
+const READ_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Signal polls per read of the settings file, which is thus read every 3 s.
-const POLLS_PER_READ: u32 = 30;
+/// Maximum number of signals that wait for the running node.
+const MAX_PENDING_SIGNALS: usize = 16;
 
 /// Parses the text of a settings file, or returns all of its faults.
 pub type Parser<'a> = &'a dyn Fn(&str) -> Result<Settings, Vec<String>>;
@@ -33,23 +34,20 @@
     }
 }
 
-/// Runs `node`, started with the settings file at `path`, until a stop signal arrives.
-pub fn run(mut signals: Signals, mut node: Node, path: &str, parse: Parser<'_>) {
+/// Runs `node`, started with the settings file at `path`, until a stop signal arrives; fails if the thread
+/// that waits for signals cannot be started.
+pub fn run(signals: Signals, mut node: Node, path: &str, parse: Parser<'_>) -> io::Result<()> {
+    let received = forward(signals)?;
     let mut current = fs::read_to_string(path).unwrap_or_default();
-    let mut polls = 0;
     loop {
-        thread::sleep(POLL_INTERVAL);
-        polls += 1;
-        let pending: Vec<i32> = signals.iterator.pending().collect();
-        if pending.iter().any(|&signal| signal != SIGHUP) {
-            return node.stop();
-        }
-        if pending.is_empty() && polls % POLLS_PER_READ != 0 {
-            continue;
-        }
-        // The file may be missing while it is being replaced; a later poll reads it.
+        let is_signalled = match received.recv_timeout(READ_INTERVAL) {
+            Ok(SIGHUP) => true,
+            Err(RecvTimeoutError::Timeout) => false,
+            Ok(_) | Err(RecvTimeoutError::Disconnected) => break,
+        };
+        // The file may be missing while it is being replaced; a later read finds it.
         let Ok(text) = fs::read_to_string(path) else { continue };
-        if text == current && pending.is_empty() {
+        if text == current && !is_signalled {
             continue;
         }
         match parse(&text) {
@@ -58,4 +56,20 @@
         }
         current = text;
     }
+    node.stop();
+    Ok(())
+}
+
+/// Starts a thread that waits for signals, so that a planned stop begins when its signal arrives.
+fn forward(mut signals: Signals) -> io::Result<Receiver<i32>> {
+    let (sender, receiver) = channel::bounded(MAX_PENDING_SIGNALS);
+    let work = move || {
+        for signal in signals.iterator.forever() {
+            if sender.send(signal).is_err() {
+                return;
+            }
+        }
+    };
+    thread::Builder::new().name("signals".to_owned()).spawn(work)?;
+    Ok(receiver)
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -83,7 +83,7 @@
     pub linger: Duration,
     /// Time at the end of the stop that is reserved for calls in flight; new calls are refused.
     pub finish: Duration,
-    /// Upper bound of the whole stop.
+    /// Upper bound of the whole stop, from its signal to the end of the process.
     pub limit: Duration,
 }
 
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -279,9 +279,14 @@
         "/stop/finish_ms",
         "0 to 600000 ms",
         "2000",
-        "time at the end of a planned stop in which new calls are refused",
+        "time at the end of a planned stop, limit included, in which new calls are refused",
+    ),
+    optional(
+        "/stop/limit_ms",
+        "100 to 3600000 ms",
+        "600000",
+        "upper bound of a planned stop, from the signal to the end of the process",
     ),
-    optional("/stop/limit_ms", "100 to 3600000 ms", "600000", "upper bound of a planned stop"),
     optional(
         "/link_mbps",
         "0 to 1000000 Mbit/s",
--- a/crates/node/src/stop.rs
+++ b/crates/node/src/stop.rs
@@ -3,7 +3,7 @@
 //! (`finish`); the process ends when idle, or at `limit` with calls in flight.
 
 use fleet::control::Event;
-use policy::drain::{self, MIN_LEAVE_TIME, Plan, Progress, Step};
+use policy::drain::{self, FLUSH_TIME, Plan, Progress, Step};
 use serde_json::json;
 use std::{
     thread,
@@ -12,9 +12,6 @@
 
 use crate::Node;
 
-/// Time for the last messages to other nodes to be sent.
-const FLUSH_TIME: Duration = Duration::from_millis(200);
-
 /// Interval at which the progress of a planned stop is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -31,17 +28,19 @@
         thread::sleep(self.settings.stop.linger);
         self.proxy.leave();
         self.control.send(Event::Leave);
-        self.drain();
+        self.drain(signalled);
         self.log_step("ended", signalled);
         self.control.send(Event::Stop);
         thread::sleep(FLUSH_TIME);
         telemetry::log::flush();
     }
 
-    /// Waits until calls in flight have ended or the limit is reached.
-    fn drain(&self) {
+    /// Waits until calls in flight have ended or the limit of a stop that was signalled then is reached.
+    fn drain(&self, signalled: Instant) {
         let begun = Instant::now();
-        let plan = self.plan();
+        let stop = self.settings.stop;
+        let left = stop.limit.saturating_sub(signalled.elapsed());
+        let plan = Plan::new(left, self.proxy.drain_limit(), stop.finish);
         let mut last_busy = begun;
         let mut closed_at: Option<Instant> = None;
         loop {
@@ -64,12 +63,6 @@
         }
     }
 
-    fn plan(&self) -> Plan {
-        let left = self.settings.stop.limit.saturating_sub(self.settings.stop.linger);
-        let limit = self.proxy.drain_limit().max(MIN_LEAVE_TIME).min(left);
-        Plan { close: limit.saturating_sub(self.settings.stop.finish), limit }
-    }
-
     /// Logs a step of a planned stop. `begun` without `ended` means that the process was killed or
     /// hung.
     fn log_step(&self, step: &str, signalled: Instant) {
--- a/crates/policy/src/drain.rs
+++ b/crates/policy/src/drain.rs
@@ -8,6 +8,9 @@
 /// offer written after the end would have an unknown outcome.
 pub const MIN_LEAVE_TIME: Duration = Duration::from_secs(1);
 
+/// Time at the end of a stop for the last messages to other nodes to be sent.
+pub const FLUSH_TIME: Duration = Duration::from_millis(200);
+
 /// Time without calls in flight after which a node is idle.
 const MIN_IDLE: Duration = Duration::from_millis(300);
 
@@ -32,6 +35,30 @@
     pub limit: Duration,
 }
 
+impl Plan {
+    /// Plans the rest of a stop, of which `left` remains with everything that follows the end of the last
+    /// call; calls may take up to `drain`, and new ones are refused in the `finish` time at the end.
+    ///
+    /// What the stop has spent already, such as a late start, is missing from `left`, so that it does not
+    /// move the close.
+    ///
+    /// ```
+    /// use policy::drain::Plan;
+    /// use std::time::Duration;
+    /// let [left, drain, finish] = [3_000, 60_000, 1_000].map(Duration::from_millis);
+    /// let plan = Plan::new(left, drain, finish);
+    /// assert_eq!(plan.close, Duration::from_secs(2));
+    /// assert!(plan.limit < left);
+    /// ```
+    pub fn new(left: Duration, drain: Duration, finish: Duration) -> Plan {
+        let total = drain.max(MIN_LEAVE_TIME).min(left);
+        Plan {
+            close: total.saturating_sub(finish),
+            limit: total.min(left.saturating_sub(FLUSH_TIME)),
+        }
+    }
+}
+
 /// Progress of a planned stop.
 #[derive(Clone, Copy, Debug)]
 pub struct Progress {
--- a/crates/policy/tests/drain.rs
+++ b/crates/policy/tests/drain.rs
@@ -1,6 +1,6 @@
 //! A planned stop ends, and without breaking calls in flight.
 
-use policy::drain::{Plan, Progress, Step, next_step};
+use policy::drain::{FLUSH_TIME, MIN_LEAVE_TIME, Plan, Progress, Step, next_step};
 use std::time::Duration;
 
 const PLAN: Plan = Plan { close: ms(2_000), limit: ms(4_000) };
@@ -62,3 +62,28 @@
     let progress = Progress { elapsed: ms(1_000), closed: None, idle: ms(0) };
     assert_eq!(next_step(plan, progress), Step::Close);
 }
+
+/// Guards against calls accepted later than planned because the stop began late, and against a stop that
+/// exceeds its limit by its last messages.
+#[test]
+fn time_already_spent_does_not_move_the_close_or_the_end() {
+    let whole = ms(5_400);
+    for spent in [ms(0), ms(100), ms(2_500), ms(2_600)] {
+        let plan = Plan::new(whole - spent, ms(600_000), ms(2_650));
+        assert_eq!(spent + plan.close, ms(2_750));
+        assert_eq!(spent + plan.limit + FLUSH_TIME, whole);
+    }
+    let late = Plan::new(whole - ms(3_000), ms(600_000), ms(2_650));
+    assert_eq!((late.close, late.limit), (ms(0), ms(2_200)));
+    let over = Plan::new(ms(0), ms(600_000), ms(2_650));
+    assert_eq!((over.close, over.limit), (ms(0), ms(0)));
+}
+
+/// The time for calls in flight bounds a stop whose limit is longer.
+#[test]
+fn drain_time_bounds_the_stop() {
+    let plan = Plan::new(ms(600_000), ms(4_000), ms(1_000));
+    assert_eq!((plan.close, plan.limit), (ms(3_000), ms(4_000)));
+    let short = Plan::new(ms(600_000), ms(0), ms(2_000));
+    assert_eq!((short.close, short.limit), (ms(0), MIN_LEAVE_TIME));
+}
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -80,6 +80,10 @@
     let remaining = schedule.deadline.since(received);
     let upload = upload::receive(proxy, &target, &head.headers, incoming, remaining).await?;
     let Upload { body, guard: _guard, reserved: _reserved } = upload;
+    if proxy.lifecycle.is_closed() {
+        // The body arrived after the close, so that the call could not finish before the process exits.
+        return Err(Refusal::of(Cause::Leaving));
+    }
     let service = target.service;
     let call = build_call(proxy, head, target, &schedule, body, origin, trace);
     let parent = proxy.begin_nested_call(trace.id(), service);
--- a/crates/traffic/tests/routed.rs
+++ b/crates/traffic/tests/routed.rs
@@ -5,7 +5,11 @@
 use cluster::{
     Behaviour, Cluster, configuration_with, configuration_without_routes, header, request, status,
 };
-use std::{io::Write, thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    thread,
+    time::Duration,
+};
 
 #[track_caller]
 fn check(cluster: &Cluster, text: &str, expect: &str) -> String {
@@ -258,6 +262,25 @@
     assert!(cluster.received().is_empty());
 }
 
+/// Guards against calls broken off by a planned stop because their bodies arrived after the close.
+#[test]
+fn a_body_that_arrives_after_the_close_is_refused() {
+    let cluster = Cluster::new(2, 4);
+    let text = request("POST", "/post/a", "", "0123456789");
+    let (first, rest) = text.split_at(text.len() - 5);
+    let mut stream = cluster.connect(0);
+    stream.write_all(first.as_bytes()).expect("the node reads");
+    cluster.wait(|| cluster.proxies[0].calls_in_flight() > 0);
+    cluster.proxies[0].leave();
+    cluster.proxies[0].close();
+    stream.write_all(rest.as_bytes()).expect("the node reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("the node answers and closes");
+    assert_eq!(status(&answer), "503", "{answer}");
+    assert_eq!(header(&answer, "baobab-cause"), Some("leaving"));
+    assert!(cluster.received().is_empty());
+}
+
 #[test]
 fn heads_over_the_limit_are_refused() {
     let cluster = Cluster::new(1, 4);
