--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -191,7 +191,7 @@
     read_value(file, value)
 }
 
-/// Reads settings from a parsed JSON value; see [`read`].
+/// Reads settings from a parsed JSON value; see [`read()`].
 pub fn read_value(file: &str, value: serde_json::Value) -> Result<Settings, Vec<Fault>> {
     let mut faults = Vec::new();
     let mut object = Object::new(file, "", value, &mut faults);
