xtask: the listeners of a node in the soak get different ports

Cause: the ports were drawn one after the other, each released before the next was drawn, and the system may assign a released port again. The product and the checks are not involved.

Change: ports of one node are held until all are drawn.

--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -101,8 +101,7 @@
         let proxy_listener = address(1, number, ports.nodes);
         let (nodes, _) = Proxy::start(proxy_listener, node_listener, bandwidth, handle)?;
         let (platform, to_platform) = Proxy::start(node_side, platform, bandwidth, handle)?;
-        let callers = address(2, number, port::free()?);
-        let operators = address(2, number, port::free()?);
+        let [callers, operators] = port::free()?.map(|port| address(2, number, port));
         let service = SERVICES[number / 3 % SERVICES.len()];
         let settings = folder.join(format!("node-{number}.json"));
         let text = serde_json::json!({
--- a/xtask/src/soak/port.rs
+++ b/xtask/src/soak/port.rs
@@ -9,9 +9,18 @@
 /// Limit of the attempts to find a free port in [`SHARED_PORTS`].
 const MAX_TRIES: usize = 100;
 
-/// Returns a port assigned by the system that is currently free on every loopback address.
-pub(crate) fn free() -> io::Result<u16> {
-    probe_port(0)
+/// Returns different ports assigned by the system that are currently free on every loopback address.
+///
+/// All are held until the last one is assigned; the system may assign a released port again.
+pub(crate) fn free<const COUNT: usize>() -> io::Result<[u16; COUNT]> {
+    let mut held = Vec::new();
+    let mut ports = [0; COUNT];
+    for port in &mut ports {
+        let listener = listen(0)?;
+        *port = listener.local_addr()?.port();
+        held.push(listener);
+    }
+    Ok(ports)
 }
 
 /// Returns a port at which every node can listen at its own address.
@@ -30,7 +39,11 @@
 }
 
 fn probe_port(port: u16) -> io::Result<u16> {
-    Ok(TcpListener::bind(("0.0.0.0", port))?.local_addr()?.port())
+    Ok(listen(port)?.local_addr()?.port())
+}
+
+fn listen(port: u16) -> io::Result<TcpListener> {
+    TcpListener::bind(("0.0.0.0", port))
 }
 
 #[cfg(test)]
