traffic, policy, telemetry: what a node knows of its upstream's warm-up is visible

Logs and metrics could not tell when a node learned that its upstream is cold, from which source, how old that report was, and how many calls it passed on meanwhile: a changed entry is no event, and /load shows the use of the starts only while the node takes the upstream for cold.

- event upstream-warm-up: source, remaining time, age of the report before, calls passed in the last second;
- /load and baobabctl load: the report in force, its source and its age;
- metrics baobabrelay.upstream.cold and baobabrelay.upstream.starts_peak, the largest number of calls in any second, also while it is warm.

No decision changes.

--- a/crates/baobabctl/src/load.rs
+++ b/crates/baobabctl/src/load.rs
@@ -17,6 +17,12 @@
     if let Some(starts) = serving.starts {
         lines.push(format!("  cold: {} of {} calls in the last second", starts.used, starts.limit));
     }
+    if let Some(report) = &serving.warm_up {
+        lines.push(format!(
+            "  warm-up: cold for {} ms more, by a report of {} ms ago ({})",
+            report.cold_ms, report.age_ms, report.source
+        ));
+    }
     lines.extend(serving.nested.iter().map(nested_line));
     lines
 }
--- a/crates/baobabctl/tests/load.rs
+++ b/crates/baobabctl/tests/load.rs
@@ -60,10 +60,12 @@
 fn cold_upstreams_and_short_nested_services_are_shown() {
     let mut page = page();
     page["serving"]["starts"] = json!({"used": 18, "limit": 20});
+    page["serving"]["warm_up"] = json!({"source": "list", "age_ms": 250, "cold_ms": 1_800});
     page["serving"]["nested"] = json!([{"service": "stock", "refused_share": 0.31}]);
     let (code, text) = load(&["--node", &serve(&page)]);
     assert_eq!(code, Some(0));
     let expect = "3 waiting\n  cold: 18 of 20 calls in the last second\n  \
+        warm-up: cold for 1800 ms more, by a report of 250 ms ago (list)\n  \
         refuses 31 in 100 calls that need stock\n";
     assert!(text.ends_with(expect), "{text}");
 }
--- a/crates/fleet/src/status.rs
+++ b/crates/fleet/src/status.rs
@@ -178,11 +178,25 @@
     /// Use of the calls that it may get while it is cold; `None` while it is warm.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub starts: Option<Starts>,
+    /// What the node knows of its warm-up; `None` without a report.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<WarmUp>,
     /// Services that it calls for which calls are refused before they run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub nested: Vec<NestedLoad>,
 }
 
+/// The report in force on the warm-up of an upstream.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WarmUp {
+    /// Its source: `list`, `evacuation` or `probe`.
+    pub source: String,
+    /// Its age, in ms.
+    pub age_ms: u64,
+    /// Time for which the upstream is still cold, in ms; 0 if it is warm.
+    pub cold_ms: u64,
+}
+
 /// Calls passed to a cold upstream.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Starts {
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -246,6 +246,17 @@
         /// The requests: fingerprint, method, host and path.
         requests: Vec<String>,
     },
+    /// A report on the warm-up of this node's upstream came into force.
+    UpstreamWarmUp {
+        /// Its source: `list`, `evacuation` or `probe`.
+        source: String,
+        /// Time for which the upstream is cold by this report, in ms; 0 if it is warm.
+        cold_ms: u64,
+        /// Time since the previous report, in ms; none for the first one.
+        since_ms: Option<u64>,
+        /// Calls that this node passed to it in the last second.
+        starts: usize,
+    },
     /// This node's upstream named a limit on its calls, changed it, or lifted it.
     UpstreamLimit {
         /// Calls per second from all nodes together; none if the limit was lifted.
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -457,6 +457,17 @@
         self.tokens.starts(now)
     }
 
+    /// Returns the number of calls started in the last second; 0 without a window.
+    pub fn recent_starts(&self, now: Time) -> usize {
+        self.tokens.recent_starts(now)
+    }
+
+    /// Returns the largest number of calls started in any second since the last call of this function; 0
+    /// without a window, and at most as many as the window keeps.
+    pub fn take_start_peak(&mut self) -> usize {
+        self.tokens.take_start_peak()
+    }
+
     /// Returns the number of calls that hold a slot.
     pub fn busy(&self) -> usize {
         self.busy
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -93,6 +93,16 @@
         Some(window.usage(now))
     }
 
+    /// Returns the number of calls started in the last second; 0 without a window.
+    pub(super) fn recent_starts(&self, now: Time) -> usize {
+        self.window.as_ref().map_or(0, |window| window.recent(now))
+    }
+
+    /// Returns the largest number of calls started in any second since the last call; 0 without a window.
+    pub(super) fn take_start_peak(&mut self) -> usize {
+        self.window.as_mut().map_or(0, Window::take_peak)
+    }
+
     /// Returns when a start becomes free after those that are free now.
     pub(super) fn next_start(&self, now: Time) -> Option<Time> {
         self.window.as_ref()?.next_start(now)
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -4,6 +4,7 @@
 //! it crashing. All its calls pass its serving node, which limits them with a token bucket or with
 //! a sliding window.
 
+mod evidence;
 mod window;
 
 use model::{service::WarmUp, time::Time};
@@ -11,6 +12,7 @@
 
 use crate::bucket;
 
+pub use evidence::{Evidence, Report, Source};
 pub use window::{Usage, Window};
 
 /// Share of the bound that the starts of a window use.
--- a/crates/policy/src/warmup/window.rs
+++ b/crates/policy/src/warmup/window.rs
@@ -47,6 +47,8 @@
     /// At most [`MAX_STARTS`] and one for each held slot: calls that hold a slot may be given back,
     /// and the others must then suffice.
     starts: VecDeque<Start>,
+    /// Largest number of starts in any second since [`take_peak`](Window::take_peak).
+    peak: usize,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -88,6 +90,7 @@
             step: PERIOD,
             until: limit.until,
             starts: VecDeque::new(),
+            peak: 0,
         };
         window.set_limit(limit);
         let latest = (now + SPAN).since(Time::default());
@@ -120,6 +123,18 @@
         let kept = self.bound().max(MIN_KEPT) + held;
         let surplus = self.starts.len().saturating_sub(kept);
         self.starts.drain(..surplus);
+        self.peak = self.peak.max(self.recent(now));
+    }
+
+    /// Returns the largest number of known starts in any second since the last call, as far as they are kept.
+    pub fn take_peak(&mut self) -> usize {
+        std::mem::take(&mut self.peak)
+    }
+
+    /// Returns the number of known starts of the second before `now`, as far as they are kept.
+    pub fn recent(&self, now: Time) -> usize {
+        let known = self.starts.iter().filter(|start| start.kind.is_some());
+        known.filter(|start| start.expires > now + MAX_DELAY).count()
     }
 
     /// Removes the start of a call that did not reach the upstream.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -74,6 +74,18 @@
     attributes: "",
     help: "Times that the own upstream's process ended while it ran requests",
 };
+const STARTS_PEAK: Entry = Entry {
+    name: "baobabrelay.upstream.starts_peak",
+    unit: "{call}",
+    attributes: "",
+    help: "Largest number of calls that this node passed to its upstream in any second since the previous collection, where a window limits it while it is cold",
+};
+const COLD: Entry = Entry {
+    name: "baobabrelay.upstream.cold",
+    unit: "s",
+    attributes: "",
+    help: "Time for which the own upstream is still cold, by the report in force; 0 while it is warm",
+};
 const QUARANTINED: Entry = Entry {
     name: "baobabrelay.quarantined",
     unit: "{request}",
@@ -171,7 +183,7 @@
 };
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 24] = [
+pub const CATALOGUE: [Entry; 26] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -180,6 +192,8 @@
     NESTED_CALLS,
     EJECTIONS,
     ENDS,
+    STARTS_PEAK,
+    COLD,
     QUARANTINED,
     DURATION,
     REVISION,
@@ -227,6 +241,8 @@
     nested_calls: Counter<u64>,
     ejections: Counter<u64>,
     ends: Counter<u64>,
+    starts_peak: Gauge<u64>,
+    cold: Gauge<f64>,
     quarantined: Gauge<u64>,
     duration: Histogram<f64>,
     revision: Gauge<u64>,
@@ -273,6 +289,12 @@
             nested_calls: counter(NESTED_CALLS),
             ejections: counter(EJECTIONS),
             ends,
+            starts_peak: gauge(STARTS_PEAK),
+            cold: meter
+                .f64_gauge(COLD.name)
+                .with_unit(COLD.unit)
+                .with_description(COLD.help)
+                .build(),
             quarantined: gauge(QUARANTINED),
             duration: meter
                 .f64_histogram(DURATION.name)
@@ -348,6 +370,16 @@
         self.ends.add(1, &[]);
     }
 
+    /// Sets the largest number of calls passed to the colocated upstream in any second of the last period.
+    pub fn set_starts_peak(&self, calls: u64) {
+        self.starts_peak.record(calls, &[]);
+    }
+
+    /// Sets for how long the colocated upstream is still cold, in seconds.
+    pub fn set_cold(&self, seconds: f64) {
+        self.cold.record(seconds, &[]);
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, requests: u64) {
         self.quarantined.record(requests, &[]);
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -184,6 +184,16 @@
         self.lock().limiter.starts(self.clock.now())
     }
 
+    /// Returns the number of tasks that got a slot in the last second; 0 without a window.
+    pub(crate) fn recent_starts(&self) -> usize {
+        self.lock().limiter.recent_starts(self.clock.now())
+    }
+
+    /// Returns the largest number of tasks that got a slot in any second since the last call; 0 without a window.
+    pub(crate) fn take_start_peak(&self) -> usize {
+        self.lock().limiter.take_start_peak()
+    }
+
     /// Returns the number of tasks that were queued before tasks of higher levels since the last call.
     pub(crate) fn take_overtaking(&self) -> u64 {
         self.lock().limiter.take_overtaking()
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -15,6 +15,7 @@
 mod returns;
 pub(crate) mod services;
 pub(crate) mod settings;
+mod warmth;
 mod warmup;
 
 use arc_swap::ArcSwap;
@@ -50,6 +51,7 @@
         lifecycle::Lifecycle,
         services::Services,
         settings::{Settings, Tuning},
+        warmth::Warmth,
     },
     record::{Log, events::Counters},
 };
@@ -77,6 +79,8 @@
     pub(crate) crashes: Crashes,
     /// Demands of the colocated upstream.
     pub(crate) demand: Demand,
+    /// Warm-up of the colocated upstream.
+    pub(crate) warmth: Warmth,
     /// Requests that must not run.
     quarantine: ArcSwap<Quarantine>,
     /// Concurrency limit of the colocated upstream.
@@ -124,6 +128,7 @@
             estimates: Estimates::default(),
             crashes: Crashes::default(),
             demand: Demand::default(),
+            warmth: Warmth::default(),
             quarantine: ArcSwap::default(),
             lifecycle: Lifecycle::default(),
             splits: Mutex::default(),
@@ -300,9 +305,11 @@
         self.meter.set_in_flight(self.in_flight.calls() as u64);
         self.record_fairness();
         self.record_promises();
+        self.record_warm_up();
         let mut events = self.events.take();
         events.extend(self.log.take_dropped());
         events.extend(self.demand.take_events());
+        events.extend(self.warmth.take_events());
         events.extend(self.take_nested_events());
         events
     }
--- a/crates/traffic/src/proxy/load.rs
+++ b/crates/traffic/src/proxy/load.rs
@@ -52,6 +52,7 @@
                 busy: load.busy,
                 waiting: load.waiting,
                 starts: self.slots.starts().map(|u| Starts { used: u.used, limit: u.limit }),
+                warm_up: self.warm_up_report(),
                 nested: self.nested_load(),
             },
         }
--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -2,7 +2,7 @@
 
 use fleet::view::{Upstream, View};
 use model::{service::WarmUp, time::Time};
-use policy::warmup::Limit;
+use policy::warmup::{Limit, Source};
 use std::sync::Arc;
 
 use crate::proxy::{Proxy, colocated};
@@ -20,7 +20,7 @@
         upstream: &Upstream,
         now: Time,
     ) -> Option<Limit> {
-        let until = cold_until(upstream, warm_up);
+        let (_, until) = cold_until(upstream, warm_up);
         let excess = self.tuning().cold_excess;
         let limit = || self.window(warm_up, until).unwrap_or(Limit::new(warm_up, excess, until));
         (now < until).then(limit)
@@ -67,8 +67,10 @@
     /// Returns the window of the colocated upstream, also while it is warm; `None` without one.
     fn colocated_window(&self, view: &View, warm_up: WarmUp) -> Option<Limit> {
         let entries = colocated::entries(view, &self.settings);
-        let until = entries.map(|upstream| cold_until(upstream, warm_up)).max();
-        self.window(warm_up, until.unwrap_or_default())
+        let reports = entries.map(|upstream| cold_until(upstream, warm_up));
+        let latest = reports.max_by_key(|(_, until)| *until);
+        let (source, until) = latest.unwrap_or((Source::List, Time::default()));
+        self.window(warm_up, self.update_listed(source, until))
     }
 
     /// Returns the limit by a window of an upstream that is cold until `until`, if windows are
@@ -87,9 +89,12 @@
     }
 }
 
-/// Returns until when an upstream is cold. After an evacuation ends, every upstream of the data centre
+/// Returns until when an upstream is cold, and by which source. After an evacuation ends, every upstream of the data centre
 /// counts as cold, because the reports of those that became cold during it arrive too late.
-fn cold_until(upstream: &Upstream, warm_up: WarmUp) -> Time {
+fn cold_until(upstream: &Upstream, warm_up: WarmUp) -> (Source, Time) {
     let after_evacuation = upstream.readmitted_at.map(|at| at + warm_up.length);
-    upstream.cold_until.max(after_evacuation.unwrap_or_default())
+    match after_evacuation.filter(|until| *until > upstream.cold_until) {
+        Some(until) => (Source::Evacuation, until),
+        None => (Source::List, upstream.cold_until),
+    }
 }
