--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -28,6 +28,15 @@
 /// Response header, with the value 1, of an upstream that is leaving.
 pub const LEAVING_HEADER: &str = "x-leaving";
 
+/// Path of health probes, which count as no request.
+pub const HEALTH_PATH: &str = "/health";
+
+/// Header of answers to health probes with the upstream's identity.
+pub const INSTANCE_HEADER: &str = "x-instance";
+
+/// Header of answers to health probes with the remaining warm-up time, in ms.
+pub const COLD_HEADER: &str = "x-cold-ms";
+
 /// Path suffix of a poison request: one that crashes every upstream that runs it.
 pub const POISON_SUFFIX: &str = "/fatal";
 
@@ -75,6 +84,8 @@
     pub slots: usize,
     /// Body size of a response, in bytes.
     pub answer_bytes: usize,
+    /// Time for which it is cold after a crash.
+    pub warm_up: Duration,
 }
 
 /// A nested call that each request makes through a node before it is answered.
@@ -93,6 +104,7 @@
             service_time: Duration::ZERO,
             slots: 10,
             answer_bytes: 64,
+            warm_up: Duration::ZERO,
         }
     }
 }
@@ -129,9 +141,42 @@
     pub limits: Vec<(Instant, Option<f64>)>,
     /// Times of the first responses that said that the upstream is leaving, and when it was replaced.
     pub leaves: Vec<(Instant, Option<Instant>)>,
+    /// Arrival times of all requests, refused ones included, oldest first.
+    pub arrivals: Vec<Instant>,
+    /// Periods in which the upstream was cold, oldest first.
+    pub cold: Vec<Cold>,
+}
+
+/// A period in which an upstream is cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Cold {
+    /// When it became cold.
+    pub from: Instant,
+    /// When it is warm.
+    pub until: Instant,
+}
+
+impl Ledger {
+    /// Returns the largest number of requests in any `period` while the upstream was cold, and the start of that
+    /// period.
+    pub fn peak_while_cold(&self, period: Duration) -> Option<(usize, Instant)> {
+        let peaks = self.cold.iter().filter_map(|cold| self.peak_within(*cold, period));
+        peaks.max_by_key(|(arrivals, _)| *arrivals)
+    }
+
+    fn peak_within(&self, cold: Cold, period: Duration) -> Option<(usize, Instant)> {
+        let is_within = |at: &&Instant| (cold.from..cold.until).contains(*at);
+        let arrivals: Vec<Instant> = self.arrivals.iter().filter(is_within).copied().collect();
+        let count = |from: Instant| {
+            arrivals.iter().filter(|at| (from..from + period).contains(*at)).count()
+        };
+        arrivals.iter().map(|&from| (count(from), from)).max_by_key(|(arrivals, _)| *arrivals)
+    }
 }
 
 struct State {
+    /// Identity that it reports to health probes.
+    identity: String,
     mode: Mode,
     /// Limit that responses name, in requests per second.
     limit: Option<f64>,
@@ -161,6 +206,7 @@
         socket.set_nonblocking(true)?;
         let address = socket.local_addr()?;
         let state = State {
+            identity: String::new(),
             mode: Mode::Normal,
             limit: None,
             leaving: false,
@@ -188,6 +234,31 @@
         self.lock().mode = mode;
     }
 
+    /// Sets the identity that it reports to health probes.
+    pub fn set_identity(&self, identity: &str) {
+        self.lock().identity = identity.to_owned();
+    }
+
+    /// Makes it cold for `time` from now on, if it would be warm earlier.
+    pub fn become_cold(&self, time: Duration) {
+        if time.is_zero() {
+            return;
+        }
+        let from = Instant::now();
+        let until = from + time;
+        let cold = &mut self.lock().ledger.cold;
+        match cold.last_mut().filter(|cold| cold.until > from) {
+            Some(cold) => cold.until = cold.until.max(until),
+            None => cold.push(Cold { from, until }),
+        }
+    }
+
+    /// Returns for how long it is still cold.
+    pub fn cold_left(&self) -> Duration {
+        let until = self.lock().ledger.cold.last().map(|cold| cold.until);
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+    }
+
     /// Sets the limit that responses name from now on, in requests per second; `None` lifts it.
     pub fn set_limit(&self, limit: Option<f64>) {
         self.lock().limit = limit;
@@ -225,6 +296,9 @@
     pub fn kill(&self) {
         let mut state = self.lock();
         state.kills += 1;
+        if let Some(cold) = state.ledger.cold.last_mut() {
+            cold.until = cold.until.min(Instant::now());
+        }
         state.tasks.drain(..).for_each(|task| task.abort());
     }
 
@@ -238,6 +312,7 @@
             sleep(RESTART_DELAY).await;
             while upstream.lock().kills == kills {
                 if let Ok(listener) = TcpListener::bind(upstream.address).await {
+                    upstream.become_cold(upstream.settings.warm_up);
                     return upstream.serve_on(listener);
                 }
                 sleep(REBIND_INTERVAL).await;
@@ -277,7 +352,15 @@
         stream.set_nodelay(true)?;
         let mut buffer = Vec::new();
         while let Some(request) = read(&mut stream, &mut buffer).await? {
-            let mode = self.lock().mode;
+            if request.path == HEALTH_PATH {
+                self.report_health(&mut stream).await?;
+                continue;
+            }
+            let mode = {
+                let mut state = self.lock();
+                state.ledger.arrivals.push(Instant::now());
+                state.mode
+            };
             match mode {
                 Mode::Frozen => std::future::pending().await,
                 Mode::CloseBefore => return Ok(()),
@@ -310,6 +393,16 @@
         Ok(())
     }
 
+    /// Answers a health probe, which waits for nothing.
+    async fn report_health(&self, stream: &mut TcpStream) -> io::Result<()> {
+        let cold_ms = self.cold_left().as_millis();
+        let identity = self.lock().identity.clone();
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n{INSTANCE_HEADER}: {identity}\r\n{COLD_HEADER}: {cold_ms}\r\n\r\n"
+        );
+        stream.write_all(answer.as_bytes()).await
+    }
+
     /// Runs one request and returns the status line of its response.
     async fn run(&self, request: &Request) -> &'static str {
         let Some(run) = Run::begin(self, request) else { return "503 Shed" };
