policy, traffic: a call to a cold upstream counts when it is sent

Cause: the window counted a call when it was admitted. A connection may take 250 ms to open, the window allowed for 0.18 s, and calls that waited for a connection or while their node stood still were sent together.

A call that is admitted and not sent now counts as if it started now, and from the moment at which it is sent by that moment, also if it is sent again on another connection. All sends of any second are then within the limit, however long they took to be sent: when the last of them was admitted, each of the others was counted, as waiting or as sent within that second.

The tests of returned and cancelled calls say when calls are sent; a call that is returned long after its admission is one that was sent, since another one still counts.

--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -338,7 +338,7 @@
     /// Gives a slot to the call `ticket`.
     fn start(&mut self, ticket: Ticket, kind: Kind, now: Time) {
         self.busy += 1;
-        self.tokens.record(ticket, kind, self.busy, now);
+        self.tokens.admit(ticket, kind, now);
         if kind.class == Class::Nested {
             self.nested.insert(ticket);
         }
@@ -414,16 +414,20 @@
     ) -> Option<Ticket> {
         self.nested.remove(&ticket);
         match service_time {
-            Some(sample) => self.service_time = average(self.service_time, sample),
+            Some(sample) => {
+                self.service_time = average(self.service_time, sample);
+                self.tokens.finish(ticket);
+            }
             None => self.tokens.give_back(ticket),
         }
         self.busy = self.busy.saturating_sub(1);
         self.grant_next(now)
     }
 
-    /// Counts a call that reached the upstream as a start even if it ends without a service time.
-    pub fn keep_start(&mut self, ticket: Ticket) {
-        self.tokens.keep(ticket);
+    /// Records that the call `ticket`, which holds a slot, is sent to the upstream now; it counts as a start even if
+    /// it ends without a service time.
+    pub fn record_sent(&mut self, ticket: Ticket, now: Time) {
+        self.tokens.start(ticket, now);
     }
 
     /// Removes a call from the queue; returns whether it was waiting.
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -127,17 +127,24 @@
         true
     }
 
-    /// Records the start of the call `ticket`, one of `held` calls that hold a slot.
-    pub(super) fn record(&mut self, ticket: Ticket, kind: Kind, held: usize, now: Time) {
+    /// Records the admission of the call `ticket`.
+    pub(super) fn admit(&mut self, ticket: Ticket, kind: Kind, now: Time) {
         if let Some(window) = &mut self.window {
-            window.record(ticket, kind, held, now);
+            window.admit(ticket, kind, now);
         }
     }
 
-    /// Keeps the start of `ticket`, whose call reached the upstream.
-    pub(super) fn keep(&mut self, ticket: Ticket) {
+    /// Records that the call `ticket` is sent now.
+    pub(super) fn start(&mut self, ticket: Ticket, now: Time) {
         if let Some(window) = &mut self.window {
-            window.keep(ticket);
+            window.start(ticket, now);
+        }
+    }
+
+    /// Ends the call `ticket`, which reached the upstream.
+    pub(super) fn finish(&mut self, ticket: Ticket) {
+        if let Some(window) = &mut self.window {
+            window.finish(ticket);
         }
     }
 
--- a/crates/policy/src/warmup/window.rs
+++ b/crates/policy/src/warmup/window.rs
@@ -20,14 +20,15 @@
 /// Time after which a start no longer limits later ones.
 const SPAN: Duration = PERIOD.saturating_add(MAX_DELAY);
 
-/// Largest number of calls per period that a window limits; a decision examines each of them.
+/// Largest number of calls per period that a window limits; a decision examines each of them. As many are
+/// kept.
 pub(super) const MAX_STARTS: usize = 128;
 
-/// Smallest number of starts that are kept for their division among kinds of calls.
-const MIN_KEPT: usize = 8;
-
 /// Starts of calls on one upstream, which limit further starts while the upstream is cold.
 ///
+/// A call starts when it is sent. Until then, for example while a connection is opened for it, it counts
+/// as if it started now.
+///
 /// With rate L and burst b of its [`Limit`], at most L starts are in any second, at most L + b in
 /// any 1.18 s, and at most L x + b in any x seconds. The second keeps late arrivals within the
 /// bound of L + b per second. The third does so across a restart of the node, whose window begins
@@ -42,11 +43,10 @@
     step: Duration,
     /// End of the warm-up.
     until: Time,
-    /// The latest starts, oldest first.
-    ///
-    /// At most [`MAX_STARTS`] and one for each held slot: calls that hold a slot may be given back,
-    /// and the others must then suffice.
+    /// The latest starts, oldest first; at most [`MAX_STARTS`].
     starts: VecDeque<Start>,
+    /// Admitted calls that are not sent yet, oldest first, with the times of their admission.
+    pending: Vec<Start>,
     /// Largest number of starts in any second since [`take_peak`](Window::take_peak).
     peak: usize,
 }
@@ -55,7 +55,7 @@
 struct Start {
     /// Start time plus [`SPAN`], since starts before the origin of [`Time`] cannot be represented.
     expires: Time,
-    /// The call, while it may still be given back.
+    /// The call; `None` if it is unknown.
     ticket: Option<Ticket>,
     /// Kind of the call; `None` if it is unknown.
     kind: Option<Kind>,
@@ -90,6 +90,7 @@
             step: PERIOD,
             until: limit.until,
             starts: VecDeque::new(),
+            pending: Vec::new(),
             peak: 0,
         };
         window.set_limit(limit);
@@ -115,15 +116,48 @@
         }
     }
 
-    /// Records the start of the call `ticket`, one of `held` calls that hold a slot.
-    pub fn record(&mut self, ticket: Ticket, kind: Kind, held: usize, now: Time) {
+    /// Records the admission of the call `ticket`.
+    pub fn admit(&mut self, ticket: Ticket, kind: Kind, now: Time) {
+        let start = Start { expires: now + SPAN, ticket: Some(ticket), kind: Some(kind) };
+        self.pending.push(start);
+    }
+
+    /// Records the start of the call `ticket`, which is sent now, possibly again.
+    pub fn start(&mut self, ticket: Ticket, now: Time) {
+        if let Some(start) = self.take_pending(ticket).or_else(|| self.take_start(ticket)) {
+            self.push(Start { expires: now + SPAN, ..start });
+            self.peak = self.peak.max(self.recent(now));
+        }
+    }
+
+    /// Ends the call `ticket`, which reached the upstream.
+    pub fn finish(&mut self, ticket: Ticket) {
+        if let Some(start) = self.take_pending(ticket) {
+            self.push(start);
+        }
+    }
+
+    /// Removes the call `ticket`, unless it was sent.
+    pub fn give_back(&mut self, ticket: Ticket) {
+        self.take_pending(ticket);
+    }
+
+    fn push(&mut self, start: Start) {
         let latest = self.starts.back().map_or(Time::default(), |start| start.expires);
-        let expires = latest.max(now + SPAN);
-        self.starts.push_back(Start { expires, ticket: Some(ticket), kind: Some(kind) });
-        let kept = self.bound().max(MIN_KEPT) + held;
-        let surplus = self.starts.len().saturating_sub(kept);
-        self.starts.drain(..surplus);
-        self.peak = self.peak.max(self.recent(now));
+        self.starts.push_back(Start { expires: latest.max(start.expires), ..start });
+        if self.starts.len() > MAX_STARTS {
+            self.starts.pop_front();
+        }
+    }
+
+    fn take_pending(&mut self, ticket: Ticket) -> Option<Start> {
+        let index = self.pending.iter().position(|start| start.ticket == Some(ticket))?;
+        Some(self.pending.remove(index))
+    }
+
+    fn take_start(&mut self, ticket: Ticket) -> Option<Start> {
+        let index = self.starts.iter().rposition(|start| start.ticket == Some(ticket))?;
+        self.starts.remove(index)
     }
 
     /// Returns the largest number of known starts in any second since the last call, as far as they are kept.
@@ -137,20 +171,6 @@
         known.filter(|start| start.expires > now + MAX_DELAY).count()
     }
 
-    /// Removes the start of a call that did not reach the upstream.
-    pub fn give_back(&mut self, ticket: Ticket) {
-        if let Some(index) = self.index(ticket) {
-            self.starts.remove(index);
-        }
-    }
-
-    /// Keeps the start of `ticket` although the call may be given back: it reached the upstream.
-    pub fn keep(&mut self, ticket: Ticket) {
-        if let Some(index) = self.index(ticket) {
-            self.starts[index].ticket = None;
-        }
-    }
-
     /// Returns how long the call at `position` in a queue, from 1, waits for a start or for the end
     /// of the warm-up; a lower bound for positions after the first.
     pub fn wait(&self, position: usize, now: Time) -> Duration {
@@ -186,13 +206,14 @@
 
     /// Returns the kinds of the recorded calls, latest first.
     pub fn kinds(&self) -> impl Iterator<Item = Option<Kind>> {
-        self.starts.iter().rev().map(|start| start.kind)
+        self.pending.iter().chain(&self.starts).rev().map(|start| start.kind)
     }
 
     /// Returns the use of the starts of the second before `now`.
     pub fn usage(&self, now: Time) -> Usage {
         let mut usage = Usage { limit: self.per_period, ..Usage::default() };
-        for start in self.starts.iter().filter(|start| start.expires > now + MAX_DELAY) {
+        let recent = self.starts.iter().filter(|start| start.expires > now + MAX_DELAY);
+        for start in recent.chain(&self.pending) {
             usage.used += 1;
             let Some(kind) = start.kind else { continue };
             match usage.kinds.iter_mut().find(|(known, _)| *known == kind) {
@@ -206,8 +227,9 @@
     /// Returns how long the recorded starts delay the call at `position` in a queue.
     fn wait_for_starts(&self, position: usize, now: Time) -> Duration {
         let distances = position..=self.bound();
-        let starts = self.starts.iter().rev().zip(distances);
-        let free = starts.map(|(start, distance)| start.expires + self.gap(distance));
+        let pending = self.pending.iter().map(|_| now + SPAN);
+        let starts = pending.chain(self.starts.iter().rev().map(|start| start.expires));
+        let free = starts.zip(distances).map(|(expires, distance)| expires + self.gap(distance));
         free.max().map_or(Duration::ZERO, |free| free.since(now + SPAN))
     }
 
@@ -235,8 +257,4 @@
     fn bound(&self) -> usize {
         self.per_period + self.burst
     }
-
-    fn index(&self, ticket: Ticket) -> Option<usize> {
-        self.starts.iter().rposition(|start| start.ticket == Some(ticket))
-    }
 }
--- a/crates/policy/tests/cold_window.rs
+++ b/crates/policy/tests/cold_window.rs
@@ -58,6 +58,8 @@
     restart_ms: Option<u64>,
     /// Whether the upstream is replaced by one of another size from time to time.
     resize_ms: Option<u64>,
+    /// Longest time from the admission of a call until it is sent.
+    dial_ms: u64,
 }
 
 const OVERLOAD: Scenario = Scenario {
@@ -68,6 +70,7 @@
     warm_ms: LENGTH_MS,
     restart_ms: None,
     resize_ms: None,
+    dial_ms: 0,
 };
 
 const LENGTH_MS: u64 = 8_000;
@@ -78,11 +81,17 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let mut limiter = limiter(0);
     let mut running: Vec<(u64, Ticket, bool)> = Vec::new();
+    let mut dialling: Vec<(u64, Ticket)> = Vec::new();
     let mut reached = Vec::new();
     for now in 0..LENGTH_MS {
+        for (_, ticket) in dialling.extract_if(.., |dial| dial.0 <= now) {
+            limiter.record_sent(ticket, at(now));
+            reached.push(now);
+        }
         if scenario.restart_ms.is_some_and(|mean| random.random_ratio(1, mean as u32)) {
             limiter = Limiter::new(SLOTS);
             running.clear();
+            dialling.clear();
         }
         let until_ms = if now < scenario.known_cold_ms { 0 } else { scenario.warm_ms };
         limiter.set_window(limit(until_ms), at(now));
@@ -103,10 +112,19 @@
         }
         for ticket in granted {
             let reaches = random.random_bool(0.8);
-            if reaches {
-                reached.push(now);
+            let dial = match scenario.dial_ms {
+                0 => 0,
+                longest => random.random_range(0..=longest),
+            };
+            match (reaches, dial) {
+                (true, 0) => {
+                    limiter.record_sent(ticket, at(now));
+                    reached.push(now);
+                }
+                (true, dial) => dialling.push((now + dial, ticket)),
+                (false, _) => {}
             }
-            running.push((now + random.random_range(1..200), ticket, reaches));
+            running.push((now + dial + random.random_range(1..200), ticket, reaches));
         }
     }
     reached
@@ -130,6 +148,19 @@
     }
 }
 
+/// Guards against calls that wait for connections after their admission and are then sent together.
+#[test]
+fn calls_that_are_sent_late_stay_below_the_bound_in_any_second() {
+    let bursts = Scenario { busy_ms: 150, period_ms: 900, arrivals: 0.9, ..OVERLOAD };
+    for (seed, scenario) in (0..40).flat_map(|seed| [OVERLOAD, bursts].map(|s| (seed, s))) {
+        for dial_ms in [250, 900] {
+            let sent = play(Scenario { dial_ms, ..scenario }, seed);
+            let peak = peak(&sent, SECOND_MS);
+            assert!(peak <= MAX_STARTS, "seed {seed}, {dial_ms} ms: {peak}");
+        }
+    }
+}
+
 /// Guards against a limit below what the upstream takes: 13.75 calls a second with a token bucket.
 #[test]
 fn overload_uses_the_starts() {
@@ -203,13 +234,14 @@
 #[test]
 fn a_returned_call_is_removed_by_its_own_time() {
     let mut limiter = with_calls();
+    limiter.record_sent(Ticket(19), at(2_000));
     assert!(matches!(limiter.admit(Ticket(90), at(2_000), at(2_900), QUEUE), Decision::Wait(_)));
     assert_eq!(limiter.next_token(at(2_000)), Some(at(2_050)));
     assert_eq!(limiter.finish(Ticket(18), at(2_001), None), Some(Ticket(90)));
     // The call at 1,050 ms is the next to expire, as before.
     limiter.admit(Ticket(91), at(2_002), at(2_900), QUEUE);
     assert_eq!(limiter.next_token(at(2_002)), Some(at(2_050)));
-    // A call that is returned after its start expired frees nothing.
+    // A call that is returned after it was sent frees nothing.
     for n in 92..112 {
         limiter.finish(Ticket(n - 2), at(n * 50 - 2_500), Some(Duration::from_millis(1)));
         limiter.admit(Ticket(n), at(n * 50 - 2_500), at(9_000), QUEUE);
@@ -223,7 +255,7 @@
 fn a_cancelled_call_that_was_sent_counts() {
     let mut limiter = with_calls();
     limiter.admit(Ticket(90), at(2_000), at(2_900), QUEUE);
-    limiter.keep_start(Ticket(18));
+    limiter.record_sent(Ticket(18), at(1_950));
     assert_eq!(limiter.finish(Ticket(18), at(2_001), None), None);
     assert_eq!(limiter.next_token(at(2_001)), Some(at(2_050)));
 }
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -55,8 +55,6 @@
 pub(crate) struct Permit {
     semaphore: Arc<Semaphore>,
     ticket: Ticket,
-    /// Whether the call was sent to the upstream, which may be cancelled before it is done.
-    pub(crate) sent: bool,
     /// Duration of the work, if it was done.
     pub(crate) service_time: Option<Duration>,
 }
@@ -215,7 +213,7 @@
     }
 
     fn permit(self: &Arc<Self>, ticket: Ticket) -> Permit {
-        Permit { semaphore: self.clone(), ticket, sent: false, service_time: None }
+        Permit { semaphore: self.clone(), ticket, service_time: None }
     }
 
     /// Requests admission and registers a waiter under the same lock, so that no release is missed.
@@ -236,11 +234,6 @@
         (decision, receiver)
     }
 
-    /// Counts the call `ticket`, which was sent to the upstream.
-    fn keep_start(&self, ticket: Ticket) {
-        self.lock().limiter.keep_start(ticket);
-    }
-
     /// Releases the slot of `ticket` and wakes the next waiting task.
     fn finish(&self, ticket: Ticket, service_time: Option<Duration>) {
         let mut queue = self.lock();
@@ -269,11 +262,16 @@
     }
 }
 
+impl Permit {
+    /// Records that the call is sent to the upstream now; it counts even if it is cancelled before it is done.
+    pub(crate) fn record_sent(&self) {
+        let now = self.semaphore.clock.now();
+        self.semaphore.lock().limiter.record_sent(self.ticket, now);
+    }
+}
+
 impl Drop for Permit {
     fn drop(&mut self) {
-        if self.sent && self.service_time.is_none() {
-            self.semaphore.keep_start(self.ticket);
-        }
         self.semaphore.finish(self.ticket, self.service_time);
     }
 }
--- a/crates/traffic/src/admission/semaphore/tests.rs
+++ b/crates/traffic/src/admission/semaphore/tests.rs
@@ -96,10 +96,27 @@
         let later = Time::from_millis(10_000);
         let decision = semaphore.lock().limiter.admit(Ticket(1), later, later + LONG, QUEUE);
         assert_eq!(decision, Decision::Run);
-        let mut permit = semaphore.permit(Ticket(1));
-        permit.sent = sent;
+        let permit = semaphore.permit(Ticket(1));
+        if sent {
+            semaphore.lock().limiter.record_sent(Ticket(1), later);
+        }
         drop(permit);
         let next = semaphore.lock().limiter.admit(Ticket(2), later, later + LONG, QUEUE);
         assert_eq!(next != Decision::Run, is_counted, "{next:?}");
     }
 }
+
+/// Guards against a call that is sent and cancelled without being counted.
+#[test]
+fn a_permit_records_when_its_call_is_sent() {
+    let clock = Clock::default();
+    let semaphore = Semaphore::new(clock, 4);
+    semaphore.set_window(fifty_starts(clock), Time::default());
+    let later = Time::from_millis(10_000);
+    semaphore.lock().limiter.admit(Ticket(1), later, later + LONG, QUEUE);
+    let permit = semaphore.permit(Ticket(1));
+    assert_eq!(semaphore.recent_starts(), 0);
+    permit.record_sent();
+    drop(permit);
+    assert_eq!(semaphore.recent_starts(), 1);
+}
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -86,9 +86,9 @@
 ) -> Result<Answer, Failure> {
     let begun = proxy.clock.now();
     let remaining = offer.deadline.since(begun);
-    // Set before the first await: if the caller leaves, this future is dropped and the call may
-    // have arrived.
-    slot.sent = true;
+    // Before the first await: if the caller leaves, this future is dropped and the call may have
+    // arrived.
+    slot.record_sent();
     let exchange = async {
         let head = match connection.send(request).await {
             Ok(head) => head,
