traffic, policy: an upstream counts as warm only as far as a health probe vouches for it

What callers saw: an upstream that has just become cold gets the whole load and crashes, and its calls with it.

Cause: the serving node limited calls only from the moment at which the list said that its upstream is cold, and took it for warm until then. A report of the list is as old as a heartbeat and its way; it does not come while the platform is down; and a new process has none. Class: a bound that is kept only once a belief has arrived, where the belief can be arbitrarily late.

The upstream says in its answers to health probes for how long it is cold. The node now probes it, and an answer that it is warm vouches for as many calls as may reach a cold upstream in a second: L of them may start since the probe was sent, whatever the upstream becomes meanwhile. Without a newer answer the window limits the calls. So in any second of cold time either all calls started since that probe, or the last of them was limited by those of that second: at most L. This needs no clock, no sign of a restart and nothing of what the node knew before a pause. A new process has no answer, and takes its predecessor's calls as sent when it starts.

Probes follow the calls: one for every 15 starts at 20 a second, none while the upstream is known to be cold or idle. The list, and the end of an evacuation, still limit at once; an answer to a later probe outweighs them. Without a health path or headers/cold, the list alone decides, as before. With probes the window is in use also where overload/cold_window is off.

The division's tests say when calls are sent; one that is not sent counts.

--- a/crates/baobabrelayd/tests/cold_upstream.rs
+++ b/crates/baobabrelayd/tests/cold_upstream.rs
@@ -6,7 +6,7 @@
     caller::{Call, Caller},
     mesh,
     platform::{Mode, Platform},
-    upstream::{self, Upstream},
+    upstream::{self, COLD_HEADER, Upstream},
 };
 use std::{
     net::{Ipv4Addr, SocketAddr, TcpListener},
@@ -55,7 +55,10 @@
 /// Time limit of a waiting test.
 const TIMEOUT: Duration = Duration::from_secs(30);
 
-const SERVICE: &str = r#"{"profile": "p", "warm_up": {"calls_per_min": 660, "length_ms": 3000}}"#;
+const SERVICE: &str = r#"{
+    "profile": "p",
+    "warm_up": { "calls_per_min": 660, "length_ms": 3000, "health_path": "/health" }
+}"#;
 
 /// Makes the addresses of the tests of this file distinct.
 static NETWORKS: AtomicU8 = AtomicU8::new(0);
@@ -135,13 +138,14 @@
         let platform = Platform::start().expect("the platform starts");
         let folder = tempfile::tempdir().expect("a folder can be created");
         let network = NETWORKS.fetch_add(1, Ordering::Relaxed) + 10;
-        let ports: Vec<u16> = (0..4).map(|_| free_port()).collect();
+        let ports = free_ports();
         let instances = (0..NODES).map(|number| {
             let at = |port: u16| {
                 SocketAddr::from((Ipv4Addr::new(127, network, 0, number as u8 + 1), port))
             };
             let id = format!("i-{number}");
-            let upstream = start_upstream(at(0), &id, &runtime).expect("the upstream starts");
+            let upstream =
+                start_upstream(at(ports[4]), &id, &runtime).expect("the upstream starts");
             let settings = folder.path().join(format!("{id}.json"));
             let text = serde_json::json!({
                 "instance": id,
@@ -157,6 +161,7 @@
                 "platform": platform.address().to_string(),
                 "discovery": "list",
                 "traffic_threads": 1,
+                "headers": { "cold": COLD_HEADER },
                 "repeats": { "percent": 20, "slack": 60 },
                 "cold_excess": { "percent": 150, "slack": 8 },
                 "overload": { "cold_window": true },
@@ -193,7 +198,7 @@
         cluster.instances.iter_mut().for_each(Instance::start_node);
         let started = Instant::now();
         while cluster.instances.iter().any(|instance| instance.members() < NODES) {
-            assert!(started.elapsed() < TIMEOUT, "the nodes are not ready");
+            assert!(started.elapsed() < TIMEOUT, "the nodes are not ready: {}", cluster.logs());
             thread::sleep(Duration::from_millis(10));
         }
         cluster.start_callers();
@@ -201,6 +206,15 @@
         cluster
     }
 
+    /// Returns the number of members that each node knows, and its log.
+    fn logs(&self) -> String {
+        let log = |instance: &Instance| {
+            let text = std::fs::read_to_string(&instance.log).unwrap_or_default();
+            format!("{}, {} members: {text}", instance.id, instance.members())
+        };
+        self.instances.iter().map(log).collect::<Vec<_>>().join("\n")
+    }
+
     fn start_callers(&self) {
         for instance in &self.instances {
             for number in 0..CALLERS {
@@ -285,10 +299,10 @@
     Ok(upstream)
 }
 
-/// Returns a port that is free at all addresses of the loopback network.
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("0.0.0.0:0").expect("a port is free");
-    listener.local_addr().expect("the listener has an address").port()
+/// Returns different ports that are free at all addresses of the loopback network.
+fn free_ports() -> [u16; 5] {
+    let listeners = [(); 5].map(|()| TcpListener::bind("0.0.0.0:0").expect("a port is free"));
+    listeners.map(|listener| listener.local_addr().expect("the listener has an address").port())
 }
 
 fn wall_ms() -> u64 {
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -257,6 +257,14 @@
         /// Calls that this node passed to it in the last second.
         starts: usize,
     },
+    /// Health probes of this node's upstream failed. Recorded for the first, second, fourth, eighth and so on
+    /// failure in a row.
+    UpstreamProbeFailed {
+        /// Why the latest one failed.
+        reason: String,
+        /// Number of consecutive failures.
+        failures: u32,
+    },
     /// This node's upstream named a limit on its calls, changed it, or lifted it.
     UpstreamLimit {
         /// Calls per second from all nodes together; none if the limit was lifted.
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -208,7 +208,12 @@
         let draft = service::read(&document.key, &document.text, faults);
         match profiles.get(draft.profile.as_str()) {
             Some(&profile) => {
-                let service = Service { name: name.to_owned(), profile, warm_up: draft.warm_up };
+                let service = Service {
+                    name: name.to_owned(),
+                    profile,
+                    warm_up: draft.warm_up,
+                    health_path: draft.health_path,
+                };
                 let key = snapshot.services.insert(service);
                 snapshot.by_name.insert(name.to_owned(), key);
             }
--- a/crates/model/src/service.rs
+++ b/crates/model/src/service.rs
@@ -19,6 +19,8 @@
     pub profile: Key<Profile>,
     /// Rate limit of its upstreams while they are cold; `None` for no limit.
     pub warm_up: Option<WarmUp>,
+    /// Path of the health probes whose answers say whether an upstream is cold; `None` without probes.
+    pub health_path: Option<String>,
 }
 
 /// Rate limit of an upstream while it is cold.
@@ -51,6 +53,8 @@
     pub profile: String,
     /// Rate limit of its upstreams while they are cold.
     pub warm_up: Option<WarmUp>,
+    /// Path of the health probes of its upstreams.
+    pub health_path: Option<String>,
 }
 
 /// Parses a service document; adds each fault to `faults`, attributed to `document`.
@@ -71,21 +75,36 @@
         }
     };
     let mut object = Object::new(document, "", value, faults);
-    let draft = Draft { profile: object.name("profile"), warm_up: read_warm_up(&mut object) };
+    let profile = object.name("profile");
+    let (warm_up, health_path) = match object.has("warm_up") {
+        true => object.object("warm_up", read_warm_up),
+        false => (None, None),
+    };
     object.finish();
-    draft
+    Draft { profile, warm_up, health_path }
 }
 
-fn read_warm_up(object: &mut Object<'_>) -> Option<WarmUp> {
-    if !object.has("warm_up") {
-        return None;
-    }
-    Some(object.object("warm_up", |fields| WarmUp {
+/// Returns whether `text` can be the path of a health probe.
+///
+/// ```
+/// assert!(model::service::is_health_path("/health"));
+/// assert!(!model::service::is_health_path("health"));
+/// ```
+pub fn is_health_path(text: &str) -> bool {
+    text.starts_with('/') && text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'#')
+}
+
+fn read_warm_up(fields: &mut Object<'_>) -> (Option<WarmUp>, Option<String>) {
+    let warm_up = WarmUp {
         calls_per_min: fields.number(
             "calls_per_min",
             COLD_CALLS_PER_MIN,
             *COLD_CALLS_PER_MIN.end(),
         ),
         length: Duration::from_millis(fields.number("length_ms", COLD_MS, 0)),
-    }))
+    };
+    (
+        Some(warm_up),
+        fields.optional_text("health_path", "a path such as \"/health\"", is_health_path),
+    )
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -292,6 +292,7 @@
         stamp: header(headers, "stamp"),
         leaving: header(headers, "leaving"),
         limit: header(headers, "limit"),
+        cold: header(headers, "cold"),
         precision: default.precision,
     });
     let is_known = |text: &str| matches!(text, "seconds" | "milliseconds");
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -50,7 +50,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 47] = [
+pub const FIELDS: [Field; 48] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", SERVICE, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -185,6 +185,12 @@
         "\"x-limit\"",
         "calls per second, as a decimal number, that the upstream accepts from all nodes together; in force until an answer comes without it",
     ),
+    unset(
+        "/headers/cold",
+        HEADER,
+        "\"x-cold-ms\"",
+        "time for which an upstream is still cold, in ms, in its answers to health probes; a success without it means that the upstream is warm; in list mode",
+    ),
     optional(
         "/retry_after",
         "\"seconds\" or \"milliseconds\"",
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -22,7 +22,7 @@
     bucket::Rate,
     fairness::Level,
     outcome::Cause,
-    warmup::{Limit, Usage},
+    warmup::{Limit, Trust, Usage},
 };
 
 pub use division::Kind;
@@ -174,6 +174,18 @@
         self.tokens.set_window(limit, now);
     }
 
+    /// Sets whether the upstream of the window is warm while it is not reported as cold; see [`Window`].
+    ///
+    /// [`Window`]: crate::warmup::Window
+    pub fn set_trust(&mut self, trust: Trust) {
+        self.tokens.set_trust(trust);
+    }
+
+    /// Returns whether a probe of the upstream is due, since few calls may start until it is found to be warm.
+    pub fn needs_probe(&self, now: Time) -> bool {
+        self.tokens.needs_probe(now)
+    }
+
     /// Removes the warm-up rate limit.
     pub fn end_warm_up(&mut self) {
         self.tokens.end_warm_up();
--- a/crates/policy/src/admission/tokens.rs
+++ b/crates/policy/src/admission/tokens.rs
@@ -6,7 +6,7 @@
 use crate::{
     admission::{Kind, Ticket},
     bucket::{Bucket, Rate},
-    warmup::{self, Limit, Usage, Window},
+    warmup::{self, Limit, Trust, Usage, Window},
 };
 
 /// Rate limits of one upstream.
@@ -39,6 +39,18 @@
         }
     }
 
+    /// Sets whether the upstream of the window is warm while it is not reported as cold.
+    pub(super) fn set_trust(&mut self, trust: Trust) {
+        if let Some(window) = &mut self.window {
+            window.set_trust(trust);
+        }
+    }
+
+    /// Returns whether a probe of the upstream is due for the starts that are left.
+    pub(super) fn needs_probe(&self, now: Time) -> bool {
+        self.window.as_ref().is_some_and(|window| window.needs_probe(now))
+    }
+
     pub(super) fn end_warm_up(&mut self) {
         self.warm_up = None;
         self.window = None;
--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -12,7 +12,7 @@
 
 use crate::bucket;
 
-pub use evidence::{Evidence, Report, Source};
+pub use evidence::{Evidence, Report, Source, Trust};
 pub use window::{Usage, Window};
 
 /// Share of the bound that the starts of a window use.
--- a/crates/policy/src/warmup/window.rs
+++ b/crates/policy/src/warmup/window.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     admission::{Kind, Ticket},
-    warmup::Limit,
+    warmup::{Limit, Trust},
 };
 
 /// Period for which the rate of calls is bounded.
@@ -24,6 +24,13 @@
 /// kept.
 pub(super) const MAX_STARTS: usize = 128;
 
+/// Divides the starts of a second to give those that are left when the next probe is due. An answer must
+/// arrive before they are used.
+const PROBE_DIVISOR: usize = 4;
+
+/// Time until the answer to a probe, for estimates of waits.
+const PROBE_TIME: Duration = Duration::from_millis(20);
+
 /// Starts of calls on one upstream, which limit further starts while the upstream is cold.
 ///
 /// A call starts when it is sent. Until then, for example while a connection is opened for it, it counts
@@ -33,6 +40,11 @@
 /// any 1.18 s, and at most L x + b in any x seconds. The second keeps late arrivals within the
 /// bound of L + b per second. The third does so across a restart of the node, whose window begins
 /// with the starts of its predecessor assumed evenly spread.
+///
+/// If the upstream is probed, L calls may start since the latest probe that found it warm was sent, at any
+/// rate. Whenever it has become cold since, the calls of any second are at most L: either all of them
+/// started since that probe, or the last one was limited by the starts of that second. No clock and no
+/// report of a restart is needed for that.
 #[derive(Clone, Debug)]
 pub struct Window {
     /// Largest number of starts in any second.
@@ -43,6 +55,8 @@
     step: Duration,
     /// End of the warm-up.
     until: Time,
+    /// Whether the upstream is warm after that.
+    trust: Trust,
     /// The latest starts, oldest first; at most [`MAX_STARTS`].
     starts: VecDeque<Start>,
     /// Admitted calls that are not sent yet, oldest first, with the times of their admission.
@@ -89,6 +103,7 @@
             burst: 1,
             step: PERIOD,
             until: limit.until,
+            trust: Trust::Assumed,
             starts: VecDeque::new(),
             pending: Vec::new(),
             peak: 0,
@@ -116,6 +131,47 @@
         }
     }
 
+    /// Sets whether the upstream is warm while it is not reported as cold.
+    pub fn set_trust(&mut self, trust: Trust) {
+        if self.trust == Trust::Assumed && trust != Trust::Assumed {
+            // The predecessor may have sent the calls of a second right before the start of this process.
+            let unknown = self.starts.iter_mut().rev().filter(|start| start.kind.is_none());
+            for (age, start) in unknown.enumerate() {
+                let is_recent = age < self.per_period;
+                start.expires = if is_recent { Time::default() + SPAN } else { Time::default() };
+            }
+        }
+        self.trust = trust;
+    }
+
+    /// Returns whether a probe is due, since few calls may start until the upstream is found to be warm again.
+    pub fn needs_probe(&self, now: Time) -> bool {
+        now >= self.until && self.credit(now) <= self.per_period / PROBE_DIVISOR
+    }
+
+    /// Returns how many calls may start now because the upstream is, or was a moment ago, warm.
+    fn credit(&self, now: Time) -> usize {
+        match self.trust {
+            _ if now < self.until => 0,
+            Trust::Assumed => usize::MAX,
+            Trust::Probed { warm_at: None, .. } => 0,
+            Trust::Probed { warm_at: Some(at), .. } => {
+                let later = self.starts.iter().rev().take_while(|start| start.expires >= at + SPAN);
+                self.per_period.saturating_sub(later.count() + self.pending.len())
+            }
+        }
+    }
+
+    /// Returns when the upstream is expected to be known as warm, after `now`.
+    fn warm_in(&self, now: Time) -> Duration {
+        let rest = self.until.since(now);
+        match self.trust {
+            Trust::Assumed => rest,
+            Trust::Probed { is_answered: true, .. } => rest + PROBE_TIME,
+            Trust::Probed { .. } => Duration::MAX,
+        }
+    }
+
     /// Records the admission of the call `ticket`.
     pub fn admit(&mut self, ticket: Ticket, kind: Kind, now: Time) {
         let start = Start { expires: now + SPAN, ticket: Some(ticket), kind: Some(kind) };
@@ -174,10 +230,10 @@
     /// Returns how long the call at `position` in a queue, from 1, waits for a start or for the end
     /// of the warm-up; a lower bound for positions after the first.
     pub fn wait(&self, position: usize, now: Time) -> Duration {
-        let rest = self.until.since(now);
-        if rest.is_zero() {
-            return rest;
+        if position <= self.credit(now) {
+            return Duration::ZERO;
         }
+        let rest = self.warm_in(now);
         let first = self.wait_for_starts(1, now);
         if position <= 1 {
             return first.min(rest);
@@ -199,9 +255,9 @@
         (!wait.is_zero()).then(|| now + wait)
     }
 
-    /// Returns whether the warm-up lasts at `now`.
+    /// Returns whether the starts of the last second limit the next call.
     pub fn is_active(&self, now: Time) -> bool {
-        now < self.until
+        self.credit(now) == 0
     }
 
     /// Returns the kinds of the recorded calls, latest first.
--- a/crates/policy/tests/division.rs
+++ b/crates/policy/tests/division.rs
@@ -69,6 +69,7 @@
             granted.extend((decision == Decision::Run).then_some(ticket));
         }
         for ticket in granted {
+            limiter.record_sent(ticket, at(now));
             starts.push((now, kinds[ticket.0 as usize]));
             running.push((now + CALL_MS, ticket));
         }
@@ -248,6 +249,7 @@
     let rank = |class| Rank { priority: 7, start_by: None, class, ..Rank::default() };
     for (ticket, class) in [(0, Class::Nested), (1, Class::Nested), (2, Class::External)] {
         limiter.admit_ranked(Ticket(ticket), rank(class), at(2_000), at(9_000), QUEUE);
+        limiter.record_sent(Ticket(ticket), at(2_000));
     }
     let usage = limiter.starts(at(2_500)).expect("the upstream is cold");
     assert_eq!((usage.used, usage.limit), (3, 20));
--- a/crates/standins/src/upstream.rs
+++ b/crates/standins/src/upstream.rs
@@ -84,7 +84,7 @@
     pub slots: usize,
     /// Body size of a response, in bytes.
     pub answer_bytes: usize,
-    /// Time for which it is cold after a crash.
+    /// Time for which it is cold after a crash or a replacement.
     pub warm_up: Duration,
 }
 
@@ -280,6 +280,8 @@
         if let Some((_, end)) = state.ledger.leaves.last_mut() {
             end.get_or_insert_with(Instant::now);
         }
+        drop(state);
+        self.become_cold(self.settings.warm_up);
     }
 
     /// Sets the time to run one request.
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -86,6 +86,12 @@
     attributes: "",
     help: "Time for which the own upstream is still cold, by the report in force; 0 while it is warm",
 };
+const PROBES: Entry = Entry {
+    name: "baobabrelay.upstream.probes",
+    unit: "{probe}",
+    attributes: "result",
+    help: "Health probes of the own upstream that found it warm or cold, or that failed",
+};
 const QUARANTINED: Entry = Entry {
     name: "baobabrelay.quarantined",
     unit: "{request}",
@@ -183,7 +189,7 @@
 };
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 26] = [
+pub const CATALOGUE: [Entry; 27] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -194,6 +200,7 @@
     ENDS,
     STARTS_PEAK,
     COLD,
+    PROBES,
     QUARANTINED,
     DURATION,
     REVISION,
@@ -243,6 +250,7 @@
     ends: Counter<u64>,
     starts_peak: Gauge<u64>,
     cold: Gauge<f64>,
+    probes: Counter<u64>,
     quarantined: Gauge<u64>,
     duration: Histogram<f64>,
     revision: Gauge<u64>,
@@ -295,6 +303,7 @@
                 .with_unit(COLD.unit)
                 .with_description(COLD.help)
                 .build(),
+            probes: counter(PROBES),
             quarantined: gauge(QUARANTINED),
             duration: meter
                 .f64_histogram(DURATION.name)
@@ -380,6 +389,11 @@
         self.cold.record(seconds, &[]);
     }
 
+    /// Counts a health probe of the colocated upstream by its result.
+    pub fn count_probe(&self, result: &'static str) {
+        self.probes.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Sets the number of requests in quarantine.
     pub fn set_quarantined(&self, requests: u64) {
         self.quarantined.record(requests, &[]);
--- a/crates/traffic/src/admission/semaphore.rs
+++ b/crates/traffic/src/admission/semaphore.rs
@@ -6,7 +6,7 @@
     health::Load,
     named_limit,
     outcome::{Cause, Loss, Outcome, Step, of_loss},
-    warmup::{Limit, Usage},
+    warmup::{Limit, Trust, Usage},
 };
 use std::{
     collections::HashMap,
@@ -120,8 +120,15 @@
     }
 
     /// Sets the window that limits a cold upstream, instead of a rate limit.
-    pub(crate) fn set_window(&self, limit: Limit, now: Time) {
-        self.lock().limiter.set_window(limit, now);
+    pub(crate) fn set_window(&self, limit: Limit, trust: Trust, now: Time) {
+        let mut queue = self.lock();
+        queue.limiter.set_window(limit, now);
+        queue.limiter.set_trust(trust);
+    }
+
+    /// Returns whether a probe of the upstream is due, since few tasks may start until it is found to be warm.
+    pub(crate) fn needs_probe(&self) -> bool {
+        self.lock().limiter.needs_probe(self.clock.now())
     }
 
     /// Sets the limit that the upstream named, in calls per second, and wakes tasks that it now admits;
@@ -150,7 +157,7 @@
     }
 
     /// Grants free slots and tokens to waiting tasks.
-    fn grant_ready(&self) {
+    pub(crate) fn grant_ready(&self) {
         let mut queue = self.lock();
         let granted = queue.limiter.grant_waiting(self.clock.now());
         queue.wake(&granted);
--- a/crates/traffic/src/admission/semaphore/tests.rs
+++ b/crates/traffic/src/admission/semaphore/tests.rs
@@ -72,7 +72,7 @@
     runtime.block_on(async {
         let clock = Clock::default();
         let semaphore = Semaphore::new(clock, 4);
-        semaphore.set_window(fifty_starts(clock), clock.now());
+        semaphore.set_window(fifty_starts(clock), Trust::Assumed, clock.now());
         for _ in 0..3 {
             let deadline = clock.now() + Duration::from_secs(30);
             semaphore
@@ -92,7 +92,7 @@
         // One start a second; the one at ten seconds is free whatever was recorded at the
         // beginning.
         let limit = Limit { rate: 1.0, burst: 1.0, ..fifty_starts(clock) };
-        semaphore.set_window(limit, Time::default());
+        semaphore.set_window(limit, Trust::Assumed, Time::default());
         let later = Time::from_millis(10_000);
         let decision = semaphore.lock().limiter.admit(Ticket(1), later, later + LONG, QUEUE);
         assert_eq!(decision, Decision::Run);
@@ -111,7 +111,7 @@
 fn a_permit_records_when_its_call_is_sent() {
     let clock = Clock::default();
     let semaphore = Semaphore::new(clock, 4);
-    semaphore.set_window(fifty_starts(clock), Time::default());
+    semaphore.set_window(fifty_starts(clock), Trust::Assumed, Time::default());
     let later = Time::from_millis(10_000);
     semaphore.lock().limiter.admit(Ticket(1), later, later + LONG, QUEUE);
     let permit = semaphore.permit(Ticket(1));
--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -50,7 +50,7 @@
         loop {
             let view = self.view();
             let Some(window) = self.colocated_window(&view, warm_up) else { return };
-            self.slots.set_window(window, self.clock.now());
+            self.slots.set_window(window, self.trust(), self.clock.now());
             // A thread with an older view must not undo the limit of a newer one.
             if Arc::ptr_eq(&view, &self.view()) {
                 return;
@@ -74,10 +74,11 @@
     }
 
     /// Returns the limit by a window of an upstream that is cold until `until`, if windows are
-    /// switched on.
+    /// switched on or the upstream is probed.
     fn window(&self, warm_up: WarmUp, until: Time) -> Option<Limit> {
         let tuning = self.tuning();
-        let is_on = tuning.overload.cold_window && self.settings.incarnation.is_none();
+        let is_on = (tuning.overload.cold_window && self.settings.incarnation.is_none())
+            || self.probe_path().is_some();
         if is_on { Limit::of_window(warm_up, tuning.cold_excess, until) } else { None }
     }
 
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -18,7 +18,7 @@
     net::{pool::Connection, stream::SocketState},
     proxy::{Proxy, in_flight::OfferGuard},
     record::{Interest, Trace, events::BudgetUse},
-    upstream::{self, Failure, crash},
+    upstream::{self, Failure, crash, probe},
     wire,
 };
 
@@ -61,6 +61,7 @@
         return Err(Cause::Overloaded.outcome());
     }
     proxy.refresh_warm_up();
+    probe::start_if_due(proxy);
     proxy.adopt_named_limit(offer.limit);
     let parent = proxy.nested_run(&offer.payload);
     if !offer.is_reserved {
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod crash;
 mod demand;
+pub(crate) mod probe;
 mod validation;
 
 use hyper::{Request, Response};
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -118,6 +118,8 @@
     /// Calls per second that an upstream accepts from all nodes together, for as long as its answers
     /// say so.
     pub limit: Option<HeaderName>,
+    /// Time for which an upstream is still cold, in ms, in its answers to health probes.
+    pub cold: Option<HeaderName>,
     /// Precision of `Retry-After`.
     pub precision: Precision,
 }
@@ -133,6 +135,7 @@
             stamp: None,
             leaving: None,
             limit: None,
+            cold: None,
             precision: Precision::Seconds,
         }
     }
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -368,6 +368,7 @@
         stamp: Some(name("x-stamp")),
         leaving: Some(name("x-leaving")),
         limit: Some(name("x-limit")),
+        cold: Some(name("x-cold-ms")),
         precision: traffic::wire::Precision::Millis,
     }
 }
--- a/xtask/src/reference.rs
+++ b/xtask/src/reference.rs
@@ -27,7 +27,8 @@
 
 A service, key `services/NAME`, is `{\"profile\": \"NAME\"}`. If its upstreams need a warm-up after a
 start, it also has `\"warm_up\": {\"calls_per_min\": 600, \"length_ms\": 3000}`: the limit of calls a minute
-to a cold upstream (1 to 60000000), and how long an upstream stays cold (0 to 3600000 ms). Names of
+to a cold upstream (1 to 60000000), and how long an upstream stays cold (0 to 3600000 ms). With
+`\"health_path\": \"/health\"` and the setting `headers/cold`, nodes probe their upstreams there. Names of
 profiles are 1 to 63 of a-z, 0-9 and -; those of services and routes are not restricted.
 
 A document with an unknown field, a duplicate key, a value out of range or a reference to a profile
