xtask: the soak checks the bound on calls to cold upstreams

Upstreams become cold after every start, crash and replacement, and at random moments; the platform lists them so up to 2.5 s later, often after they are warm again, and not at all in an outage. They count every arrival, and no process of an upstream may get more than 24 calls in any second while it is cold, whatever happens to the nodes.

telemetry: the test of the catalogue records the metrics that were added.

--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -29,6 +29,9 @@
     meter.set_usage("stock", 6);
     meter.count_overtaking(1);
     meter.set_promised_returns("stock", 3);
+    meter.set_starts_peak(9);
+    meter.set_cold(1.5);
+    meter.count_probe("warm");
     meter
 }
 
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -20,6 +20,7 @@
 mod port;
 mod proxy;
 mod restores;
+mod warm_ups;
 
 use pico_args::Arguments;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
@@ -35,8 +36,13 @@
 
 use crate::{
     soak::{
-        cluster::Cluster, demands::Demands, evacuation::Orders, fault::Injector,
-        observations::Observations, restores::Restores,
+        cluster::Cluster,
+        demands::Demands,
+        evacuation::Orders,
+        fault::Injector,
+        observations::Observations,
+        restores::Restores,
+        warm_ups::{ColdSpells, WarmUps},
     },
     tools::{self, Failure},
 };
@@ -63,6 +69,7 @@
     operators: Operators,
     upstreams: Upstreams,
     store: Store,
+    warm_ups: WarmUps,
 }
 
 /// What upstreams demand during the faults.
@@ -127,17 +134,19 @@
         operators: Operators::Idle,
         upstreams: Upstreams::Quiet,
         store: Store::Durable,
+        warm_ups: WarmUps::Absent,
     },
 ];
 
 /// Scenarios of CI; together they inject most kinds of faults.
-const SHORT: [Scenario; 6] = [
+const SHORT: [Scenario; 7] = [
     short_scenario(1, 5),
     short_scenario(3, 5),
     Scenario { requests: Requests::Poison(POISON_DELAY), ..short_scenario(5, 10) },
     Scenario { operators: Operators::Evacuate, ..short_scenario(7, 8) },
     Scenario { upstreams: Upstreams::Demanding, ..short_scenario(9, 10) },
     Scenario { store: Store::Restored, ..short_scenario(11, 10) },
+    Scenario { warm_ups: WarmUps::Random, ..short_scenario(13, 10) },
 ];
 
 const fn short_scenario(seed: u64, seconds: u64) -> Scenario {
@@ -153,6 +162,7 @@
         operators: Operators::Idle,
         upstreams: Upstreams::Quiet,
         store: Store::Durable,
+        warm_ups: WarmUps::Absent,
     }
 }
 
@@ -168,8 +178,9 @@
     let duration = Duration::from_secs(seconds);
     let requests = Requests::Poison(Duration::ZERO);
     let (operators, upstreams) = (Operators::Evacuate, Upstreams::Demanding);
-    let store = Store::Restored;
-    let scenario = |seed| Scenario { seed, duration, nodes, requests, operators, upstreams, store };
+    let (store, warm_ups) = (Store::Restored, WarmUps::Random);
+    let scenario =
+        |seed| Scenario { seed, duration, nodes, requests, operators, upstreams, store, warm_ups };
     let seeds = (seed..seed + seeds).map(scenario);
     let scenarios: Vec<Scenario> = REGRESSIONS.into_iter().chain(seeds).collect();
     run_all(&scenarios, &programs.join("baobabrelayd"))
@@ -200,7 +211,8 @@
 /// Runs one scenario and returns all violations.
 fn run_one(scenario: Scenario, daemon: &Path) -> Result<Vec<String>, Failure> {
     let mut random = SmallRng::seed_from_u64(scenario.seed);
-    let mut cluster = Cluster::start(daemon, scenario.seed, scenario.nodes, &DATA_CENTRES)?;
+    let (seed, nodes) = (scenario.seed, scenario.nodes);
+    let mut cluster = Cluster::start(daemon, seed, nodes, &DATA_CENTRES, scenario.warm_ups)?;
     let ready =
         cluster.wait(RECOVERY_LIMIT, |cluster| (0..scenario.nodes).all(|n| cluster.is_ready(n)));
     if ready.is_none() {
@@ -222,6 +234,8 @@
     let mut demands =
         (scenario.upstreams == Upstreams::Demanding).then(|| Demands::new(scenario.seed));
     let mut restores = (scenario.store == Store::Restored).then(|| Restores::new(scenario.seed));
+    let mut cold_spells =
+        (scenario.warm_ups == WarmUps::Random).then(|| ColdSpells::new(scenario.seed));
     let end = Instant::now() + scenario.duration;
     while Instant::now() < end {
         for _ in 0..scenario.nodes.div_ceil(NODES_PER_FAULT) {
@@ -238,6 +252,9 @@
         if let Some(restores) = &mut restores {
             restores.step(&mut cluster);
         }
+        if let Some(cold_spells) = &mut cold_spells {
+            cold_spells.step(&mut cluster);
+        }
         invariants::check_nodes(&mut cluster, &observations, &mut random)?;
     }
     injector.repair_all(&mut cluster)?;
@@ -268,9 +285,10 @@
     let evacuations = orders.map_or(0, |orders| orders.count);
     let demands = demands.map_or_else(String::new, |demands| format!(", {}", demands.summary()));
     let restores = restores.map_or(0, |restores| restores.count);
+    let cold_spells = cold_spells.map_or(0, |cold_spells| cold_spells.count);
     let counts = (observations.summary(), injector.summary());
     println!(
-        "seed {}: {}, {}, evacuation {evacuations}{demands}, restore {restores}",
+        "seed {}: {}, {}, evacuation {evacuations}{demands}, restore {restores}, cold upstream {cold_spells}",
         scenario.seed, counts.0, counts.1
     );
     if !violations.is_empty() {
--- a/xtask/src/soak/cluster.rs
+++ b/xtask/src/soak/cluster.rs
@@ -17,6 +17,7 @@
     history::{Condition, History},
     instance::{Instance, Placement, Ports},
     port,
+    warm_ups::WarmUps,
 };
 
 /// All instances and the platform.
@@ -27,6 +28,8 @@
     pub(crate) history: History,
     pub(crate) instances: Vec<Instance>,
     pub(crate) runtime: Runtime,
+    /// When it was started.
+    pub(crate) started: Instant,
     daemon: PathBuf,
     folder: PathBuf,
     /// Whether the folder is kept after the run.
@@ -40,6 +43,7 @@
         seed: u64,
         count: usize,
         data_centres: &[&'static str],
+        warm_ups: WarmUps,
     ) -> io::Result<Self> {
         let runtime = Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
         let name = format!("baobabrelay-soak-{}-{seed}", std::process::id());
@@ -47,10 +51,11 @@
         fs::create_dir_all(&folder)?;
         let mut cluster = Cluster {
             platform: Platform::start()?,
-            content: Content::default(),
+            content: Content::new(warm_ups),
             history: History::default(),
             instances: Vec::new(),
             runtime,
+            started: Instant::now(),
             daemon: daemon.to_owned(),
             folder,
             keep: false,
@@ -61,7 +66,7 @@
         cluster.content.publish(&cluster.platform);
         for number in 0..count {
             let data_centre = data_centres[number % data_centres.len()];
-            let placement = Placement { number, data_centre, ports, platform };
+            let placement = Placement { number, data_centre, ports, platform, warm_ups };
             cluster.instances.push(Instance::prepare(
                 placement,
                 &cluster.folder,
@@ -118,6 +123,16 @@
         self.begin_incarnation(number);
     }
 
+    /// Writes the present entry of an upstream, unless it leaves or its process is dead.
+    pub(crate) fn renew_entry(&mut self, number: usize) {
+        let instance = &self.instances[number];
+        let is_silent =
+            [Condition::Leaving, Condition::Gone].map(|c| instance.history.is_active(c));
+        if !is_silent.contains(&true) {
+            self.platform.register(&instance.id, Some(instance.entry(Standing::Ready)));
+        }
+    }
+
     /// Kills the process of an upstream without an update of the platform.
     pub(crate) fn kill_upstream(&mut self, number: usize) {
         let instance = &mut self.instances[number];
--- a/xtask/src/soak/content.rs
+++ b/xtask/src/soak/content.rs
@@ -1,8 +1,10 @@
 //! Configuration versions that are published during a run.
 
-use standins::platform::Platform;
+use standins::{platform::Platform, upstream::HEALTH_PATH};
 use std::time::Instant;
 
+use crate::soak::warm_ups::{self, WarmUps};
+
 /// Services; instances are assigned to them in turn.
 pub(crate) const SERVICES: [&str; 2] = ["stock", "pay"];
 
@@ -17,8 +19,10 @@
 const GROWTH: [usize; 4] = [400, 800, 1_600, 1_600];
 
 /// All published versions.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Content {
+    /// Whether services limit the calls to cold upstreams.
+    warm_ups: WarmUps,
     /// When the platform acknowledged each valid version, and its revision.
     versions: Vec<(Instant, u64)>,
     /// Number of growths so far.
@@ -28,18 +32,35 @@
 }
 
 impl Content {
+    pub(crate) fn new(warm_ups: WarmUps) -> Self {
+        Content { warm_ups, versions: Vec::new(), growths: 0, routes: 0 }
+    }
+
     /// Publishes a new version with a changed profile.
     pub(crate) fn publish(&mut self, platform: &Platform) {
         let slow_start_ms = 1_001 + self.versions.len();
         let profile = format!(
             r#"{{"deadline_ms": 1500, "refused_status": 503, "idle_ms": 1000, "slow_start_ms": {slow_start_ms}}}"#
         );
-        let service = r#"{"profile": "p"}"#.to_owned();
+        let service = self.service();
         let mut documents = vec![("profiles/p".to_owned(), profile)];
         documents.extend(SERVICES.map(|name| (format!("services/{name}"), service.clone())));
         self.write(platform, &documents);
     }
 
+    /// Returns the document of every service.
+    fn service(&self) -> String {
+        let mut service = serde_json::json!({ "profile": "p" });
+        if self.warm_ups == WarmUps::Random {
+            service["warm_up"] = serde_json::json!({
+                "calls_per_min": warm_ups::CALLS_PER_MIN,
+                "length_ms": warm_ups::LENGTH.as_millis() as u64,
+                "health_path": HEALTH_PATH,
+            });
+        }
+        service.to_string()
+    }
+
     /// Adds many routes in one version and returns their number, which is 0 after the last growth.
     ///
     /// Until the first growth there are no routes, and calls are routed by the service's name.
--- a/xtask/src/soak/instance.rs
+++ b/xtask/src/soak/instance.rs
@@ -4,7 +4,7 @@
 use rustix::process::Signal;
 use standins::{
     mesh,
-    upstream::{self, LEAVING_HEADER, LIMIT_HEADER, Upstream},
+    upstream::{self, COLD_HEADER, LEAVING_HEADER, LIMIT_HEADER, Upstream},
 };
 use std::{
     collections::HashMap,
@@ -22,6 +22,7 @@
     history::{Condition, History},
     port,
     proxy::{Bandwidth, Proxy},
+    warm_ups::{self, WarmUps},
 };
 
 /// Service time of a request at an upstream.
@@ -56,6 +57,7 @@
     pub(crate) data_centre: &'static str,
     pub(crate) ports: Ports,
     pub(crate) platform: SocketAddr,
+    pub(crate) warm_ups: WarmUps,
 }
 
 /// An upstream, its node and the proxies in front of them.
@@ -83,6 +85,7 @@
     pub(crate) history: History,
     /// Number of new identities of its upstream.
     identities: u32,
+    warm_ups: WarmUps,
 }
 
 impl Instance {
@@ -92,11 +95,11 @@
         folder: &Path,
         handle: &Handle,
     ) -> io::Result<Self> {
-        let Placement { number, data_centre, ports, platform } = placement;
+        let Placement { number, data_centre, ports, platform, warm_ups } = placement;
         let mbps = if number % SLOW_EVERY == SLOW_EVERY - 1 { SLOW_MBPS } else { 0 };
         let bandwidth: Bandwidth = (mbps > 0).then_some(mbps * 1_000_000 / 8);
         let (proxy_side, node_side) = (address(1, number, 0), address(2, number, 0));
-        let upstream = start_upstream(proxy_side, handle)?;
+        let upstream = start_upstream(proxy_side, warm_ups, handle)?;
         let node_listener = address(2, number, ports.nodes);
         let proxy_listener = address(1, number, ports.nodes);
         let (nodes, _) = Proxy::start(proxy_listener, node_listener, bandwidth, handle)?;
@@ -122,7 +125,9 @@
             "headers": {
                 "limit": LIMIT_HEADER,
                 "leaving": LEAVING_HEADER,
+                "cold": COLD_HEADER,
             },
+            "cold_excess": { "percent": warm_ups::EXCESS.0, "slack": warm_ups::EXCESS.1 },
             "repeats": { "percent": 20, "slack": 60 },
             "stop": { "linger_ms": 300, "finish_ms": 1_500, "limit_ms": 4_000 },
         });
@@ -143,6 +148,7 @@
             process: None,
             history: History::default(),
             identities: 0,
+            warm_ups,
         })
     }
 
@@ -155,7 +161,7 @@
             data_centre: self.data_centre.to_owned(),
             slots: SLOTS,
             standing,
-            cold_ms: 0,
+            cold_ms: self.upstream.cold_left().as_millis() as u64,
             started_ms: Some(self.started_ms),
             revision: 0,
         }
@@ -181,7 +187,7 @@
         let address = self.upstream.address();
         let started = Instant::now();
         let upstream = loop {
-            match start_upstream(address, handle) {
+            match start_upstream(address, self.warm_ups, handle) {
                 // The thread of the previous process closes its socket asynchronously.
                 Err(_) if started.elapsed() < REBIND_LIMIT => {
                     thread::sleep(Duration::from_millis(2))
@@ -189,6 +195,7 @@
                 result => break result?,
             }
         };
+        upstream.become_cold(warm_up(self.warm_ups));
         self.previous.push(std::mem::replace(&mut self.upstream, upstream));
         Ok(())
     }
@@ -275,11 +282,20 @@
     }
 }
 
-fn start_upstream(listen: SocketAddr, handle: &Handle) -> io::Result<Upstream> {
+/// Returns the time for which an upstream is cold after a start.
+fn warm_up(warm_ups: WarmUps) -> Duration {
+    match warm_ups {
+        WarmUps::Absent => Duration::ZERO,
+        WarmUps::Random => warm_ups::LENGTH,
+    }
+}
+
+fn start_upstream(listen: SocketAddr, warm_ups: WarmUps, handle: &Handle) -> io::Result<Upstream> {
     let settings = upstream::Settings {
         listen,
         service_time: SERVICE_TIME,
         slots: SLOTS,
+        warm_up: warm_up(warm_ups),
         ..upstream::Settings::default()
     };
     Upstream::start(settings, handle)
--- a/xtask/src/soak/invariants.rs
+++ b/xtask/src/soak/invariants.rs
@@ -13,7 +13,7 @@
     history::Condition,
     interruption, leaving,
     observations::{Kind, Observations, Outcome, Record},
-    poison,
+    poison, warm_ups,
 };
 
 /// Limit of the nodes queried in one check, which bounds its time in large fleets.
@@ -95,6 +95,7 @@
     violations.extend(leaving::violations(cluster));
     violations.extend(demands::violations(cluster));
     violations.extend(poison::violations(cluster));
+    violations.extend(warm_ups::violations(cluster));
     violations
 }
 
