--- a/crates/traffic/src/proxy/warmup.rs
+++ b/crates/traffic/src/proxy/warmup.rs
@@ -90,8 +90,9 @@
     }
 }
 
-/// Returns until when an upstream is cold, and by which source. After an evacuation ends, every upstream of the data centre
-/// counts as cold, because the reports of those that became cold during it arrive too late.
+/// Returns until when an upstream is cold, and by which source. After an evacuation ends, every
+/// upstream of the data centre counts as cold, because the reports of those that became cold during
+/// it arrive too late.
 fn cold_until(upstream: &Upstream, warm_up: WarmUp) -> (Source, Time) {
     let after_evacuation = upstream.readmitted_at.map(|at| at + warm_up.length);
     match after_evacuation.filter(|until| *until > upstream.cold_until) {
