--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -17,8 +17,7 @@
 
 /// Share of the bound that the starts of a window use.
 ///
-/// The rest absorbs calls that are admitted one after the other and arrive together, up to 0.18 s
-/// late.
+/// The rest absorbs calls that are sent one after the other and arrive together, up to 0.18 s late.
 const WINDOW_SHARE: f64 = 0.85;
 
 /// How far the calls in any second may exceed [`WarmUp::calls_per_s`].
--- a/crates/policy/src/warmup/window.rs
+++ b/crates/policy/src/warmup/window.rs
@@ -14,7 +14,7 @@
 /// Period for which the rate of calls is bounded.
 const PERIOD: Duration = Duration::from_secs(1);
 
-/// Longest delay between admission and arrival that can let calls arrive closer together.
+/// Longest delay between sending and arrival that can let calls arrive closer together.
 const MAX_DELAY: Duration = Duration::from_millis(180);
 
 /// Time after which a start no longer limits later ones.
