--- a/review/standins-2/src/backend.rs
+++ b/review/standins-2/src/backend.rs
@@ -26,6 +26,8 @@
     pub work: Duration,
     /// Size of its answers.
     pub answer_bytes: usize,
+    /// Arrivals in a second at which it crashes while it is cold; none if it never does.
+    pub cold_crash: Option<usize>,
     /// Whether each run is written to the record.
     pub is_recorded: bool,
 }
@@ -53,8 +55,8 @@
 struct Shared {
     ended: AtomicBool,
     draining: AtomicBool,
-    /// End of the time for which it is cold.
-    cold_until: Mutex<Option<Instant>>,
+    /// Begin and end of the time for which it is cold.
+    cold: Mutex<Option<(Instant, Instant)>>,
     connections: Mutex<Vec<TcpStream>>,
 }
 
@@ -67,7 +69,7 @@
         let shared = Arc::new(Shared {
             ended: AtomicBool::new(false),
             draining: AtomicBool::new(false),
-            cold_until: Mutex::default(),
+            cold: Mutex::default(),
             connections: Mutex::default(),
         });
         let backend = Backend {
@@ -119,7 +121,8 @@
 
     /// Becomes cold; its health answers say so from now on, its entry only from its next heartbeat on.
     pub fn become_cold(&self, length: Duration) {
-        *self.shared.cold_until.lock().unwrap() = Some(Instant::now() + length);
+        let now = Instant::now();
+        *self.shared.cold.lock().unwrap() = Some((now, now + length));
     }
 
     /// Writes its entry, as it does with each heartbeat.
@@ -129,10 +132,12 @@
 
     /// Ends the process: its connections are closed.
     pub fn end(&self) {
-        self.shared.ended.store(true, Ordering::SeqCst);
-        for stream in self.shared.connections.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
+        self.shared.end();
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&self) -> bool {
+        self.shared.ended.load(Ordering::SeqCst)
     }
 
     /// Removes the entry, as the store does for a backend that has left.
@@ -147,9 +152,24 @@
 }
 
 impl Shared {
+    fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        for stream in self.connections.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns whether more than `limit` of `runs` have begun in one second while the backend is cold.
+    fn is_overrun(&self, limit: usize, runs: &[Run]) -> bool {
+        let Some((begin, end)) = *self.cold.lock().unwrap() else { return false };
+        let is_recent = |at: Instant| at >= begin && at.elapsed() < Duration::from_secs(1);
+        let recent = runs.iter().rev().take_while(|run| is_recent(run.at)).count();
+        Instant::now() < end && recent > limit
+    }
+
     fn cold_left(&self) -> Duration {
-        let until = *self.cold_until.lock().unwrap();
-        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now()))
+        let cold = *self.cold.lock().unwrap();
+        cold.map_or(Duration::ZERO, |(_, end)| end.saturating_duration_since(Instant::now()))
     }
 }
 
@@ -231,6 +251,11 @@
             runs.push(run);
             runs.len() - 1
         };
+        if plan.cold_crash.is_some_and(|limit| shared.is_overrun(limit, &runs.lock().unwrap())) {
+            record.line(format!("{} crashes", plan.id));
+            shared.end();
+            return;
+        }
         if plan.is_recorded {
             record.line(format!("{} runs {id} ({} bytes of body)", plan.id, body.len()));
         }
--- a/review/standins-2/src/bin/answer-cut-by-stop.rs
+++ b/review/standins-2/src/bin/answer-cut-by-stop.rs
@@ -52,6 +52,7 @@
             born: None,
             work: Duration::from_millis(100),
             answer_bytes,
+            cold_crash: None,
             is_recorded: true,
         };
         Backend::start(plan, store, record)
--- a/review/standins-2/src/bin/cold-again.rs
+++ b/review/standins-2/src/bin/cold-again.rs
@@ -30,6 +30,9 @@
 /// Time from the moment at which it becomes cold to its next heartbeat; `heartbeat_s` is 1.5 s.
 const NEXT_BEAT: Duration = Duration::from_millis(1_200);
 
+/// Requests in a second at which the cold backend crashes, well above both `cold_per_s` and the bound.
+const COLD_CRASH: usize = 250;
+
 /// `cold_excess` and `cold_slack`.
 const EXCESS: f64 = 1.5;
 const SLACK: f64 = 8.0;
@@ -43,7 +46,7 @@
     let cold_per_s =
         env::var("COLD_PER_S").ok().and_then(|text| text.parse().ok()).unwrap_or(100.0);
     let routes = json!({"r-checks": {
-        "host": HOST, "prefix": "/checks/", "kind": "idempotent", "timeout_s": 1.5,
+        "host": HOST, "prefix": "/checks/", "kind": "non_idempotent", "timeout_s": 1.5,
         "slo_s": 0.3, "priority": 1, "service": "ledgerhub", "attempts": 2,
     }});
     run.configure_cold(3, routes, &["ledgerhub"], cold_per_s);
@@ -57,6 +60,7 @@
             born: None,
             work: Duration::from_millis(5),
             answer_bytes: 400,
+            cold_crash: run.trouble.then_some(COLD_CRASH).filter(|_| machine == 0),
             is_recorded: false,
         };
         backends.push(Backend::start(plan, &run.store, record)?);
@@ -80,19 +84,25 @@
         record.line("i-hub-0 is cold again for 3 s");
     }
     thread::sleep(NEXT_BEAT);
-    backends[0].beat(5);
-    record.line("i-hub-0 writes its entry");
+    if !backends[0].has_ended() {
+        backends[0].beat(5);
+        record.line("i-hub-0 writes its entry");
+    }
     thread::sleep(COLD - NEXT_BEAT + Duration::from_secs(1));
     ended.store(true, Ordering::SeqCst);
-    let sent: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
-    record.line(format!("{sent} requests were answered in all"));
+    let tallies: Vec<Tally> =
+        clients.into_iter().map(|client| client.join().unwrap_or_default()).collect();
+    let answered: usize = tallies.iter().map(|tally| tally.answered).sum();
+    record.line(format!("{answered} requests were answered in all"));
+    let runs = backends[0].runs();
+    for (id, end) in tallies.iter().flat_map(|tally| &tally.failed) {
+        let was_run = runs.iter().any(|run| run.id == *id);
+        let note = if was_run { ", after i-hub-0 had begun to run it" } else { "" };
+        record.line(format!("{id} ended: {end}{note}"));
+    }
     let bound = (cold_per_s * EXCESS + SLACK) as usize;
-    let arrivals: Vec<Instant> = backends[0]
-        .runs()
-        .iter()
-        .map(|run| run.at)
-        .filter(|at| *at >= cold_at && *at < cold_at + COLD)
-        .collect();
+    let arrivals: Vec<Instant> =
+        runs.iter().map(|run| run.at).filter(|at| *at >= cold_at && *at < cold_at + COLD).collect();
     let within = |begin: &Instant| {
         arrivals.iter().filter(|at| *at >= begin && **at < *begin + Duration::from_secs(1)).count()
     };
@@ -105,30 +115,43 @@
     Ok(if run.trouble && most > bound { Verdict::Broken } else { Verdict::Held })
 }
 
-/// Sends requests on a kept connection until the end; returns how many were answered.
-fn send_requests(node: std::net::SocketAddr, number: usize, ended: &AtomicBool) -> usize {
+/// How the requests of one client ended.
+#[derive(Default)]
+struct Tally {
+    answered: usize,
+    /// Those without an answer of a backend, with what the client got.
+    failed: Vec<(String, String)>,
+}
+
+/// Sends requests on a kept connection until the end.
+fn send_requests(node: std::net::SocketAddr, number: usize, ended: &AtomicBool) -> Tally {
     let deadline = Duration::from_millis(1_500);
-    let (mut kept, mut answered) = (None, 0);
+    let (mut kept, mut tally) = (None, Tally::default());
     for turn in 0.. {
         if ended.load(Ordering::SeqCst) {
             break;
         }
         let due = Instant::now() + INTERVAL;
         let request = Request {
-            method: "GET",
+            method: "POST",
             host: HOST,
             path: "/checks/1".to_owned(),
             id: format!("check-{number}-{turn}"),
             deadline,
         };
-        if kept.is_none() {
+        if kept.as_ref().is_none_or(|kept: &Kept| kept.is_closing) {
             kept = Kept::open(node, deadline).ok();
         }
-        match kept.as_mut().map(|kept: &mut Kept| kept.send(&request)) {
-            Some(Ok(_)) => answered += 1,
-            _ => kept = None,
+        match kept.as_mut().map(|kept| kept.send(&request, "amount=1")) {
+            Some(Ok(200)) => tally.answered += 1,
+            Some(Ok(status)) => tally.failed.push((request.id, status.to_string())),
+            Some(Err(error)) => {
+                tally.failed.push((request.id, error.to_string()));
+                kept = None;
+            }
+            None => {}
         }
         thread::sleep(due.saturating_duration_since(Instant::now()));
     }
-    answered
+    tally
 }
--- a/review/standins-2/src/bin/start-time-goes-back.rs
+++ b/review/standins-2/src/bin/start-time-goes-back.rs
@@ -54,6 +54,7 @@
         born: Some(born),
         work: Duration::from_millis(160),
         answer_bytes: 500,
+        cold_crash: None,
         is_recorded: true,
     };
     // The time of day of the last machine is ahead when its backend starts, in the run with the disruption.
--- a/review/standins-2/src/bin/uploads-in-chunks.rs
+++ b/review/standins-2/src/bin/uploads-in-chunks.rs
@@ -3,7 +3,7 @@
 
 use review_standins_2::{
     backend::{Backend, Plan},
-    client::{self, End, Framing, Request},
+    client::{self, End, Framing, Kept, Request},
     deployment::{self, BACKEND, HOST, OUTBOUND, Run, Verdict},
 };
 use rustix::process::Signal;
@@ -31,6 +31,9 @@
 /// The same while many users come at once, 1.67 times as many.
 const BURST: usize = 10;
 
+/// Clients of each machine that log covers meanwhile, some six a second each.
+const LOGGERS: usize = 4;
+
 /// Machines at which it happens, and how often.
 const MACHINES: usize = 2;
 const ROUNDS: usize = 14;
@@ -52,6 +55,10 @@
             "host": HOST, "prefix": "/files/", "kind": "upload", "timeout_s": 2,
             "slo_s": 0.3, "priority": 1, "service": "groups", "attempts": 2,
         },
+        "r-logs": {
+            "host": HOST, "prefix": "/logs/", "kind": "non_idempotent", "timeout_s": 1.5,
+            "slo_s": 0.25, "priority": 1, "service": "groups", "attempts": 2,
+        },
     });
     run.configure(3, routes, &["groups"]);
     let mut backends = Vec::new();
@@ -64,6 +71,7 @@
             born: None,
             work: Duration::from_millis(110),
             answer_bytes: 1_500,
+            cold_crash: None,
             is_recorded: true,
         };
         backends.push(Backend::start(plan, &run.store, record)?);
@@ -107,6 +115,12 @@
         })
         .collect();
 
+    let loggers: Vec<_> = (0..MACHINES * LOGGERS)
+        .map(|number| {
+            let (node, ended) = (run.address(number % MACHINES, OUTBOUND), ended.clone());
+            thread::spawn(move || send_logs(node, number, &ended))
+        })
+        .collect();
     let uploads = if run.trouble { BURST } else { USUAL };
     let mut lost = 0;
     for round in 0..ROUNDS {
@@ -127,6 +141,17 @@
     for platform in platforms {
         let _ = platform.join();
     }
+    let runs: Vec<String> =
+        backends.iter().flat_map(|backend| backend.runs()).map(|run| run.id).collect();
+    let mut unanswered = 0;
+    for logger in loggers {
+        for id in logger.join().map_err(|_| io::Error::other("a client failed"))? {
+            let was_run = runs.contains(&id);
+            unanswered += usize::from(was_run);
+            record.line(format!("{id} has no answer; run by a backend: {was_run}"));
+        }
+    }
+    record.line(format!("{unanswered} logged covers were run and not answered"));
     let mut verdict = Verdict::Held;
     for machine in 0..MACHINES {
         let peak = peaks[machine].load(Ordering::SeqCst) >> 20;
@@ -141,6 +166,33 @@
     Ok(verdict)
 }
 
+/// Logs covers on a kept connection until the end; returns the ids of those without an answer.
+fn send_logs(node: std::net::SocketAddr, number: usize, ended: &AtomicBool) -> Vec<String> {
+    let deadline = Duration::from_millis(1_500);
+    let (mut kept, mut unanswered) = (None, Vec::new());
+    for turn in 0.. {
+        if ended.load(Ordering::SeqCst) {
+            break;
+        }
+        let request = Request {
+            method: "POST",
+            host: HOST,
+            path: "/logs/1".to_owned(),
+            id: format!("cover-{number}-{turn}"),
+            deadline,
+        };
+        if kept.as_ref().is_none_or(|kept: &Kept| kept.is_closing) {
+            kept = Kept::open(node, deadline).ok();
+        }
+        if let Some(Err(_)) = kept.as_mut().map(|kept| kept.send(&request, "covers=2")) {
+            unanswered.push(request.id);
+            kept = None;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+    unanswered
+}
+
 /// Returns how bodies are sent: in chunks, or with `FRAMING=length` for comparison with their length.
 fn framing() -> Framing {
     match env::var("FRAMING").as_deref() {
--- a/review/standins-2/src/client.rs
+++ b/review/standins-2/src/client.rs
@@ -85,22 +85,24 @@
 /// A kept connection of a client, for one request at a time.
 pub struct Kept {
     reader: BufReader<TcpStream>,
+    /// Whether the last answer closes the connection.
+    pub is_closing: bool,
 }
 
 impl Kept {
     /// Connects to a node.
     pub fn open(node: SocketAddr, deadline: Duration) -> io::Result<Kept> {
-        Ok(Kept { reader: BufReader::new(connect(node, deadline)?) })
+        Ok(Kept { reader: BufReader::new(connect(node, deadline)?), is_closing: false })
     }
 
-    /// Sends a request without a body; returns the status of its answer.
-    pub fn send(&mut self, request: &Request) -> io::Result<u16> {
-        self.reader.get_mut().write_all(request.head("").as_bytes())?;
+    /// Sends a request with a small body; returns the status of its answer.
+    pub fn send(&mut self, request: &Request, body: &str) -> io::Result<u16> {
+        let framing = format!("Content-Length: {}\r\n", body.len());
+        let message = request.head(&framing) + body;
+        self.reader.get_mut().write_all(message.as_bytes())?;
         let head = http::read_head(&mut self.reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
         http::read_body(&mut self.reader, &head)?;
-        if head.header("connection").is_some_and(|value| value.contains("close")) {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
+        self.is_closing = head.header("connection").is_some_and(|value| value.contains("close"));
         Ok(head.word(1).parse().unwrap_or(0))
     }
 }
