--- a/review/standins-2/src/bin/answer-cut-by-stop.rs
+++ b/review/standins-2/src/bin/answer-cut-by-stop.rs
@@ -15,10 +15,10 @@
 };
 
 /// Size of an answer.
-const ANSWER_BYTES: usize = 27 << 20;
+const ANSWER_BYTES: usize = (32 << 20) - (64 << 10);
 
-/// Speed at which a client reads, 40 Mbit/s; its answer is whole 5.4 s after the request.
-const BYTES_PER_S: usize = 5 << 20;
+/// Speed at which a client reads, 50 Mbit/s; its answer is whole 5.4 s after the request.
+const BYTES_PER_S: usize = 6 << 20;
 
 /// Clients that read at the time of the stop.
 const CLIENTS: usize = 1;
@@ -76,7 +76,7 @@
                     deadline: DEADLINE,
                 };
                 let begun = Instant::now();
-                record.line(format!("client sends {} and reads 5 MiB/s", request.id));
+                record.line(format!("client sends {} and reads 6 MiB/s", request.id));
                 let end = match client::connect_with_window(node, DEADLINE, WINDOW) {
                     Ok(stream) => client::send_and_read_slowly(stream, &request, BYTES_PER_S),
                     Err(_) => End::Broken { status: None, bytes: 0, of: 0 },
@@ -87,7 +87,7 @@
             })
         })
         .collect();
-    thread::sleep(Duration::from_millis(300));
+    thread::sleep(Duration::from_millis(200));
     let stopped = Instant::now();
     if run.trouble {
         record.line("SIGTERM to the node of the clients");
