ingress, traffic: the limits on heads, their time and idle connections are applied

What callers saw: connections with half a head, or with nothing, took all places of a node for 75 s and more, and others waited in the backlog. A head beyond max_header_bytes was refused only when it was complete, and header_timeout_s and idle_timeout_s were read and not applied.

Cause: nothing knew in which part of an exchange a connection was; hyper's one timer covers idle time and head together, and its buffer of 400 KiB was the limit on an unfinished head.

Change: the crate `ingress` keeps the state of each accepted connection (`phase`, a state machine tested on a virtual clock): idle, head, request, closing. It bounds the time of a head from its first byte (408), idle time from the end of the last answer, the size of an unfinished head (431), empty lines before a request, and the framing of a body by its content. Unfinished heads beyond 4 KiB are accounted together. At the limit of a listener the connections that wait for their clients give way to new ones, those first that have asked nothing. An answer must be read within /answer_ms. Callers, nodes and readiness probes have limits of their own. What is closed is counted by listener and reason, and logged once a second.

--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -186,6 +186,15 @@
         /// Whether it is ready.
         ready: bool,
     },
+    /// Connections were closed within one second, since their clients passed a limit or places were short.
+    ConnectionsClosed {
+        /// The listener: `callers`, `nodes`, `calls` (of both), `ready`, `peers` or `operators`.
+        listener: String,
+        /// Why: `idle`, `slow-head`, `empty-lines`, `framing`, `unread-answer`, `replaced` or `memory`.
+        reason: String,
+        /// Number of connections.
+        count: u64,
+    },
     /// Calls got the outcome "not run" within one second.
     NotRun {
         /// The called service.
--- a/crates/traffic/src/net/memory.rs
+++ b/crates/ingress/src/memory.rs
@@ -1,7 +1,8 @@
-//! Accounting of the memory that answers take, from their first byte until they are passed on.
+//! Accounting of memory that others decide on: of answers from their first byte until they are read, and of
+//! requests while they arrive.
 //!
-//! Without it, a few upstreams whose answers do not end, or callers that do not read theirs, exhaust the
-//! node: the limit on one answer does not bound their sum.
+//! Without it, a few upstreams whose answers do not end, or clients that do not finish a request or read an
+//! answer, exhaust the node: the limit on each does not bound their sum.
 
 use bytes::Bytes;
 use std::sync::{
@@ -9,34 +10,39 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-/// Bytes that all answers of a node hold.
+/// Bytes that are held for one purpose; clones share the account.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Memory {
+pub struct Memory {
     held: Arc<AtomicUsize>,
 }
 
 impl Memory {
     /// Returns the number of bytes held.
-    pub(crate) fn held(&self) -> usize {
+    pub fn held(&self) -> usize {
         self.held.load(Ordering::SeqCst)
     }
 
     /// Returns a lease of no bytes.
-    pub(crate) fn lease(&self) -> Lease {
+    pub fn lease(&self) -> Lease {
         Lease { memory: self.clone(), bytes: 0 }
     }
 }
 
 /// A part of the memory, released on drop.
 #[derive(Debug)]
-pub(crate) struct Lease {
+pub struct Lease {
     memory: Memory,
     bytes: usize,
 }
 
 impl Lease {
+    /// Returns the number of bytes of this lease.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Takes `more` bytes if all leases then hold at most `limit`; returns whether they do.
-    pub(crate) fn extend(&mut self, more: usize, limit: usize) -> bool {
+    pub fn extend(&mut self, more: usize, limit: usize) -> bool {
         let add = |held: usize| held.checked_add(more).filter(|sum| *sum <= limit);
         let taken = self.memory.held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
         if taken.is_ok() {
@@ -46,14 +52,14 @@
     }
 
     /// Releases `fewer` bytes.
-    pub(crate) fn shrink(&mut self, fewer: usize) {
+    pub fn shrink(&mut self, fewer: usize) {
         let fewer = fewer.min(self.bytes);
         self.bytes -= fewer;
         self.memory.held.fetch_sub(fewer, Ordering::SeqCst);
     }
 
     /// Returns `bytes` as a buffer that keeps this lease until its last clone is dropped.
-    pub(crate) fn attach(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
+    pub fn attach(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
         Bytes::from_owner(Leased { bytes, _lease: self })
     }
 }
--- a/crates/traffic/src/net/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -15,7 +15,16 @@
     task::{Context, Poll, ready},
     time::Duration,
 };
-use tokio::net::TcpStream;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, Sleep, sleep_until},
+};
+
+use crate::{connection::Connection, limits::Reason};
+
+/// Answer to a head that did not arrive in time; nothing of its request was run.
+const SLOW_HEAD_ANSWER: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
 /// Read buffer, in bytes; trades system calls against memory per call.
 const CHUNK_BYTES: usize = 16 * 1024;
@@ -25,14 +34,18 @@
 const ACK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A TCP stream for `hyper`.
-pub(crate) struct Stream {
+pub struct Stream {
     socket: Arc<TcpStream>,
     /// Observer of the bytes read.
     tap: Option<Arc<dyn Tap>>,
+    /// The accepted connection; `None` on the side that connected.
+    connection: Option<Arc<Connection>>,
+    /// Wakes the owner at the next deadline.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 /// Observes the bytes read from a stream, and may read ahead of its owner.
-pub(crate) trait Tap: Send + Sync {
+pub trait Tap: Send + Sync {
     /// Observes bytes that are passed to the owner.
     fn observe(&self, bytes: &[u8]);
 
@@ -42,13 +55,13 @@
 
 /// A handle that inspects the socket of a stream owned elsewhere.
 #[derive(Clone, Debug)]
-pub(crate) struct Probe {
+pub struct Probe {
     socket: Arc<TcpStream>,
 }
 
 /// State of a socket.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) enum SocketState {
+pub enum SocketState {
     /// Open, with nothing to read.
     Idle,
     /// Open, with bytes to read.
@@ -59,7 +72,7 @@
 
 impl Stream {
     /// Connects to `address`.
-    pub(crate) async fn connect(address: SocketAddr) -> io::Result<Stream> {
+    pub async fn connect(address: SocketAddr) -> io::Result<Stream> {
         let stream = Stream::new(TcpStream::connect(address).await?)?;
         let socket = SockRef::from(&*stream.socket);
         // A middlebox can drop its connection state, or a network partition can swallow packets
@@ -72,23 +85,53 @@
     }
 
     /// Wraps an open socket.
-    pub(crate) fn new(socket: TcpStream) -> io::Result<Stream> {
+    pub fn new(socket: TcpStream) -> io::Result<Stream> {
         socket.set_nodelay(true)?;
-        Ok(Stream { socket: Arc::new(socket), tap: None })
+        Ok(Stream { socket: Arc::new(socket), tap: None, connection: None, timer: None })
+    }
+
+    /// Applies the limits on an accepted connection.
+    pub(crate) fn set_connection(&mut self, connection: Arc<Connection>) {
+        self.connection = Some(connection);
+    }
+
+    /// Waits for the first byte or the end of the stream; returns `false` if neither comes in time.
+    pub(crate) async fn first_byte(&self) -> bool {
+        let Some(connection) = &self.connection else { return true };
+        loop {
+            let Some((deadline, reason)) = connection.read_deadline() else { return true };
+            match tokio::time::timeout_at(deadline, self.socket.readable()).await {
+                Ok(_) => return true,
+                // The limit may have changed meanwhile.
+                Err(_) if connection.read_deadline().is_some_and(|(at, _)| at > Instant::now()) => {
+                }
+                Err(_) => {
+                    connection.set_reason(reason);
+                    return false;
+                }
+            }
+        }
     }
 
     /// Passes all bytes read from now on to `tap`.
-    pub(crate) fn set_tap(&mut self, tap: Arc<dyn Tap>) {
+    pub fn set_tap(&mut self, tap: Arc<dyn Tap>) {
         self.tap = Some(tap);
     }
 
+    /// Returns a probe of this stream's socket.
+    pub fn probe(&self) -> Probe {
+        Probe { socket: self.socket.clone() }
+    }
+}
+
+impl Probe {
     /// Shuts down the write side, after everything that was written.
-    pub(crate) fn shutdown(&self) -> io::Result<()> {
+    pub fn shutdown(&self) -> io::Result<()> {
         SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Write)
     }
 
     /// Reads and discards bytes; returns `false` at the end of the stream.
-    pub(crate) async fn discard(&self) -> bool {
+    pub async fn discard(&self) -> bool {
         let mut chunk = [0; CHUNK_BYTES];
         loop {
             if self.socket.readable().await.is_err() {
@@ -102,17 +145,10 @@
         }
     }
 
-    /// Returns a probe of this stream's socket.
-    pub(crate) fn probe(&self) -> Probe {
-        Probe { socket: self.socket.clone() }
-    }
-}
-
-impl Probe {
     /// Reads bytes from the socket; `None` at the end of the stream or on an error.
     ///
     /// The caller must pass them to the owner of the stream before it reads anything else.
-    pub(crate) async fn read(&self, chunk: &mut [u8]) -> Option<usize> {
+    pub async fn read(&self, chunk: &mut [u8]) -> Option<usize> {
         loop {
             self.socket.readable().await.ok()?;
             match self.socket.try_read(chunk) {
@@ -124,13 +160,13 @@
     }
 
     /// Closes the connection in both directions, even while its stream is in use.
-    pub(crate) fn close(&self) {
+    pub fn close(&self) {
         // An error means that it is closed already.
         let _ = SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Both);
     }
 
     /// Returns the state of the socket without consuming bytes.
-    pub(crate) fn socket_state(&self) -> SocketState {
+    pub fn socket_state(&self) -> SocketState {
         let mut byte = [MaybeUninit::uninit()];
         match SockRef::from(&*self.socket).peek(&mut byte) {
             Ok(0) => SocketState::Closed,
@@ -143,20 +179,24 @@
 
 impl Read for Stream {
     fn poll_read(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         mut target: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let mut chunk = [0; CHUNK_BYTES];
         let capacity = target.remaining().min(CHUNK_BYTES);
         if let Some(bytes) = self.tap.as_ref().and_then(|tap| tap.take_prefetched(capacity)) {
+            self.check_read(&bytes)?;
             target.put_slice(&bytes);
             return Poll::Ready(Ok(()));
         }
         loop {
-            ready!(self.socket.poll_read_ready(cx))?;
+            if self.socket.poll_read_ready(cx)?.is_pending() {
+                return self.poll_read_deadline(cx);
+            }
             match self.socket.try_read(&mut chunk[..capacity]) {
                 Ok(count) => {
+                    self.check_read(&chunk[..count])?;
                     target.put_slice(&chunk[..count]);
                     if let Some(tap) = &self.tap {
                         tap.observe(&chunk[..count]);
@@ -191,27 +231,96 @@
         true
     }
 
+    /// Called by `hyper` once all of its buffered bytes were written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some(connection) = &self.connection {
+            connection.end_write();
+        }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.shutdown())
+        Poll::Ready(self.probe().shutdown())
     }
 }
 
 impl Stream {
     fn poll_when_ready(
-        &self,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        if let Some(connection) = &self.connection {
+            connection.begin_write();
+        }
         loop {
-            ready!(self.socket.poll_write_ready(cx))?;
+            if self.socket.poll_write_ready(cx)?.is_pending() {
+                return self.poll_write_deadline(cx);
+            }
             match write(&self.socket) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                result => return Poll::Ready(result),
+                result => {
+                    if let Some(connection) = &self.connection {
+                        connection.write();
+                    }
+                    return Poll::Ready(result);
+                }
             }
         }
     }
+
+    /// Records bytes that were read; fails if the connection must be closed.
+    fn check_read(&self, bytes: &[u8]) -> io::Result<()> {
+        let Some(connection) = &self.connection else { return Ok(()) };
+        connection.read(bytes).map_err(|reason| self.refuse(reason))
+    }
+
+    /// Fails once the client has not sent in time what is expected of it.
+    fn poll_read_deadline(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(connection) = &self.connection else { return Poll::Pending };
+        let Some((deadline, reason)) = connection.read_deadline() else {
+            connection.wake_at_deadline(cx.waker());
+            return Poll::Pending;
+        };
+        ready!(self.poll_timer(cx, deadline));
+        if reason == Reason::SlowHead {
+            // No answer is being written. A failure means that the client is gone.
+            let _ = self.socket.try_write(SLOW_HEAD_ANSWER);
+        }
+        Poll::Ready(Err(self.refuse(reason)))
+    }
+
+    /// Fails once the client has not read an answer in time.
+    fn poll_write_deadline(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        let deadline = self.connection.as_ref().and_then(|connection| connection.write_deadline());
+        let Some(deadline) = deadline else { return Poll::Pending };
+        ready!(self.poll_timer(cx, deadline));
+        Poll::Ready(Err(self.refuse(Reason::UnreadAnswer)))
+    }
+
+    /// Waits until `deadline`. One timer serves both directions: it is set to the earlier deadline, and the
+    /// owner then polls both.
+    fn poll_timer(&mut self, cx: &mut Context<'_>, deadline: Instant) -> Poll<()> {
+        if Instant::now() >= deadline {
+            return Poll::Ready(());
+        }
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(deadline)));
+        if timer.is_elapsed() || timer.deadline() > deadline {
+            timer.as_mut().reset(deadline);
+        }
+        while timer.as_mut().poll(cx).is_ready() {
+            if Instant::now() >= deadline {
+                return Poll::Ready(());
+            }
+            timer.as_mut().reset(deadline);
+        }
+        Poll::Pending
+    }
+
+    fn refuse(&self, reason: Reason) -> io::Error {
+        if let Some(connection) = &self.connection {
+            connection.set_reason(reason);
+        }
+        io::Error::new(io::ErrorKind::TimedOut, reason.name())
+    }
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -36,8 +36,14 @@
     pub traffic_threads: usize,
     /// Limits on calls in flight and their body bytes.
     pub capacity: Capacity,
-    /// Limit on accepted connections of callers and other nodes.
+    /// Limit on connections of callers, and of other nodes where they share a listener.
     pub max_connections: usize,
+    /// Limit on connections to the listener of other nodes.
+    pub max_node_connections: usize,
+    /// Limit on connections to the listener of readiness probes.
+    pub max_probe_connections: usize,
+    /// Time limit for callers and other nodes to read an answer.
+    pub answer_timeout: Duration,
     /// Timeout for opening a connection.
     pub connect_timeout: Duration,
     /// How new versions of the configuration are disseminated.
@@ -163,6 +169,9 @@
             traffic_threads: 2,
             capacity: Capacity::default(),
             max_connections: 1_024,
+            max_node_connections: 1_024,
+            max_probe_connections: 64,
+            answer_timeout: Duration::from_secs(60),
             connect_timeout: Duration::from_millis(250),
             dissemination: Dissemination::Epidemic,
             log: true,
@@ -225,8 +234,14 @@
         seeds: seeds(object),
         traffic_threads: object.number("traffic_threads", 1..=64, default.traffic_threads as u64)
             as usize,
-        max_connections: object.number("connections", 1..=65_536, default.max_connections as u64)
-            as usize,
+        max_connections: connections(object, "connections", default.max_connections),
+        max_node_connections: connections(object, "node_connections", default.max_node_connections),
+        max_probe_connections: connections(
+            object,
+            "ready_connections",
+            default.max_probe_connections,
+        ),
+        answer_timeout: millis(object, "answer_ms", 1_000..=3_600_000, default.answer_timeout),
         connect_timeout: Duration::from_millis(object.number(
             "connect_ms",
             1..=60_000,
@@ -256,6 +271,10 @@
     }
 }
 
+fn connections(object: &mut Object<'_>, name: &str, default: usize) -> usize {
+    object.number(name, 1..=65_536, default as u64) as usize
+}
+
 fn millis(
     object: &mut Object<'_>,
     name: &str,
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -50,7 +50,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 48] = [
+pub const FIELDS: [Field; 51] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", SERVICE, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -99,7 +99,20 @@
         "134217728",
         "limit on bytes of request bodies in memory, and on those of answers",
     ),
-    optional("/connections", "1 to 65536", "1024", "limit on accepted connections for calls"),
+    optional(
+        "/connections",
+        "1 to 65536",
+        "1024",
+        "limit on connections to /listen/traffic; beyond it, one that waits for its client is closed in favour of a new one",
+    ),
+    optional("/node_connections", "1 to 65536", "1024", "the same for /listen/nodes"),
+    optional("/ready_connections", "1 to 65536", "64", "the same for /listen/ready"),
+    optional(
+        "/answer_ms",
+        "1000 to 3600000 ms",
+        "60000",
+        "time limit for a caller or another node to read an answer; then its connection is closed",
+    ),
     optional("/connect_ms", "1 to 60000 ms", "250", "timeout for opening a connection"),
     optional(
         "/plan",
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -187,9 +187,21 @@
     attributes: "service",
     help: "Refused callers that this node told to return at a time that is not over",
 };
+const CONNECTIONS: Entry = Entry {
+    name: "baobabrelay.connections",
+    unit: "{connection}",
+    attributes: "listener",
+    help: "Open connections of a listener when it last accepted one",
+};
+const CLOSED: Entry = Entry {
+    name: "baobabrelay.connections.closed",
+    unit: "{connection}",
+    attributes: "listener, reason",
+    help: "Connections of a listener that this node closed: the client was idle, sent its head too slowly (slow-head), empty lines or framing without end, or did not read an answer (unread-answer); or it waited for its client while connections (replaced) or memory were short",
+};
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 27] = [
+pub const CATALOGUE: [Entry; 29] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -217,6 +229,8 @@
     USAGE,
     OVERTAKING,
     PROMISED_RETURNS,
+    CONNECTIONS,
+    CLOSED,
 ];
 
 /// Failure to set up or render metrics.
@@ -267,6 +281,8 @@
     usage: Gauge<u64>,
     overtaking: Counter<u64>,
     promised_returns: Gauge<u64>,
+    connections: Gauge<u64>,
+    closed: Counter<u64>,
 }
 
 impl Meter {
@@ -329,6 +345,8 @@
             usage: gauge(USAGE),
             overtaking: counter(OVERTAKING),
             promised_returns: gauge(PROMISED_RETURNS),
+            connections: gauge(CONNECTIONS),
+            closed: counter(CLOSED),
             registry,
             _provider: provider,
         })
@@ -469,6 +487,17 @@
         self.promised_returns.record(calls, &[KeyValue::new("service", service.to_owned())]);
     }
 
+    /// Sets the number of open connections of a listener.
+    pub fn set_open_connections(&self, listener: &'static str, connections: u64) {
+        self.connections.record(connections, &[KeyValue::new("listener", listener)]);
+    }
+
+    /// Counts a connection that this node closed.
+    pub fn count_closed_connection(&self, listener: &'static str, reason: &'static str) {
+        let attributes = [KeyValue::new("listener", listener), KeyValue::new("reason", reason)];
+        self.closed.add(1, &attributes);
+    }
+
     /// Renders all metrics as Prometheus text, histograms last.
     ///
     /// Histograms grow with the number of services. A reader that truncates the text still gets the
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -32,6 +32,8 @@
     meter.set_starts_peak(9);
     meter.set_cold(1.5);
     meter.count_probe("warm");
+    meter.set_open_connections("callers", 5);
+    meter.count_closed_connection("callers", "idle");
     meter
 }
 
--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -4,6 +4,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response, Uri, header::HeaderValue, http::uri::PathAndQuery,
 };
+use ingress::stream::Probe;
 use model::{profile::Profile, request::Fingerprint, time::Time};
 use policy::{
     admission::Rank,
@@ -13,7 +14,7 @@
 use std::sync::{Arc, OnceLock, atomic::AtomicU32};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{net::stream::Probe, record::Trace, wire};
+use crate::{record::Trace, wire};
 
 /// Maximum length of a request's label in operator output, in characters.
 const MAX_LABEL_CHARS: usize = 160;
--- a/crates/traffic/src/entry.rs
+++ b/crates/traffic/src/entry.rs
@@ -7,6 +7,7 @@
 mod retries;
 
 use fleet::{member::State, view::Upstream};
+use ingress::stream::SocketState;
 use policy::{
     outcome::{Cause, Outcome},
     overflow::Stage,
@@ -21,7 +22,6 @@
         choice::{choose, choose_after_timeout},
         retries::{Failure, Next, Retry, deadline, next_step, record_call},
     },
-    net::stream::SocketState,
     proxy::Proxy,
     record::events::Event,
 };
--- a/crates/traffic/src/entry/level/tests.rs
+++ b/crates/traffic/src/entry/level/tests.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
+use ingress::stream::{Probe, Stream};
 use model::{profile::Profile, time::Time};
 use policy::{
     admission::Rank,
@@ -22,7 +23,6 @@
     call::{Call, Options, Payload},
     clock::Clock,
     entry::level::settle,
-    net::stream::{Probe, Stream},
     proxy::{Proxy, settings},
     record::Trace,
 };
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, header::HeaderValue, http::request::Parts};
+use ingress::stream::Probe;
 use model::time::Time;
 use policy::{
     admission::{Class, Rank},
@@ -16,10 +17,7 @@
 
 use crate::{
     call::{Answer, Offer, Payload},
-    net::{
-        body::{self, Inbound},
-        stream::Probe,
-    },
+    net::body::{self, Inbound},
     proxy::{Proxy, in_flight::Reservation},
     serving, wire,
 };
--- a/crates/traffic/src/intake.rs
+++ b/crates/traffic/src/intake.rs
@@ -12,14 +12,10 @@
     Request, Response, StatusCode,
     header::{self, HeaderValue},
 };
+use ingress::stream::Probe;
 use std::sync::Arc;
 
-use crate::{
-    forward::receiver,
-    net::{body::Inbound, stream::Probe},
-    proxy::Proxy,
-    wire,
-};
+use crate::{forward::receiver, net::body::Inbound, proxy::Proxy, wire};
 
 /// Whose requests a listener accepts.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -35,6 +31,18 @@
     Probes,
 }
 
+impl Audience {
+    /// Returns the listener's name in metrics and events.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Audience::All => "calls",
+            Audience::Callers => "callers",
+            Audience::Nodes => "nodes",
+            Audience::Probes => "ready",
+        }
+    }
+}
+
 /// Answers a request of a caller or of another node; closes the connection when load should move
 /// away.
 pub(crate) async fn handle(
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, http::request::Parts};
+use ingress::stream::Probe;
 use model::time::Time;
 use policy::{
     budget::Lineage,
@@ -22,7 +23,7 @@
         span::Span,
         upload::{self, Upload},
     },
-    net::{body::Inbound, stream::Probe},
+    net::body::Inbound,
     proxy::Proxy,
     record::Trace,
     routing::{
--- a/crates/traffic/src/intake/pipelining.rs
+++ b/crates/traffic/src/intake/pipelining.rs
@@ -5,10 +5,10 @@
 //! for the connection. Only idempotent calls start early, since callers resend requests behind an answer
 //! that closes the connection.
 
-use bytes::{Bytes, BytesMut};
-use http_body_util::{Either, Empty};
+use bytes::BytesMut;
 use httparse::{EMPTY_HEADER, Status};
 use hyper::{Method, Request, Response, Uri, body::Body, header};
+use ingress::stream::{Probe, Tap};
 use policy::outcome::Cause;
 use std::{
     collections::VecDeque,
@@ -19,10 +19,7 @@
 use crate::{
     intake::{self, Audience},
     lock::lock,
-    net::{
-        body::Inbound,
-        stream::{Probe, Tap},
-    },
+    net::body::Inbound,
     proxy::Proxy,
     routing::target,
     wire::{self, Precision},
@@ -229,7 +226,7 @@
     let mut headers = [EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     head.parse(bytes).ok()?;
-    let mut request = Request::new(Either::Right(Empty::<Bytes>::new()));
+    let mut request = Request::new(Inbound::empty());
     *request.method_mut() = Method::from_bytes(head.method?.as_bytes()).ok()?;
     *request.uri_mut() = head.path?.parse::<Uri>().ok()?;
     for header in head.headers.iter() {
--- a/crates/traffic/src/intake/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -1,46 +1,34 @@
-//! Accepts connections from callers and other nodes, up to a limit.
-
-use http_body_util::Either;
-use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::TokioTimer;
-use snafu::{ResultExt, Snafu};
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
-use tokio::{
-    net::TcpListener,
-    sync::{OwnedSemaphorePermit, Semaphore},
-    time::{sleep, timeout},
+//! Accepts connections from callers, other nodes and load balancers, within the limits of each listener.
+
+use hyper::Request;
+use ingress::{
+    limits::{Limits, Policy, Reason},
+    listener::{self, Accepted},
 };
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
     intake::{self, Audience, pipelining::Pipeline, ready},
-    net::stream::Stream,
+    net::body::Inbound,
     proxy::Proxy,
+    record::events::Event,
 };
 
-/// Time limit for reading a request's head; also closes idle connections.
+pub use ingress::listener::Error;
+
+/// Idle time of connections of other nodes.
 ///
-/// Longer than the idle timeout of other nodes' connection pools, so that the client side closes
-/// first: a request sent while the server closes would be lost.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(75);
-
-/// Time for the peer to read the last answer and close its side.
-const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// Delay after a failed accept, such as with too many open files.
-const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-
-/// Failure to listen for calls.
-#[derive(Debug, Snafu)]
-#[snafu(display("cannot listen for calls at {address}: {source}"))]
-pub struct Error {
-    address: SocketAddr,
-    source: std::io::Error,
-}
+/// Longer than the idle timeout of their connection pools, so that the client side closes first: a request
+/// sent while the server closes would be lost.
+const NODE_IDLE_TIMEOUT: Duration = Duration::from_secs(75);
+
+/// Time limit for the head of another node's request.
+const NODE_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A socket that callers or other nodes connect to.
 #[derive(Debug)]
 pub struct Listener {
-    socket: TcpListener,
+    socket: listener::Listener,
     audience: Audience,
 }
 
@@ -52,73 +40,79 @@
 
     /// Listens at `address` for the requests of `audience`.
     pub async fn bind_for(address: SocketAddr, audience: Audience) -> Result<Self, Error> {
-        let socket = TcpListener::bind(address).await.context(Snafu { address })?;
-        Ok(Listener { socket, audience })
+        Ok(Listener { socket: listener::Listener::bind(address).await?, audience })
     }
 
     /// Returns the bound address, with the port that the system assigned.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.socket.local_addr()
+        self.socket.address()
     }
 
-    /// Serves connections until the task is dropped; at most `max_connections` at a time.
+    /// Serves connections until the task is dropped, as many at a time as the settings allow.
     pub async fn serve(self, proxy: Arc<Proxy>) {
-        let connections = Arc::new(Semaphore::new(proxy.settings.max_connections));
-        loop {
-            // Above the limit, connections wait in the system's backlog.
-            let Ok(permit) = connections.clone().acquire_owned().await else { return };
-            match self.socket.accept().await {
-                Ok((socket, _)) => {
-                    tokio::spawn(serve_connection(proxy.clone(), self.audience, socket, permit));
-                }
-                Err(_) => sleep(ACCEPT_BACKOFF).await,
-            }
+        let audience = self.audience;
+        let policy = Arc::new(Rules { proxy: proxy.clone(), audience });
+        let limit = match audience {
+            Audience::All | Audience::Callers => proxy.settings.max_connections,
+            Audience::Nodes => proxy.settings.max_node_connections,
+            Audience::Probes => proxy.settings.max_probe_connections,
+        };
+        let context = proxy.ingress.clone();
+        let handle = |accepted| {
+            tokio::spawn(serve_connection(proxy.clone(), audience, accepted));
+        };
+        self.socket.serve(context, policy, limit, handle).await;
+    }
+}
+
+async fn serve_connection(proxy: Arc<Proxy>, audience: Audience, mut accepted: Accepted) {
+    let probe = accepted.stream.probe();
+    match audience {
+        Audience::Probes => accepted.serve(async |_| ready::answer(&proxy)).await,
+        Audience::Callers => {
+            let pipeline = Pipeline::new(proxy, probe);
+            accepted.stream.set_tap(pipeline.clone());
+            accepted.serve(async |request| pipeline.answer(request).await).await;
+        }
+        Audience::All | Audience::Nodes => {
+            let handle = async |request: Request<Inbound>| {
+                intake::handle(&proxy, request, probe.clone(), audience).await
+            };
+            accepted.serve(handle).await;
         }
     }
 }
 
-async fn serve_connection(
+/// Limits of a listener: those of the configuration towards callers.
+struct Rules {
     proxy: Arc<Proxy>,
     audience: Audience,
-    socket: tokio::net::TcpStream,
-    _permit: OwnedSemaphorePermit,
-) {
-    let Ok(mut stream) = Stream::new(socket) else { return };
-    let probe = stream.probe();
-    let pipeline = Pipeline::new(proxy.clone(), probe.clone());
-    if audience == Audience::Callers {
-        stream.set_tap(pipeline.clone());
+}
+
+impl Policy for Rules {
+    fn limits(&self) -> Limits {
+        let limits = self.proxy.config().limits;
+        let idle = Duration::from_millis(limits.idle_ms);
+        let head = Duration::from_millis(limits.header_ms);
+        let (idle, head) = match self.audience {
+            Audience::Callers | Audience::Probes => (idle, head),
+            Audience::All => (idle.max(NODE_IDLE_TIMEOUT), head),
+            Audience::Nodes => (NODE_IDLE_TIMEOUT, NODE_HEAD_TIMEOUT),
+        };
+        let answer = self.proxy.settings.answer_timeout;
+        Limits { idle, head, header_bytes: limits.header_bytes, answer }
     }
-    let service = service_fn(|request: Request<Incoming>| {
-        let (proxy, probe, pipeline) = (proxy.clone(), probe.clone(), pipeline.clone());
-        let request = request.map(Either::Left);
-        async move {
-            Ok::<_, Infallible>(match audience {
-                Audience::Probes => ready::answer(&proxy),
-                Audience::Callers => pipeline.answer(request).await,
-                Audience::All | Audience::Nodes => {
-                    intake::handle(&proxy, request, probe, audience).await
-                }
-            })
-        }
-    });
-    let mut builder = http1::Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT);
-    // An error means that the peer broke the connection or the protocol; its calls have already
-    // been answered or cancelled.
-    if let Ok(parts) = builder.serve_connection(stream, service).without_shutdown().await {
-        linger(parts.io).await;
+
+    fn head_memory(&self) -> usize {
+        self.proxy.request_memory()
     }
-}
 
-/// Shuts down the write side, then discards input until the peer closes or the timeout passes.
-///
-/// Closing a socket with unread bytes, such as pipelined requests, resets the connection and may
-/// destroy an answer that the caller has not read yet.
-async fn linger(stream: Stream) {
-    let read = async { while stream.discard().await {} };
-    if stream.shutdown().is_ok() {
-        // The connection is closed in either case.
-        let _ = timeout(LINGER_TIMEOUT, read).await;
+    fn count_closed(&self, reason: Reason) {
+        self.proxy.meter.count_closed_connection(self.audience.name(), reason.name());
+        self.proxy.events.add(Event::Closed(self.audience.name(), reason));
+    }
+
+    fn set_open(&self, connections: usize) {
+        self.proxy.meter.set_open_connections(self.audience.name(), connections as u64);
     }
 }
--- a/crates/traffic/src/net/body.rs
+++ b/crates/traffic/src/net/body.rs
@@ -1,15 +1,11 @@
 //! Receives complete bodies, limited in size, memory and time.
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Either, Empty};
-use hyper::{
-    body::{Body, Incoming},
-    header,
-};
+use http_body_util::BodyExt;
+use hyper::{body::Body, header};
+use ingress::memory::{Lease, Memory};
 use std::{pin::pin, time::Duration};
 
-use crate::net::memory::{Lease, Memory};
-
 /// Smallest buffer of a body that arrives in several parts, in bytes.
 const MIN_BUFFER_BYTES: usize = 16 * 1024;
 
@@ -17,7 +13,7 @@
 const MAX_EXPECTED_BYTES: usize = 1 << 20;
 
 /// Body of an incoming request; empty if the request was read ahead for pipelining.
-pub(crate) type Inbound = Either<Incoming, Empty<Bytes>>;
+pub(crate) type Inbound = ingress::body::Request;
 
 /// Why a body was not received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -6,6 +6,7 @@
     body::Incoming,
     client::conn::http1::{self, SendRequest},
 };
+use ingress::stream::{Probe, SocketState, Stream};
 use model::time::Time;
 use policy::{
     connection::{self, Use},
@@ -20,12 +21,7 @@
 };
 use tokio::{task::AbortHandle, time::timeout};
 
-use crate::{
-    clock::Clock,
-    lock::lock,
-    net::stream::{Probe, SocketState, Stream},
-    wire::Body,
-};
+use crate::{clock::Clock, lock::lock, wire::Body};
 
 /// Maximum number of idle connections per address.
 const MAX_IDLE: usize = 64;
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -26,6 +26,7 @@
     view::{Upstream, View},
 };
 use hyper::body::Body;
+use ingress::{listener::Context, memory::Memory};
 use model::{config::Snapshot, time::Time};
 use policy::{budget::Share, client_retry, health, nested::Throttle, pause, split::Split};
 use std::{
@@ -42,7 +43,7 @@
     admission::{running::Registry, semaphore::Semaphore, transfer::Transfers},
     clock::Clock,
     lock::lock,
-    net::{body, memory::Memory, pool::Pool},
+    net::{body, pool::Pool},
     proxy::{
         crashes::Crashes,
         demand::Demand,
@@ -56,6 +57,9 @@
     record::{Log, events::Counters},
 };
 
+/// Divisor of the limit on bodies that gives the limit on the memory of heads.
+const REQUEST_MEMORY_DIVISOR: usize = 4;
+
 /// State shared by all calls that a node proxies: configuration, upstreams, limits and records.
 pub struct Proxy {
     pub(crate) settings: Settings,
@@ -97,6 +101,8 @@
     pub(crate) in_flight: Usage,
     /// Memory of answers, from their first byte until they are passed on.
     pub(crate) answers: Memory,
+    /// Connections of callers and other nodes.
+    pub(crate) ingress: Arc<Context>,
 }
 
 impl Proxy {
@@ -137,6 +143,7 @@
             nested: Mutex::default(),
             in_flight: Usage::default(),
             answers: Memory::default(),
+            ingress: Arc::default(),
         })
     }
 
@@ -267,6 +274,11 @@
         self.in_flight.total()
     }
 
+    /// Returns the number of bytes that unfinished heads and requests in progress may hold together.
+    pub(crate) fn request_memory(&self) -> usize {
+        self.tuning().capacity.bytes / REQUEST_MEMORY_DIVISOR
+    }
+
     /// Returns the number of bytes that answers hold, from their first byte until they are passed on.
     pub fn answer_bytes(&self) -> usize {
         self.answers.held()
--- a/crates/traffic/src/proxy/settings.rs
+++ b/crates/traffic/src/proxy/settings.rs
@@ -26,8 +26,14 @@
     pub split_offset: u64,
     /// Settings that may change at run time.
     pub tuning: Tuning,
-    /// Maximum number of connections from callers and other nodes.
+    /// Maximum number of connections from callers, and from other nodes where they share a listener.
     pub max_connections: usize,
+    /// Maximum number of connections to the listener of other nodes.
+    pub max_node_connections: usize,
+    /// Maximum number of connections to the listener of readiness probes.
+    pub max_probe_connections: usize,
+    /// Time limit for callers and other nodes to read an answer.
+    pub answer_timeout: Duration,
     /// Settings of the pause detector.
     pub pause: pause::Settings,
     /// The platform's name of the instance, for log lines.
@@ -101,6 +107,9 @@
             split_offset: 0,
             tuning: Tuning::default(),
             max_connections: 1_024,
+            max_node_connections: 1_024,
+            max_probe_connections: 64,
+            answer_timeout: Duration::from_secs(60),
             pause: pause::Settings::default(),
             instance: String::new(),
             log: false,
--- a/crates/traffic/src/record/events.rs
+++ b/crates/traffic/src/record/events.rs
@@ -3,6 +3,7 @@
 //! Under overload, one timeline entry per refused call would evict all other entries.
 
 use fleet::timeline::Kind;
+use ingress::limits::Reason;
 use policy::outcome::{Cause, Uncertainty};
 use std::{collections::HashMap, net::SocketAddr, sync::Mutex};
 
@@ -26,6 +27,8 @@
     Slow(String, SocketAddr),
     /// An upstream of a service was ejected.
     Ejected(String, SocketAddr),
+    /// A connection to this listener was closed.
+    Closed(&'static str, Reason),
 }
 
 /// How an attempt or a call counts towards the retry budget of the fleet.
@@ -94,5 +97,10 @@
         }
         Event::Slow(service, peer) => Kind::Slow { service, peer, count },
         Event::Ejected(service, peer) => Kind::Ejected { service, peer },
+        Event::Closed(listener, reason) => Kind::ConnectionsClosed {
+            listener: listener.to_owned(),
+            reason: reason.name().to_owned(),
+            count,
+        },
     }
 }
--- a/crates/traffic/src/serving.rs
+++ b/crates/traffic/src/serving.rs
@@ -2,6 +2,7 @@
 //!
 //! Slots, deadlines and all conditions of the claim are checked here, right before the call runs.
 
+use ingress::stream::SocketState;
 use model::profile::Profile;
 use policy::{
     admission::Rank,
@@ -15,7 +16,7 @@
 use crate::{
     admission::semaphore::Permit,
     call::{Answer, Offer},
-    net::{pool::Connection, stream::SocketState},
+    net::pool::Connection,
     proxy::{Proxy, in_flight::OfferGuard},
     record::{Interest, Trace, events::BudgetUse},
     upstream::{self, Failure, crash, probe},
