traffic: bodies are accounted as they arrive, and memory that clients stall on is released

Cause: only a declared length was reserved before a body was complete; the buffer of a body doubled, so that it took up to three times its size for a moment; a single part pinned the read buffer that it came in. Calls, their heads, bodies and answers had no common account, and nothing took memory back from a client that stalled.

Change: a body is received in segments of at most 256 KiB, each reserved before it is filled, and passed on without being copied together. Calls are charged for their head and task. Bodies, answers, heads and calls share the limit on bodies and a quarter beyond it, of which a part is kept free for the answers of calls that run. The memory of an answer is released segment by segment as it is read.

--- a/crates/traffic/src/call.rs
+++ b/crates/traffic/src/call.rs
@@ -1,6 +1,5 @@
 //! A call, its request and its answer, as the stages of the data plane pass them on.
 
-use bytes::Bytes;
 use hyper::{
     HeaderMap, Method, Request, Response, Uri, header::HeaderValue, http::uri::PathAndQuery,
 };
@@ -14,7 +13,10 @@
 use std::sync::{Arc, OnceLock, atomic::AtomicU32};
 use xxhash_rust::xxh3::Xxh3;
 
-use crate::{record::Trace, wire};
+use crate::{
+    record::Trace,
+    wire::{self, Content},
+};
 
 /// Maximum length of a request's label in operator output, in characters.
 const MAX_LABEL_CHARS: usize = 160;
@@ -103,7 +105,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) head: Response<()>,
-    pub(crate) body: Bytes,
+    pub(crate) body: Content,
 }
 
 impl Answer {
@@ -122,13 +124,13 @@
     pub(crate) method: Method,
     pub(crate) path: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: Content,
     /// Cached result of [`Payload::fingerprint`].
     fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Payload {
-    pub(crate) fn new(method: Method, path: Uri, headers: HeaderMap, body: Bytes) -> Self {
+    pub(crate) fn new(method: Method, path: Uri, headers: HeaderMap, body: Content) -> Self {
         Payload { method, path, headers, body, fingerprint: OnceLock::new() }
     }
 
@@ -162,7 +164,8 @@
             None => add(wire::host(&self.headers).as_bytes()),
         }
         add(self.target().as_bytes());
-        add(&self.body);
+        hash.update(&(self.body.len() as u64).to_le_bytes());
+        self.body.segments().iter().for_each(|segment| hash.update(segment));
         Fingerprint(hash.digest())
     }
 
--- a/crates/traffic/src/entry/level/tests.rs
+++ b/crates/traffic/src/entry/level/tests.rs
@@ -1,6 +1,5 @@
 //! Tests of the wait for concurrent siblings.
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use ingress::stream::{Probe, Stream};
 use model::{profile::Profile, time::Time};
@@ -25,6 +24,7 @@
     entry::level::settle,
     proxy::{Proxy, settings},
     record::Trace,
+    wire::Content,
 };
 
 /// Longer than any test.
@@ -105,7 +105,7 @@
         service: "s",
         profile,
         options,
-        payload: Payload::new(Method::GET, Uri::default(), HeaderMap::new(), Bytes::new()),
+        payload: Payload::new(Method::GET, Uri::default(), HeaderMap::new(), Content::default()),
         received,
         deadline,
         due: None,
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -1,6 +1,5 @@
 //! Receives offers from entry nodes and answers them.
 
-use bytes::Bytes;
 use hyper::{HeaderMap, Request, Response, header::HeaderValue, http::request::Parts};
 use ingress::stream::Probe;
 use model::time::Time;
@@ -18,8 +17,9 @@
 use crate::{
     call::{Answer, Offer, Payload},
     net::body::{self, Inbound},
-    proxy::{Proxy, in_flight::Reservation},
-    serving, wire,
+    proxy::Proxy,
+    serving,
+    wire::{self, Content},
 };
 
 /// Maximum remaining time that an offer can state, in ms.
@@ -71,13 +71,15 @@
         _ => None,
     };
     let is_reservation = head.headers.contains_key(wire::RESERVE);
-    let mut reserved = Reservation::new(&proxy.in_flight);
-    if !reserved.extend(body::declared_length(&head.headers).unwrap_or(0), proxy.tuning().capacity)
-    {
-        return Err(Cause::Overloaded.outcome());
-    }
-    let body = body::receive(incoming, limit, metadata.deadline.since(received)).await;
-    let body = body.map_err(|_| Cause::BadRequest.outcome())?;
+    let _memory = proxy.admit_request(&head.headers).ok_or(Cause::Overloaded.outcome())?;
+    let mut reserved = proxy.reserve_body(body::declared_length(&head.headers));
+    let reserved = reserved.as_mut().ok_or(Cause::Overloaded.outcome())?;
+    let body =
+        body::receive(incoming, limit, metadata.deadline.since(received), reserved.account(proxy));
+    let body = body.await.map_err(|fault| match fault {
+        body::Fault::NoMemory => Cause::Overloaded.outcome(),
+        _ => Cause::BadRequest.outcome(),
+    })?;
     let mut offer = offer(head, metadata, body, origin, received);
     if let Some(grant) = grant {
         let start_by = transfer::start_after_transfer(proxy.clock.now(), offer.deadline);
@@ -157,7 +159,7 @@
     })
 }
 
-fn offer(head: Parts, metadata: Metadata, body: Bytes, origin: Probe, received: Time) -> Offer {
+fn offer(head: Parts, metadata: Metadata, body: Content, origin: Probe, received: Time) -> Offer {
     let Metadata {
         id,
         incarnation,
@@ -194,7 +196,7 @@
 fn grant_answer(ticket: u64) -> Answer {
     let mut head = Response::new(());
     head.headers_mut().insert(wire::TICKET, wire::number(ticket));
-    Answer { head, body: Bytes::new() }
+    Answer { head, body: Content::default() }
 }
 
 /// Returns the response that carries a transfer grant.
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -182,7 +182,7 @@
     let body = proxy.receive_answer(incoming, call.profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
         body::Fault::TimedOut => Some(of_loss(Step::Answer, Loss::Timeout)),
-        body::Fault::TooLarge | body::Fault::Truncated => {
+        body::Fault::TooLarge | body::Fault::NoMemory | body::Fault::Truncated => {
             Some(of_loss(Step::Answer, Loss::Malformed))
         }
     })?;
--- a/crates/traffic/src/intake/caller.rs
+++ b/crates/traffic/src/intake/caller.rs
@@ -1,6 +1,5 @@
 //! Handles a caller's request: routes it, admits it, runs it and builds the response.
 
-use bytes::Bytes;
 use hyper::{Request, Response, StatusCode, http::request::Parts};
 use ingress::stream::Probe;
 use model::time::Time;
@@ -31,7 +30,7 @@
         schedule::{self, Schedule},
         target::{self, Target},
     },
-    wire,
+    wire::{self, Content},
 };
 
 /// Answers a caller's request and counts its outcome.
@@ -80,7 +79,7 @@
     let schedule = check_head(proxy, &head, &target, received, trace)?;
     let remaining = schedule.deadline.since(received);
     let upload = upload::receive(proxy, &target, &head.headers, incoming, remaining).await?;
-    let Upload { body, guard: _guard, reserved: _reserved } = upload;
+    let Upload { body, guard: _guard, memory: _memory, reserved: _reserved } = upload;
     if proxy.lifecycle.is_closed() {
         // The body arrived after the close, so that the call could not finish before the process exits.
         return Err(Refusal::of(Cause::Leaving));
@@ -152,7 +151,7 @@
     head: Parts,
     target: Target<'a>,
     schedule: &Schedule,
-    body: Bytes,
+    body: Content,
     origin: Probe,
     trace: &'a Trace,
 ) -> Call<'a> {
--- a/crates/traffic/src/intake/upload.rs
+++ b/crates/traffic/src/intake/upload.rs
@@ -1,7 +1,7 @@
 //! Receives the body of a caller's request, within the node's limits on calls and body bytes.
 
-use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
+use ingress::memory::Lease;
 use policy::outcome::Cause;
 use std::time::Duration;
 
@@ -13,12 +13,14 @@
         in_flight::{CallGuard, Reservation},
     },
     routing::target::Target,
+    wire::Content,
 };
 
 /// A complete body, with the reservations of its call and bytes until it is dropped.
 pub(super) struct Upload<'a> {
-    pub(super) body: Bytes,
+    pub(super) body: Content,
     pub(super) guard: CallGuard<'a>,
+    pub(super) memory: Lease,
     pub(super) reserved: Reservation<'a>,
 }
 
@@ -35,27 +37,24 @@
     let guard =
         CallGuard::take(&proxy.in_flight, &proxy.services, target.service, proxy.tuning().capacity)
             .ok_or(Refusal::of(Cause::Saturated))?;
-    let declared = body::declared_length(headers).unwrap_or(0);
-    if declared > target.body_limit {
+    let declared = body::declared_length(headers);
+    if declared.is_some_and(|bytes| bytes > target.body_limit) {
         return Err(Refusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE));
     }
-    let mut reserved = Reservation::new(&proxy.in_flight);
-    if !reserved.extend(declared, proxy.tuning().capacity) {
-        return Err(Refusal::of(Cause::Saturated));
-    }
+    let memory = proxy.admit_request(headers).ok_or(Refusal::of(Cause::Saturated))?;
+    let mut reserved = proxy.reserve_body(declared).ok_or(Refusal::of(Cause::Saturated))?;
     let timeout = Duration::from_millis(target.profile.upload_ms).min(remaining);
-    let body = body::receive(incoming, target.body_limit, timeout).await;
-    let body = body.map_err(|fault| Refusal::bad_request(status_of(fault)))?;
-    if !reserved.extend(body.len().saturating_sub(declared), proxy.tuning().capacity) {
-        return Err(Refusal::of(Cause::Saturated));
-    }
-    Ok(Upload { body, guard, reserved })
+    let account = reserved.account(proxy);
+    let body = body::receive(incoming, target.body_limit, timeout, account).await;
+    let body = body.map_err(refusal_of)?;
+    Ok(Upload { body, guard, memory, reserved })
 }
 
-fn status_of(fault: body::Fault) -> StatusCode {
+fn refusal_of(fault: body::Fault) -> Refusal {
     match fault {
-        body::Fault::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        body::Fault::TimedOut => StatusCode::REQUEST_TIMEOUT,
-        body::Fault::Truncated => StatusCode::BAD_REQUEST,
+        body::Fault::TooLarge => Refusal::bad_request(StatusCode::PAYLOAD_TOO_LARGE),
+        body::Fault::NoMemory => Refusal::of(Cause::Saturated),
+        body::Fault::TimedOut => Refusal::bad_request(StatusCode::REQUEST_TIMEOUT),
+        body::Fault::Truncated => Refusal::bad_request(StatusCode::BAD_REQUEST),
     }
 }
--- a/crates/traffic/src/net/body.rs
+++ b/crates/traffic/src/net/body.rs
@@ -6,11 +6,19 @@
 use ingress::memory::{Lease, Memory};
 use std::{pin::pin, time::Duration};
 
-/// Smallest buffer of a body that arrives in several parts, in bytes.
-const MIN_BUFFER_BYTES: usize = 16 * 1024;
+use crate::wire::Content;
 
-/// Largest declared size of a body for which a buffer is allocated before the body has arrived, in bytes.
-const MAX_EXPECTED_BYTES: usize = 1 << 20;
+/// Smallest segment of a body of unknown size, in bytes.
+const MIN_SEGMENT_BYTES: usize = 16 * 1024;
+
+/// Largest segment of a body, in bytes.
+const MAX_SEGMENT_BYTES: usize = 256 * 1024;
+
+/// Interval between two attempts to find memory for an answer.
+const MEMORY_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Attempts to find memory for an answer, which has run and would be lost.
+const MAX_MEMORY_ATTEMPTS: usize = 25;
 
 /// Body of an incoming request; empty if the request was read ahead for pipelining.
 pub(crate) type Inbound = ingress::body::Request;
@@ -18,43 +26,83 @@
 /// Why a body was not received.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Fault {
-    /// The body exceeds the size limit, or the memory that is left.
+    /// The body exceeds the size limit.
     TooLarge,
+    /// The memory that is left does not hold the body.
+    NoMemory,
     /// The body did not arrive in time.
     TimedOut,
     /// The body ended before its declared end.
     Truncated,
 }
 
-/// Receives the body of a request completely, up to `limit` bytes and within `time`.
-///
-/// A truncated body is an error: `hyper` checks the declared length or the last chunk.
-pub(crate) async fn receive<B>(body: B, limit: usize, time: Duration) -> Result<Bytes, Fault>
-where
-    B: Body<Data = Bytes>,
-{
-    // The memory of requests is reserved by their intake.
-    let mut buffer = Buffer::new(limit, Memory::default().lease(), usize::MAX);
-    tokio::time::timeout(time, collect(body, &mut buffer)).await.map_err(|_| Fault::TimedOut)??;
-    Ok(buffer.into_parts().0)
+/// Memory that a body is received in.
+pub(crate) trait Account {
+    /// Attempts to find memory, with a pause between two of them.
+    const ATTEMPTS: usize;
+
+    /// Takes memory for a segment of `bytes` bytes; returns whether it is available.
+    fn take(&mut self, bytes: usize) -> bool;
+
+    /// Returns a complete segment of at most the bytes that were taken last.
+    fn seal(&mut self, segment: Vec<u8>) -> Bytes;
+
+    /// Asks others to release memory.
+    fn relieve(&self);
+}
+
+/// Memory of an answer, which is released segment by segment as they are written.
+pub(crate) struct AnswerAccount<'a, L, R> {
+    pub(crate) memory: &'a Memory,
+    /// Returns the bytes that all answers may hold at present.
+    pub(crate) limit: L,
+    /// Asks others to release memory.
+    pub(crate) relieve: R,
+    /// Memory of the segment that is being received.
+    pub(crate) lease: Option<Lease>,
 }
 
-/// Receives the body of an answer like [`receive`], in `memory` of which all answers may hold `available`
-/// bytes; it is released when the last clone of the result is dropped.
-pub(crate) async fn receive_answer<B>(
+impl<L: Fn() -> usize, R: Fn()> Account for AnswerAccount<'_, L, R> {
+    const ATTEMPTS: usize = MAX_MEMORY_ATTEMPTS;
+
+    fn take(&mut self, bytes: usize) -> bool {
+        let mut lease = self.memory.lease();
+        let is_taken = lease.extend(bytes, (self.limit)());
+        if is_taken {
+            self.lease = Some(lease);
+        }
+        is_taken
+    }
+
+    fn seal(&mut self, segment: Vec<u8>) -> Bytes {
+        match self.lease.take() {
+            Some(mut lease) => {
+                lease.shrink(lease.bytes().saturating_sub(segment.capacity()));
+                lease.attach(segment)
+            }
+            None => Bytes::from(segment),
+        }
+    }
+
+    fn relieve(&self) {
+        (self.relieve)();
+    }
+}
+
+/// Receives a body completely, up to `limit` bytes and within `time`, in the memory of `account`.
+///
+/// A truncated body is an error: `hyper` checks the declared length or the last chunk.
+pub(crate) async fn receive<B>(
     body: B,
     limit: usize,
     time: Duration,
-    memory: &Memory,
-    available: usize,
-) -> Result<Bytes, Fault>
+    account: impl Account,
+) -> Result<Content, Fault>
 where
     B: Body<Data = Bytes>,
 {
-    let mut buffer = Buffer::new(limit, memory.lease(), available);
-    tokio::time::timeout(time, collect(body, &mut buffer)).await.map_err(|_| Fault::TimedOut)??;
-    let (bytes, lease) = buffer.into_parts();
-    Ok(if bytes.is_empty() { bytes } else { lease.attach(bytes) })
+    let received = tokio::time::timeout(time, collect(body, limit, account)).await;
+    received.map_err(|_| Fault::TimedOut)?
 }
 
 /// Returns the value of `Content-Length`, if present and valid.
@@ -62,86 +110,91 @@
     headers.get(header::CONTENT_LENGTH)?.to_str().ok()?.parse().ok()
 }
 
-async fn collect<B>(body: B, buffer: &mut Buffer) -> Result<(), Fault>
+async fn collect<B, A>(body: B, limit: usize, account: A) -> Result<Content, Fault>
 where
     B: Body<Data = Bytes>,
+    A: Account,
 {
     let mut body = pin!(body);
-    let declared = body.size_hint().exact().unwrap_or(0);
-    buffer.expected = usize::try_from(declared).unwrap_or(usize::MAX).min(MAX_EXPECTED_BYTES);
+    let declared = body.size_hint().exact().and_then(|bytes| usize::try_from(bytes).ok());
+    if declared.is_some_and(|bytes| bytes > limit) {
+        return Err(Fault::TooLarge);
+    }
+    let mut buffer = Buffer { declared, account, sealed: Vec::new(), tail: Vec::new(), length: 0 };
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Fault::Truncated)?;
         if let Ok(part) = frame.into_data() {
-            buffer.push(part)?;
+            if buffer.length + part.len() > limit {
+                return Err(Fault::TooLarge);
+            }
+            buffer.push(part).await?;
         }
     }
-    Ok(())
+    Ok(buffer.finish())
 }
 
 /// The received part of a body.
 ///
-/// A single part is kept as it is. Several are copied into one buffer: kept one by one, many small parts
-/// take a multiple of their size.
-struct Buffer {
-    limit: usize,
-    /// Declared size, up to [`MAX_EXPECTED_BYTES`]; 0 if unknown.
-    expected: usize,
-    lease: Lease,
-    available: usize,
-    first: Bytes,
-    rest: Vec<u8>,
+/// Parts are copied: kept one by one, many small ones take a multiple of their size, and each holds the read
+/// buffer that it came in.
+struct Buffer<A> {
+    declared: Option<usize>,
+    account: A,
+    sealed: Vec<Bytes>,
+    tail: Vec<u8>,
+    length: usize,
 }
 
-impl Buffer {
-    /// Creates a buffer for at most `limit` bytes, in a lease that together with all others may hold
-    /// `available` bytes.
-    fn new(limit: usize, lease: Lease, available: usize) -> Self {
-        Buffer { limit, expected: 0, lease, available, first: Bytes::new(), rest: Vec::new() }
+impl<A: Account> Buffer<A> {
+    async fn push(&mut self, mut part: Bytes) -> Result<(), Fault> {
+        while !part.is_empty() {
+            if self.tail.len() == self.tail.capacity() {
+                self.begin_segment().await?;
+            }
+            let count = part.len().min(self.tail.capacity() - self.tail.len());
+            self.tail.extend_from_slice(&part.split_to(count));
+            self.length += count;
+        }
+        Ok(())
     }
 
-    fn push(&mut self, part: Bytes) -> Result<(), Fault> {
-        let length = self.first.len() + self.rest.len() + part.len();
-        if length > self.limit {
-            return Err(Fault::TooLarge);
+    /// Seals the last segment and allocates the next one.
+    async fn begin_segment(&mut self) -> Result<(), Fault> {
+        self.seal();
+        let bytes = self.next_segment_bytes();
+        let mut attempts = 1;
+        while !self.account.take(bytes) {
+            self.account.relieve();
+            if attempts == A::ATTEMPTS {
+                return Err(Fault::NoMemory);
+            }
+            attempts += 1;
+            tokio::time::sleep(MEMORY_INTERVAL).await;
         }
-        if self.first.is_empty() && self.rest.is_empty() {
-            self.extend_lease(part.len())?;
-            self.first = part;
-            return Ok(());
-        }
-        self.grow(length)?;
-        if !self.first.is_empty() {
-            self.rest.extend_from_slice(&self.first);
-            self.lease.shrink(self.first.len());
-            self.first = Bytes::new();
-        }
-        self.rest.extend_from_slice(&part);
+        self.tail = Vec::with_capacity(bytes);
         Ok(())
     }
 
-    /// Makes room for `length` bytes; old and new buffer exist together until the old one is copied.
-    fn grow(&mut self, length: usize) -> Result<(), Fault> {
-        let old = self.rest.capacity();
-        if length <= old {
-            return Ok(());
+    /// Returns the size of the next segment: what is declared, or as much again as was received.
+    fn next_segment_bytes(&self) -> usize {
+        match self.declared {
+            Some(declared) if declared > self.length => {
+                (declared - self.length).min(MAX_SEGMENT_BYTES)
+            }
+            _ => self.length.clamp(MIN_SEGMENT_BYTES, MAX_SEGMENT_BYTES),
         }
-        let least = if self.expected > 0 { self.expected } else { MIN_BUFFER_BYTES };
-        let new = length.max(2 * old).max(least).min(self.limit.max(length));
-        self.extend_lease(new)?;
-        let mut rest = Vec::with_capacity(new);
-        rest.extend_from_slice(&self.rest);
-        self.rest = rest;
-        self.lease.shrink(old);
-        Ok(())
     }
 
-    fn extend_lease(&mut self, more: usize) -> Result<(), Fault> {
-        if self.lease.extend(more, self.available) { Ok(()) } else { Err(Fault::TooLarge) }
+    fn seal(&mut self) {
+        if !self.tail.is_empty() {
+            let segment = std::mem::take(&mut self.tail);
+            self.sealed.push(self.account.seal(segment));
+        }
     }
 
-    /// Returns the body and its lease.
-    fn into_parts(self) -> (Bytes, Lease) {
-        let bytes = if self.rest.is_empty() { self.first } else { Bytes::from(self.rest) };
-        (bytes, self.lease)
+    fn finish(mut self) -> Content {
+        self.tail.shrink_to_fit();
+        self.seal();
+        Content::new(self.sealed)
     }
 }
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -1,6 +1,5 @@
 //! Connection pool for nodes and the upstream, with one call in flight per connection.
 
-use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -172,7 +171,7 @@
     /// Sends a request and returns the head of the response.
     pub(crate) async fn send(
         &mut self,
-        request: Request<Full<bytes::Bytes>>,
+        request: Request<Body>,
     ) -> Result<Response<Incoming>, SendError> {
         if self.sender.ready().await.is_err() {
             return Err(SendError::Unsent);
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -25,10 +25,15 @@
     timeline::Kind,
     view::{Upstream, View},
 };
-use hyper::body::Body;
-use ingress::{listener::Context, memory::Memory};
+use hyper::{HeaderMap, body::Body};
+use ingress::{
+    listener::Context,
+    memory::{Lease, Memory},
+};
 use model::{config::Snapshot, time::Time};
-use policy::{budget::Share, client_retry, health, nested::Throttle, pause, split::Split};
+use policy::{
+    budget::Share, client_retry, health, nested::Throttle, pause, share::Capacity, split::Split,
+};
 use std::{
     collections::HashMap,
     sync::{
@@ -48,17 +53,28 @@
         crashes::Crashes,
         demand::Demand,
         estimates::Estimates,
-        in_flight::Usage,
+        in_flight::{Reservation, Usage},
         lifecycle::Lifecycle,
         services::Services,
         settings::{Settings, Tuning},
         warmth::Warmth,
     },
     record::{Log, events::Counters},
+    wire,
 };
 
-/// Divisor of the limit on bodies that gives the limit on the memory of heads.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
+/// Divisor of the limit on bodies that gives what bodies, answers, heads and calls may hold beyond it together.
+const SHARED_DIVISOR: usize = 4;
+
+/// Divisor of the limit on bodies that gives the memory that is left to answers.
+const ANSWER_RESERVE_DIVISOR: usize = 16;
+
+/// Memory that is left to calls without bodies however low the limit on bodies is, in bytes.
+const MIN_SHARED_BYTES: usize = 1 << 20;
+
+/// Memory of a call in flight besides its body and its headers, in bytes: its task, buffers and copies of the
+/// head for its attempts.
+const CALL_BYTES: usize = 32 << 10;
 
 /// State shared by all calls that a node proxies: configuration, upstreams, limits and records.
 pub struct Proxy {
@@ -274,9 +290,55 @@
         self.in_flight.total()
     }
 
-    /// Returns the number of bytes that unfinished heads and requests in progress may hold together.
+    /// Returns the number of bytes that bodies, answers, heads and calls may hold together.
+    fn shared_memory(&self) -> usize {
+        let bodies = self.tuning().capacity.bytes;
+        bodies + (bodies / SHARED_DIVISOR).max(MIN_SHARED_BYTES)
+    }
+
+    /// Returns the number of bytes that are kept free for the answers of calls that run.
+    fn answer_reserve(&self) -> usize {
+        self.tuning().capacity.bytes / ANSWER_RESERVE_DIVISOR
+    }
+
+    /// Returns the number of bytes that unfinished heads and calls may hold together.
     pub(crate) fn request_memory(&self) -> usize {
-        self.tuning().capacity.bytes / REQUEST_MEMORY_DIVISOR
+        let others = self.in_flight.bytes() + self.answers.held() + self.answer_reserve();
+        self.shared_memory().saturating_sub(others)
+    }
+
+    /// Returns the capacity for calls and for the bodies of requests.
+    pub(crate) fn body_capacity(&self) -> Capacity {
+        let capacity = self.tuning().capacity;
+        let others = self.ingress.heads.held() + self.answers.held() + self.answer_reserve();
+        let bytes = capacity.bytes.min(self.shared_memory().saturating_sub(others));
+        Capacity { bytes, ..capacity }
+    }
+
+    /// Returns the number of bytes that answers may hold together.
+    fn answer_memory(&self) -> usize {
+        let others = self.ingress.heads.held() + self.in_flight.bytes();
+        self.tuning().capacity.bytes.min(self.shared_memory().saturating_sub(others))
+    }
+
+    /// Takes the memory of a call with these headers; none if there is too little for it or for its answer.
+    pub(crate) fn admit_request(&self, headers: &HeaderMap) -> Option<Lease> {
+        let mut lease = self.ingress.heads.lease();
+        if lease.extend(CALL_BYTES + wire::size(headers), self.request_memory()) {
+            return Some(lease);
+        }
+        self.ingress.relieve();
+        None
+    }
+
+    /// Reserves the memory of a body of a declared size; none if there is too little.
+    pub(crate) fn reserve_body(&self, declared: Option<usize>) -> Option<Reservation<'_>> {
+        let mut reservation = Reservation::new(&self.in_flight);
+        let is_reserved = reservation.extend(declared.unwrap_or(0), self.body_capacity());
+        if !is_reserved {
+            self.ingress.relieve();
+        }
+        is_reserved.then_some(reservation)
     }
 
     /// Returns the number of bytes that answers hold, from their first byte until they are passed on.
@@ -290,11 +352,17 @@
         body: B,
         limit: usize,
         time: Duration,
-    ) -> Result<Bytes, body::Fault>
+    ) -> Result<wire::Content, body::Fault>
     where
         B: Body<Data = Bytes>,
     {
-        body::receive_answer(body, limit, time, &self.answers, self.tuning().capacity.bytes).await
+        let account = body::AnswerAccount {
+            memory: &self.answers,
+            limit: || self.answer_memory(),
+            relieve: || self.ingress.relieve(),
+            lease: None,
+        };
+        body::receive(body, limit, time, account).await
     }
 
     /// Returns the drain timeout of a planned stop, from the profile of the upstream's service.
--- a/crates/traffic/src/proxy/in_flight.rs
+++ b/crates/traffic/src/proxy/in_flight.rs
@@ -2,10 +2,14 @@
 //!
 //! Limits on both prevent one service with unresponsive upstreams from exhausting the node.
 
+use bytes::Bytes;
 use policy::share::Capacity;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-use crate::proxy::services::Services;
+use crate::{
+    net::body::Account,
+    proxy::{Proxy, services::Services},
+};
 
 /// Calls and bytes in flight.
 #[derive(Debug, Default)]
@@ -24,6 +28,11 @@
         self.calls.load(Ordering::SeqCst)
     }
 
+    /// Returns the reserved bytes of request bodies.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::SeqCst)
+    }
+
     /// Returns the number of calls in flight, as entry node and as serving node.
     pub(crate) fn total(&self) -> usize {
         self.calls() + self.offers.load(Ordering::SeqCst)
@@ -53,6 +62,45 @@
     }
 }
 
+impl<'a> Reservation<'a> {
+    /// Returns an account in which a body is received, up to the bytes reserved and then as far as the memory
+    /// of `proxy` allows.
+    pub(crate) fn account<'b>(&'b mut self, proxy: &'b Proxy) -> BodyAccount<'a, 'b> {
+        let unused = self.bytes;
+        BodyAccount { reservation: self, proxy, unused }
+    }
+}
+
+/// Memory of a request body while it is received.
+pub(crate) struct BodyAccount<'a, 'b> {
+    reservation: &'b mut Reservation<'a>,
+    proxy: &'b Proxy,
+    /// Reserved bytes that hold no segment yet.
+    unused: usize,
+}
+
+impl Account for BodyAccount<'_, '_> {
+    // A request that was not run is refused at once.
+    const ATTEMPTS: usize = 1;
+
+    fn take(&mut self, bytes: usize) -> bool {
+        let more = bytes.saturating_sub(self.unused);
+        let is_taken = more == 0 || self.reservation.extend(more, self.proxy.body_capacity());
+        if is_taken {
+            self.unused = self.unused.saturating_sub(bytes);
+        }
+        is_taken
+    }
+
+    fn seal(&mut self, segment: Vec<u8>) -> Bytes {
+        Bytes::from(segment)
+    }
+
+    fn relieve(&self) {
+        self.proxy.ingress.relieve();
+    }
+}
+
 impl Drop for Reservation<'_> {
     fn drop(&mut self) {
         self.usage.bytes.fetch_sub(self.bytes, Ordering::SeqCst);
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -136,7 +136,9 @@
     let body = proxy.receive_answer(incoming, profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
         body::Fault::TimedOut => of_loss(Step::Answer, Loss::Timeout),
-        body::Fault::TooLarge | body::Fault::Truncated => of_loss(Step::Answer, Loss::Malformed),
+        body::Fault::TooLarge | body::Fault::NoMemory | body::Fault::Truncated => {
+            of_loss(Step::Answer, Loss::Malformed)
+        }
     })?;
     Ok(Answer { head: Response::from_parts(parts, ()), body })
 }
--- a/crates/traffic/src/upstream/probe.rs
+++ b/crates/traffic/src/upstream/probe.rs
@@ -3,7 +3,6 @@
 //! A probe is sent when a call is offered and few more may start until the upstream is known to be warm, so
 //! that their rate follows that of the calls.
 
-use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, header};
 use model::time::Time;
 use policy::retry::Kind;
@@ -69,7 +68,7 @@
 ) -> Result<Result<Answer, String>, SendError> {
     let upstream = proxy.settings.upstream;
     let request = Request::get(path).header(header::HOST, upstream.to_string());
-    let request = match request.body(Full::default()) {
+    let request = match request.body(wire::Body::default()) {
         Ok(request) => request,
         Err(error) => return Ok(Err(error.to_string())),
     };
--- a/crates/traffic/src/wire.rs
+++ b/crates/traffic/src/wire.rs
@@ -1,7 +1,12 @@
 //! Headers of calls and answers, towards callers and between nodes.
 
+mod body;
+
+pub use crate::wire::body::Body;
 pub use hyper::header::HeaderName;
 
+pub(crate) use crate::wire::body::Content;
+
 use hyper::{
     HeaderMap, Response, StatusCode,
     header::{self, HeaderValue},
@@ -141,9 +146,6 @@
     }
 }
 
-/// A complete body in memory.
-pub type Body = http_body_util::Full<bytes::Bytes>;
-
 /// Removes hop-by-hop headers and all internal headers.
 pub fn strip(headers: &mut HeaderMap) {
     let listed: Vec<String> = headers
