traffic: what is read ahead of a request is accounted, and parsed once

Cause: each connection could have 64 KiB read ahead and 16 KiB unparsed that no account counted, so that a crowd that pipelines without reading took up to 80 KiB a connection; and a head that arrives byte by byte was parsed from its start with each byte. Once 64 KiB were read ahead, a client that left was no longer noticed.

Change: a read ahead is made only while its memory can be taken from the account of requests; a head is parsed once its end has arrived; a connection that reads no further ahead is checked for its end.

--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -16,6 +16,7 @@
     time::Duration,
 };
 use tokio::{
+    io::Interest,
     net::TcpStream,
     time::{Instant, Sleep, sleep_until},
 };
@@ -165,6 +166,13 @@
         let _ = SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Both);
     }
 
+    /// Waits until there is something to read; returns whether the other side has closed the connection, or its
+    /// sending side, behind it.
+    pub async fn is_closed_behind_input(&self) -> bool {
+        let ready = self.socket.ready(Interest::READABLE).await;
+        ready.map_or(true, |ready| ready.is_read_closed())
+    }
+
     /// Returns the state of the socket without consuming bytes.
     pub fn socket_state(&self) -> SocketState {
         let mut byte = [MaybeUninit::uninit()];
--- a/crates/traffic/src/intake/pipelining.rs
+++ b/crates/traffic/src/intake/pipelining.rs
@@ -8,13 +8,17 @@
 use bytes::BytesMut;
 use httparse::{EMPTY_HEADER, Status};
 use hyper::{Method, Request, Response, Uri, body::Body, header};
-use ingress::stream::{Probe, Tap};
+use ingress::{
+    memory::Lease,
+    stream::{Probe, Tap},
+};
 use policy::outcome::Cause;
 use std::{
     collections::VecDeque,
     sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
 };
-use tokio::{select, task::JoinHandle};
+use tokio::{select, task::JoinHandle, time::sleep};
 
 use crate::{
     intake::{self, Audience},
@@ -34,9 +38,18 @@
 /// Limit on bytes that are read ahead of `hyper`; beyond it, TCP flow control stops the caller.
 const MAX_PREFETCHED_BYTES: usize = 4 * MAX_HEAD_BYTES;
 
+/// Memory of a byte that is read ahead: for `hyper`, and until the head that it is part of is parsed.
+const PREFETCHED_MEMORY_FACTOR: usize = 2;
+
 /// Size of one read while a call is running, in bytes.
 const READ_BYTES: usize = 2 * 1024;
 
+/// Interval at which a connection is checked for its end while nothing more is read ahead.
+const CLOSED_INTERVAL: Duration = Duration::from_millis(100);
+
+/// End of the last line of a head, and the empty line behind it.
+const END_OF_HEAD: &[u8] = b"\n\r\n";
+
 /// Limit on the headers of a request that is parsed ahead.
 const MAX_HEADERS: usize = 64;
 
@@ -47,12 +60,15 @@
     state: Mutex<State>,
 }
 
-#[derive(Default)]
 struct State {
     /// Bytes read from the socket that `hyper` has not read yet.
     prefetched: BytesMut,
+    /// Memory of the prefetched bytes, in both buffers.
+    lease: Lease,
     /// Bytes of an incomplete head.
     unparsed: BytesMut,
+    /// Number of unparsed bytes that hold no end of a head.
+    scanned: usize,
     /// Whether parsing ahead has stopped, since request boundaries are unknown.
     disabled: bool,
     /// Number of heads parsed.
@@ -76,7 +92,18 @@
 
 impl Pipeline {
     pub(crate) fn new(proxy: Arc<Proxy>, probe: Probe) -> Arc<Self> {
-        Arc::new(Pipeline { proxy, probe, state: Mutex::default() })
+        let state = State {
+            prefetched: BytesMut::new(),
+            lease: proxy.ingress.heads.lease(),
+            unparsed: BytesMut::new(),
+            scanned: 0,
+            disabled: false,
+            parsed: 0,
+            delivered: 0,
+            answered: 0,
+            started: VecDeque::new(),
+        };
+        Arc::new(Pipeline { proxy, probe, state: Mutex::new(state) })
     }
 
     /// Answers the next request that `hyper` delivers, by its early call if one was started.
@@ -112,12 +139,23 @@
     /// Reads ahead while a call is running; returns when the caller closes the connection.
     async fn prefetch(&self) {
         let mut chunk = [0; READ_BYTES];
-        while self.lock().prefetched.len() < MAX_PREFETCHED_BYTES {
+        while self.reserve_read() {
             let Some(count) = self.probe.read(&mut chunk).await else { return };
             self.observe(&chunk[..count]);
             self.lock().prefetched.extend_from_slice(&chunk[..count]);
         }
-        std::future::pending().await
+        while !self.probe.is_closed_behind_input().await {
+            sleep(CLOSED_INTERVAL).await;
+        }
+    }
+
+    /// Takes the memory of one more read; returns `false` if enough is read ahead, or memory is short.
+    fn reserve_read(&self) -> bool {
+        let mut state = self.lock();
+        let missing = PREFETCHED_MEMORY_FACTOR * (state.prefetched.len() + READ_BYTES);
+        let more = missing.saturating_sub(state.lease.bytes());
+        state.prefetched.len() < MAX_PREFETCHED_BYTES
+            && state.lease.extend(more, self.proxy.request_memory())
     }
 
     /// Returns the call of the next request, if it was started early.
@@ -172,7 +210,17 @@
     fn take_prefetched(&self, capacity: usize) -> Option<BytesMut> {
         let mut state = self.lock();
         let length = state.prefetched.len().min(capacity);
-        (length > 0).then(|| state.prefetched.split_to(length))
+        if length == 0 {
+            return None;
+        }
+        let bytes = state.prefetched.split_to(length);
+        if state.prefetched.is_empty() {
+            state.prefetched = BytesMut::new();
+        }
+        let held = PREFETCHED_MEMORY_FACTOR * state.prefetched.len();
+        let released = state.lease.bytes().saturating_sub(held);
+        state.lease.shrink(released);
+        Some(bytes)
     }
 }
 
@@ -182,8 +230,19 @@
     if state.disabled || state.unparsed.is_empty() {
         return None;
     }
+    if !has_end_of_head(&state.unparsed, state.scanned) && state.unparsed.len() < MAX_HEAD_BYTES {
+        state.scanned = state.unparsed.len();
+        return None;
+    }
+    state.scanned = 0;
     match classify(&state.unparsed) {
-        Prefix::Bodyless(length) => return Some(state.unparsed.split_to(length)),
+        Prefix::Bodyless(length) => {
+            let head = state.unparsed.split_to(length);
+            if state.unparsed.is_empty() {
+                state.unparsed = BytesMut::new();
+            }
+            return Some(head);
+        }
         Prefix::Partial if state.unparsed.len() < MAX_HEAD_BYTES => return None,
         Prefix::Partial | Prefix::Other => {}
     }
@@ -192,6 +251,16 @@
     None
 }
 
+/// Returns whether the end of a head is among `bytes`, of which the first `scanned` were searched before.
+///
+/// Without this, each byte of a head that arrives slowly would parse it from its start.
+fn has_end_of_head(bytes: &[u8], scanned: usize) -> bool {
+    let start = scanned.saturating_sub(END_OF_HEAD.len());
+    let rest = &bytes[start..];
+    rest.windows(END_OF_HEAD.len()).any(|window| window == END_OF_HEAD)
+        || rest.windows(2).any(|window| window == b"\n\n")
+}
+
 /// What the unparsed bytes of a connection start with.
 enum Prefix {
     /// The head of a request without a body, with its length in bytes.
