peer, node: listeners of other nodes and of operators have the limits of all listeners

At the address for messages between nodes, 128 connections with half a head kept other nodes out, and 24 unfinished messages of 12 MB took 144 MiB of 96.

Cause: both were served by libraries whose servers bound neither a head nor its time (tiny_http; the server of jsonrpsee), and messages were limited one by one, not together.

Change: both are listeners of `ingress`. Operators' requests are still answered one at a time; answers that are being read share 4 MiB, and one beyond that is sent alone. Limits on connections are settings (/peer_connections, /operator_connections); what is closed is counted and logged like elsewhere.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `traffic` | worker threads that proxy calls |
 
 mod control;
+mod listeners;
 mod operators;
 mod process;
 pub mod reload;
@@ -143,11 +144,16 @@
         };
         let control = control::start(settings, dependencies)?;
         let handler = Arc::new(control.clone());
-        let served = peers.block_on(peer::serve(settings.listen.peers, handler));
-        let (_, handle) = served.context(PeersSnafu)?;
-        // Keeps the server running until the runtime is dropped.
-        peers.spawn(handle.stopped());
-        operators::start(settings, control.clone(), proxy.clone(), meter, peers.handle().clone())?;
+        let server = peer::Server {
+            context: Arc::default(),
+            policy: Arc::new(listeners::Rules::peers(proxy.clone(), meter.clone())),
+            max_connections: settings.max_peer_connections,
+        };
+        // The server runs until the runtime is dropped.
+        peers.block_on(peer::serve(settings.listen.peers, handler, server)).context(PeersSnafu)?;
+        let rules = Arc::new(listeners::Rules::operators(proxy.clone(), meter.clone()));
+        let runtime = peers.handle().clone();
+        operators::start(settings, control.clone(), proxy.clone(), meter, runtime, rules)?;
         start_pause_monitor(proxy.clone(), control.clone()).context(ThreadSnafu)?;
         for listener in listeners {
             traffic.spawn(listener.serve(proxy.clone()));
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -42,6 +42,12 @@
     pub max_node_connections: usize,
     /// Limit on connections to the listener of readiness probes.
     pub max_probe_connections: usize,
+    /// Limit on connections of other nodes to the address for messages between nodes.
+    pub max_peer_connections: usize,
+    /// Limit on connections to the operators' HTTP endpoint.
+    pub max_operator_connections: usize,
+    /// Limit on connections to other nodes and to the upstream.
+    pub max_outgoing_connections: usize,
     /// Time limit for callers and other nodes to read an answer.
     pub answer_timeout: Duration,
     /// Timeout for opening a connection.
@@ -171,6 +177,9 @@
             max_connections: 1_024,
             max_node_connections: 1_024,
             max_probe_connections: 64,
+            max_peer_connections: 128,
+            max_operator_connections: 32,
+            max_outgoing_connections: 2_048,
             answer_timeout: Duration::from_secs(60),
             connect_timeout: Duration::from_millis(250),
             dissemination: Dissemination::Epidemic,
@@ -241,6 +250,17 @@
             "ready_connections",
             default.max_probe_connections,
         ),
+        max_peer_connections: connections(object, "peer_connections", default.max_peer_connections),
+        max_operator_connections: connections(
+            object,
+            "operator_connections",
+            default.max_operator_connections,
+        ),
+        max_outgoing_connections: connections(
+            object,
+            "outgoing_connections",
+            default.max_outgoing_connections,
+        ),
         answer_timeout: millis(object, "answer_ms", 1_000..=3_600_000, default.answer_timeout),
         connect_timeout: Duration::from_millis(object.number(
             "connect_ms",
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -50,7 +50,7 @@
 pub(super) const HEADER: &str = "name of a header";
 
 /// All settings, in the order of the reference page.
-pub const FIELDS: [Field; 51] = [
+pub const FIELDS: [Field; 54] = [
     required("/instance", NAME, "\"paydesk-1\"", "the platform's name of this instance"),
     required("/service", SERVICE, "\"paydesk\"", "service of this node's upstream"),
     required("/data_centre", NAME, "\"ktm-a\"", "data centre of this instance"),
@@ -107,6 +107,14 @@
     ),
     optional("/node_connections", "1 to 65536", "1024", "the same for /listen/nodes"),
     optional("/ready_connections", "1 to 65536", "64", "the same for /listen/ready"),
+    optional("/peer_connections", "1 to 65536", "128", "the same for /listen/peers"),
+    optional("/operator_connections", "1 to 65536", "32", "the same for /listen/operators"),
+    optional(
+        "/outgoing_connections",
+        "1 to 65536",
+        "2048",
+        "limit on connections for calls to other nodes and to the upstream; beyond it, an idle one is closed, or the call is not run",
+    ),
     optional(
         "/answer_ms",
         "1000 to 3600000 ms",
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod compressed;
 pub mod datagram;
+mod endpoint;
 
 use fleet::{
     clock::Stamp,
@@ -12,8 +13,12 @@
     message::{Bundle, Fetch, Heartbeat, Pull, Request, Response, Sync},
     status, timeline,
 };
+use ingress::{
+    limits::Policy,
+    listener::{self, Accepted, Context, Listener},
+};
 use jsonrpsee::{
-    server::{RpcModule, ServerBuilder, ServerConfig, ServerHandle},
+    server::RpcModule,
     types::{ErrorObjectOwned, error::METHOD_NOT_FOUND_CODE},
 };
 use jsonrpsee_core::{
@@ -24,13 +29,13 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::{ResultExt, Snafu};
 use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
+use tokio::task::JoinHandle;
+
+use crate::endpoint::Endpoint;
 
 /// Maximum size of a message, in bytes; holds a whole configuration with every character escaped.
 const MAX_MESSAGE_BYTES: u32 = 12 << 20;
 
-/// Maximum number of inbound connections; a node that is refused tries another peer.
-const MAX_CONNECTIONS: u32 = 128;
-
 /// Name of the method that answers a pull with a compressed bundle.
 const PULL_COMPRESSED: &str = "pull-packed";
 
@@ -79,23 +84,40 @@
         /// Error of the operating system.
         source: std::io::Error,
     },
+    /// The server could not be bound.
+    #[snafu(display("{source}"))]
+    Bind {
+        /// Error of the listener, with its address.
+        source: listener::Error,
+    },
+}
+
+/// How a node serves messages of other nodes.
+pub struct Server {
+    /// Connections and memory that it shares with other listeners.
+    pub context: Arc<Context>,
+    /// Limits on its connections.
+    pub policy: Arc<dyn Policy>,
+    /// Maximum number of connections; a node whose connection is refused tries another peer.
+    pub max_connections: usize,
 }
 
-/// Serves `handler` at `address` until the handle is dropped or stopped; returns the bound address.
+/// Serves `handler` at `address` until the task is aborted; returns the bound address.
 pub async fn serve(
     address: SocketAddr,
     handler: Arc<dyn Handler>,
-) -> Result<(SocketAddr, ServerHandle), Error> {
-    let config = ServerConfig::builder()
-        .max_request_body_size(MAX_MESSAGE_BYTES)
-        .max_response_body_size(MAX_MESSAGE_BYTES)
-        .max_connections(MAX_CONNECTIONS)
-        .http_only()
-        .build();
-    let server =
-        ServerBuilder::with_config(config).build(address).await.context(ListenSnafu { address })?;
-    let address = server.local_addr().context(ListenSnafu { address })?;
-    Ok((address, server.start(rpc_module(handler))))
+    server: Server,
+) -> Result<(SocketAddr, JoinHandle<()>), Error> {
+    let listener = Listener::bind(address).await.context(BindSnafu)?;
+    let address = listener.address().context(ListenSnafu { address })?;
+    let Server { context, policy, max_connections } = server;
+    let endpoint = Endpoint::new(rpc_module(handler), context.clone());
+    let handle = move |accepted: Accepted| {
+        let endpoint = endpoint.clone();
+        tokio::spawn(async move { accepted.serve(async |r| endpoint.answer(r).await).await });
+    };
+    let served = async move { listener.serve(context, policy, max_connections, handle).await };
+    Ok((address, tokio::spawn(served)))
 }
 
 /// Sends `request` to the node at `peer` and waits for the response.
--- a/crates/traffic/src/intake/server.rs
+++ b/crates/traffic/src/intake/server.rs
@@ -11,7 +11,6 @@
     intake::{self, Audience, pipelining::Pipeline, ready},
     net::body::Inbound,
     proxy::Proxy,
-    record::events::Event,
 };
 
 pub use ingress::listener::Error;
@@ -108,8 +107,7 @@
     }
 
     fn count_closed(&self, reason: Reason) {
-        self.proxy.meter.count_closed_connection(self.audience.name(), reason.name());
-        self.proxy.events.add(Event::Closed(self.audience.name(), reason));
+        self.proxy.count_closed(self.audience.name(), reason);
     }
 
     fn set_open(&self, connections: usize) {
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -27,6 +27,7 @@
 };
 use hyper::{HeaderMap, body::Body};
 use ingress::{
+    limits::Reason,
     listener::Context,
     memory::{Lease, Memory},
 };
@@ -59,7 +60,10 @@
         settings::{Settings, Tuning},
         warmth::Warmth,
     },
-    record::{Log, events::Counters},
+    record::{
+        Log,
+        events::{Counters, Event},
+    },
     wire,
 };
 
@@ -321,6 +325,12 @@
         self.tuning().capacity.bytes.min(self.shared_memory().saturating_sub(others))
     }
 
+    /// Counts a connection to `listener` that was closed for `reason`.
+    pub fn count_closed(&self, listener: &'static str, reason: Reason) {
+        self.meter.count_closed_connection(listener, reason.name());
+        self.events.add(Event::Closed(listener, reason));
+    }
+
     /// Takes the memory of a call with these headers; none if there is too little for it or for its answer.
     pub(crate) fn admit_request(&self, headers: &HeaderMap) -> Option<Lease> {
         let mut lease = self.ingress.heads.lease();
