ingress: a connection keeps no buffer for the input that it discards at its end

Cause: the future of each connection had room for the 16 KiB that the last state of it, lingering, reads into.

--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -133,12 +133,12 @@
 
     /// Reads and discards bytes; returns `false` at the end of the stream.
     pub async fn discard(&self) -> bool {
-        let mut chunk = [0; CHUNK_BYTES];
         loop {
             if self.socket.readable().await.is_err() {
                 return false;
             }
-            match self.socket.try_read(&mut chunk) {
+            // Not kept while waiting, since the future of each connection has room for this one.
+            match self.socket.try_read(&mut [0; CHUNK_BYTES]) {
                 Ok(count) => return count > 0,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(_) => return false,
