traffic: connections that a node opens have a limit

Cause: nothing bounded the connections to other nodes and to the upstream but the calls in flight (2,048) and 64 idle ones for each address; with the connections of callers they exceed the descriptors of a machine.

Change: the pool opens at most /outgoing_connections, idle ones included. At the limit the longest idle one is closed; without one, the call is not run.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -236,6 +236,7 @@
         max_connections: settings.max_connections,
         max_node_connections: settings.max_node_connections,
         max_probe_connections: settings.max_probe_connections,
+        max_outgoing_connections: settings.max_outgoing_connections,
         answer_timeout: settings.answer_timeout,
         pause: policy::pause::Settings::default(),
         instance: settings.instance.clone(),
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -15,10 +15,14 @@
     collections::HashMap,
     io,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
-use tokio::{task::AbortHandle, time::timeout};
+use tokio::{
+    sync::{OwnedSemaphorePermit, Semaphore},
+    task::AbortHandle,
+    time::timeout,
+};
 
 use crate::{clock::Clock, lock::lock, wire::Body};
 
@@ -32,10 +36,12 @@
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// Idle connections by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
     clock: Clock,
     idle: Mutex<HashMap<SocketAddr, Vec<Idle>>>,
+    /// Connections that may still be opened.
+    free: Arc<Semaphore>,
 }
 
 /// An idle connection.
@@ -51,6 +57,7 @@
     sender: SendRequest<Body>,
     probe: Probe,
     task: TaskGuard,
+    _permit: OwnedSemaphorePermit,
 }
 
 /// Aborts the task that drives a connection on drop.
@@ -91,6 +98,12 @@
 }
 
 impl Pool {
+    /// Creates a pool that opens at most `max_connections` at a time, idle ones included.
+    pub(crate) fn new(max_connections: usize) -> Self {
+        let free = Arc::new(Semaphore::new(max_connections));
+        Pool { clock: Clock::default(), idle: Mutex::default(), free }
+    }
+
     /// Takes a usable idle connection to `address`. `limit` is the maximum idle time for calls that
     /// must not run twice.
     pub(crate) fn take(
@@ -118,6 +131,7 @@
         address: SocketAddr,
         time: Duration,
     ) -> Result<Connection, ConnectError> {
+        let permit = self.acquire().ok_or(ConnectError::Failed)?;
         let connected = timeout(time, Stream::connect(address)).await;
         let stream = connected.map_err(|_| ConnectError::Failed)?.map_err(ConnectError::of)?;
         let probe = stream.probe();
@@ -131,7 +145,21 @@
             // An idle connection keeps its socket open, into which the peer could go on sending.
             socket.close();
         });
-        Ok(Connection { sender, probe, task: TaskGuard(task.abort_handle()) })
+        let task = TaskGuard(task.abort_handle());
+        Ok(Connection { sender, probe, task, _permit: permit })
+    }
+
+    /// Takes a place for a connection, that of an idle one if all are taken.
+    fn acquire(&self) -> Option<OwnedSemaphorePermit> {
+        let take = || self.free.clone().try_acquire_owned().ok();
+        take().or_else(|| {
+            let mut idle = self.lock();
+            let longest = idle.iter().filter_map(|(address, kept)| Some((kept.first()?, *address)));
+            let (_, address) = longest.min_by_key(|(oldest, _)| oldest.since)?;
+            idle.get_mut(&address)?.remove(0);
+            drop(idle);
+            take()
+        })
     }
 
     /// Returns a connection to the pool, after its answer was received completely.
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -134,11 +134,12 @@
         let log = Log::new(clock);
         let log = if settings.log { log.enable(&settings.instance) } else { log };
         let pauses = pause::Detector::new(settings.pause, clock.now());
+        let max_outgoing = settings.max_outgoing_connections;
         Arc::new(Proxy {
             settings,
             clock,
             meter,
-            pool: Pool::default(),
+            pool: Pool::new(max_outgoing),
             events: Counters::default(),
             log,
             running: Registry::default(),
--- a/crates/traffic/src/proxy/settings.rs
+++ b/crates/traffic/src/proxy/settings.rs
@@ -32,6 +32,8 @@
     pub max_node_connections: usize,
     /// Maximum number of connections to the listener of readiness probes.
     pub max_probe_connections: usize,
+    /// Maximum number of connections to other nodes and to the upstream.
+    pub max_outgoing_connections: usize,
     /// Time limit for callers and other nodes to read an answer.
     pub answer_timeout: Duration,
     /// Settings of the pause detector.
@@ -109,6 +111,7 @@
             max_connections: 1_024,
             max_node_connections: 1_024,
             max_probe_connections: 64,
+            max_outgoing_connections: 2_048,
             answer_timeout: Duration::from_secs(60),
             pause: pause::Settings::default(),
             instance: String::new(),
