traffic: answers without a final status, or with an ambiguous or unreached end, are not passed on

What callers saw: a status of 101, of 600 or above, and a body whose transfer coding (gzip, identity) was removed from its head, came as the upstream's answer, on the hop to the upstream and on that between nodes.

Cause: whatever hyper parses was taken for a final answer, and whether a body is whole was left to hyper alone.

Change: net::framing reads how an answer's end is told. A status outside 200 to 599, and a transfer coding other than chunked, are unusable (502). A body must have its declared length; one that ends with its connection is whole only if the stream has ended in order and no read or write on it has failed.

Whole answers and those without a body are passed on as before.

--- a/crates/ingress/src/stream.rs
+++ b/crates/ingress/src/stream.rs
@@ -11,7 +11,10 @@
     mem::MaybeUninit,
     net::SocketAddr,
     pin::Pin,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     task::{Context, Poll, ready},
     time::Duration,
 };
@@ -37,6 +40,7 @@
 /// A TCP stream for `hyper`.
 pub struct Stream {
     socket: Arc<TcpStream>,
+    end: Arc<End>,
     /// Observer of the bytes read.
     tap: Option<Arc<dyn Tap>>,
     /// The accepted connection; `None` on the side that connected.
@@ -58,6 +62,23 @@
 #[derive(Clone, Debug)]
 pub struct Probe {
     socket: Arc<TcpStream>,
+    end: Arc<End>,
+}
+
+/// How the stream of a socket has ended, if it has.
+#[derive(Debug, Default)]
+struct End {
+    is_closed: AtomicBool,
+    is_broken: AtomicBool,
+}
+
+impl End {
+    fn record<T>(&self, result: io::Result<T>) -> io::Result<T> {
+        if result.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::WouldBlock) {
+            self.is_broken.store(true, Ordering::Relaxed);
+        }
+        result
+    }
 }
 
 /// State of a socket.
@@ -88,7 +109,13 @@
     /// Wraps an open socket.
     pub fn new(socket: TcpStream) -> io::Result<Stream> {
         socket.set_nodelay(true)?;
-        Ok(Stream { socket: Arc::new(socket), tap: None, connection: None, timer: None })
+        Ok(Stream {
+            socket: Arc::new(socket),
+            end: Arc::default(),
+            tap: None,
+            connection: None,
+            timer: None,
+        })
     }
 
     /// Applies the limits on an accepted connection.
@@ -121,7 +148,7 @@
 
     /// Returns a probe of this stream's socket.
     pub fn probe(&self) -> Probe {
-        Probe { socket: self.socket.clone() }
+        Probe { socket: self.socket.clone(), end: self.end.clone() }
     }
 }
 
@@ -160,6 +187,11 @@
         }
     }
 
+    /// Returns whether the other side has ended its stream in order, and no read or write has failed.
+    pub fn has_ended_in_order(&self) -> bool {
+        self.end.is_closed.load(Ordering::Relaxed) && !self.end.is_broken.load(Ordering::Relaxed)
+    }
+
     /// Closes the connection in both directions, even while its stream is in use.
     pub fn close(&self) {
         // An error means that it is closed already.
@@ -202,8 +234,11 @@
             if self.socket.poll_read_ready(cx)?.is_pending() {
                 return self.poll_read_deadline(cx);
             }
-            match self.socket.try_read(&mut chunk[..capacity]) {
+            match self.end.record(self.socket.try_read(&mut chunk[..capacity])) {
                 Ok(count) => {
+                    if count == 0 {
+                        self.end.is_closed.store(true, Ordering::Relaxed);
+                    }
                     self.check_read(&chunk[..count])?;
                     target.put_slice(&chunk[..count]);
                     if let Some(tap) = &self.tap {
@@ -265,7 +300,7 @@
             if self.socket.poll_write_ready(cx)?.is_pending() {
                 return self.poll_write_deadline(cx);
             }
-            match write(&self.socket) {
+            match self.end.record(write(&self.socket)) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 result => {
                     if let Some(connection) = &self.connection {
--- a/crates/traffic/src/forward/sender.rs
+++ b/crates/traffic/src/forward/sender.rs
@@ -20,6 +20,7 @@
     call::{Answer, Call, Offer},
     net::{
         body,
+        framing::{Framing, Unusable},
         pool::{Connection, SendError},
     },
     proxy::Proxy,
@@ -149,7 +150,7 @@
             Err(SendError::Unsent) => return Err(None),
             Err(SendError::Broken) => return Err(Some(of_loss(Step::Offer, Loss::Closed))),
         };
-        receive(proxy, call, upstream, offer, head, time).await
+        receive(proxy, call, upstream, offer, head, &connection, time).await
     };
     let result =
         timeout(time, exchange).await.unwrap_or(Err(Some(of_loss(Step::Offer, Loss::Timeout))));
@@ -169,12 +170,15 @@
     upstream: &Upstream,
     offer: &Offer,
     head: Response<hyper::body::Incoming>,
+    connection: &Connection,
     time: Duration,
 ) -> Result<Answer, Option<Outcome>> {
     let (parts, incoming) = head.into_parts();
     if wire::read_number(&parts.headers, wire::ID) != Ok(Some(offer.id)) {
         return Err(Some(Outcome::Unknown(Uncertainty::BadAnswer)));
     }
+    let framing = Framing::of(&offer.payload.method, &parts);
+    let framing = framing.map_err(|Unusable| Some(Outcome::Unknown(Uncertainty::BadAnswer)))?;
     if let Some(load) = wire::read_load(&parts.headers) {
         let now = proxy.clock.now();
         proxy.services.with(call.service, |s| s.record(upstream, now).update_load(load, now));
@@ -186,6 +190,9 @@
             Some(of_loss(Step::Answer, Loss::Malformed))
         }
     })?;
+    if !framing.is_complete(body.len(), connection.has_ended_in_order()) {
+        return Err(Some(of_loss(Step::Answer, Loss::Malformed)));
+    }
     count_remote_bytes(proxy, upstream, wire::size(&parts.headers) + body.len());
     match wire::outcome(&parts.headers) {
         Ok(None) => Ok(Answer { head: Response::from_parts(parts, ()), body }),
--- a/crates/traffic/src/net.rs
+++ b/crates/traffic/src/net.rs
@@ -1,4 +1,5 @@
-//! A connection pool, and complete reception of bodies in accounted memory.
+//! A connection pool, complete reception of bodies in accounted memory, and the signs of their ends.
 
 pub(crate) mod body;
+pub(crate) mod framing;
 pub(crate) mod pool;
--- a/crates/traffic/src/net/pool.rs
+++ b/crates/traffic/src/net/pool.rs
@@ -210,6 +210,11 @@
         })
     }
 
+    /// Returns whether the other side has closed the connection in order, so that a body until its end is whole.
+    pub(crate) fn has_ended_in_order(&self) -> bool {
+        self.probe.has_ended_in_order()
+    }
+
     /// Returns whether the connection is open and has no unread bytes.
     ///
     /// Unread bytes, such as a duplicate response, would be taken for the answer of the next request.
--- a/crates/traffic/src/upstream.rs
+++ b/crates/traffic/src/upstream.rs
@@ -16,6 +16,7 @@
     call::{Answer, Offer},
     net::{
         body,
+        framing::{Framing, Unusable},
         pool::{ConnectError, Connection, SendError},
     },
     proxy::Proxy,
@@ -96,7 +97,7 @@
             Err(SendError::Unsent) => return Err(Failure::Unsent),
             Err(SendError::Broken) => return Err(Failure::Final(of_loss(Step::Run, Loss::Closed))),
         };
-        receive(proxy, profile, offer, head, remaining).await.map_err(Failure::Final)
+        receive(proxy, profile, offer, head, &connection, remaining).await.map_err(Failure::Final)
     };
     let result = timeout(remaining, exchange).await;
     slot.service_time = Some(proxy.clock.now().since(begun));
@@ -126,6 +127,7 @@
     profile: &Profile,
     offer: &Offer,
     head: Response<hyper::body::Incoming>,
+    connection: &Connection,
     time: Duration,
 ) -> Result<Answer, Outcome> {
     if !matches_request(proxy, offer, &head) || !is_authentic(proxy, &head) {
@@ -133,6 +135,8 @@
     }
     demand::apply(proxy, offer, &head);
     let (parts, incoming) = head.into_parts();
+    let framing = Framing::of(&offer.payload.method, &parts);
+    let framing = framing.map_err(|Unusable| Outcome::Unknown(Uncertainty::BadAnswer))?;
     let body = proxy.receive_answer(incoming, profile.max_answer_bytes, time).await;
     let body = body.map_err(|fault| match fault {
         body::Fault::TimedOut => of_loss(Step::Answer, Loss::Timeout),
@@ -140,5 +144,8 @@
             of_loss(Step::Answer, Loss::Malformed)
         }
     })?;
+    if !framing.is_complete(body.len(), connection.has_ended_in_order()) {
+        return Err(of_loss(Step::Answer, Loss::Malformed));
+    }
     Ok(Answer { head: Response::from_parts(parts, ()), body })
 }
--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -13,6 +13,7 @@
     time::Time,
 };
 use policy::budget;
+use socket2::SockRef;
 use std::{
     io::{Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
@@ -74,6 +75,60 @@
     Crash,
     /// Sends bytes until the connection is closed.
     Flood(Flood),
+    /// Sends bytes and ends the connection.
+    Script(Script),
+}
+
+/// An answer, and the end of its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Script {
+    /// When it is sent.
+    pub(crate) moment: Moment,
+    /// Sent as it is; `ID` and `OFFER` stand for the ids as in a [`Flood`].
+    pub(crate) answer: &'static str,
+    /// Time from the answer to the end of the connection.
+    pub(crate) pause: Duration,
+    pub(crate) end: End,
+}
+
+/// When an answer is sent.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Moment {
+    /// Before the body of the request is read.
+    Early,
+    /// After the body of the request.
+    Late,
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum End {
+    /// It is reset.
+    Reset,
+    /// It is closed.
+    Close,
+}
+
+/// Answer to the request for a transfer grant, which a node sends before a large body.
+const GRANT: &str = "HTTP/1.1 200 OK\r\nbaobab-id: OFFER\r\nbaobab-outcome: answered\r\n\
+                     baobab-ticket: 5\r\ncontent-length: 0\r\n\r\n";
+
+impl Script {
+    fn play(self, stream: &mut TcpStream, request: &Received) {
+        // The node may have closed the connection.
+        let _ = stream.write_all(fill_in(self.answer, request).as_bytes());
+        thread::sleep(self.pause);
+        if self.end == End::Reset {
+            let socket = SockRef::from(&*stream);
+            socket.set_linger(Some(Duration::ZERO)).expect("the connection is open");
+        }
+    }
+}
+
+/// Replaces `ID` by the request's id, and `OFFER` by that of a node's offer.
+fn fill_in(text: &str, request: &Received) -> String {
+    let header = |name| request.header(name).unwrap_or_default();
+    text.replace("ID", header("x-id")).replace("OFFER", header("baobab-id"))
 }
 
 /// Bytes without end.
@@ -89,8 +144,7 @@
     /// Sends it to `stream` until that is closed.
     fn send(self, stream: &mut TcpStream, request: &Received) {
         let chunk = self.repeated.repeat(CHUNK_BYTES.div_ceil(self.repeated.len()));
-        let header = |name| request.header(name).unwrap_or_default();
-        let start = self.start.replace("ID", header("x-id")).replace("OFFER", header("baobab-id"));
+        let start = fill_in(self.start, request);
         let mut sent = stream.write_all(start.as_bytes());
         while sent.is_ok() {
             sent = stream.write_all(chunk.as_bytes());
@@ -181,10 +235,22 @@
 
     fn handle(&self, mut stream: TcpStream) {
         self.serve(&mut stream);
+        if SockRef::from(&stream).linger().is_ok_and(|linger| linger.is_some()) {
+            // A shutdown would end the connection in order, instead of by the reset on its close.
+            return self.forget(&stream);
+        }
         // The cloned handle in `open` would keep the connection open.
         let _ = stream.shutdown(Shutdown::Both);
     }
 
+    /// Drops the handle of a connection in `open`, so that the connection closes with its last handle.
+    fn forget(&self, stream: &TcpStream) {
+        let peer = stream.peer_addr().ok();
+        if let Some(open) = self.open.lock().expect("the lock is not poisoned").as_mut() {
+            open.retain(|other| other.peer_addr().ok() != peer);
+        }
+    }
+
     /// Registers a connection; returns `false` after a crash.
     fn admit(&self, stream: &TcpStream) -> bool {
         let mut open = self.open.lock().expect("the lock is not poisoned");
@@ -259,6 +325,15 @@
             if behaviour == Behaviour::Early {
                 let _ = stream.write_all(&self.answer(&request, behaviour));
             }
+            if let Behaviour::Script(script) = behaviour {
+                if request.header("baobab-reserve").is_some() {
+                    let _ = stream.write_all(fill_in(GRANT, &request).as_bytes());
+                    continue;
+                }
+                if script.moment == Moment::Early {
+                    return script.play(stream, &request);
+                }
+            }
             let length = request.header("content-length").and_then(|t| t.parse().ok()).unwrap_or(0);
             let Some(body) = read_body(stream, &mut buffer, length) else { return };
             let request = Received { body, ..request };
@@ -271,6 +346,7 @@
                     self.floods.fetch_sub(1, Ordering::SeqCst);
                     return;
                 }
+                Behaviour::Script(script) => return script.play(stream, &request),
                 Behaviour::Crash => return self.crash(),
                 Behaviour::Silent => thread::sleep(TIMEOUT),
                 Behaviour::Slowly(time) => thread::sleep(time),
@@ -311,7 +387,8 @@
         | Behaviour::Silent
         | Behaviour::Close
         | Behaviour::Crash
-        | Behaviour::Flood(_) => {
+        | Behaviour::Flood(_)
+        | Behaviour::Script(_) => {
             format!("200 OK\r\nx-id: {id}\r\n{stamp}")
         }
     };
@@ -563,6 +640,12 @@
     build_configuration(1, paydesk, &ROUTES)
 }
 
+/// Returns the next configuration, whose requests may have bodies of `bytes` bytes.
+pub(crate) fn configuration_of_body_limit(bytes: usize) -> Arc<model::config::Snapshot> {
+    let limits = format!(r#"{{"body_bytes": {bytes}}}"#);
+    build_limited(2, "{}", r#"{"profile": "p"}"#, &limits, &ROUTES)
+}
+
 /// Returns the next configuration, which also has the given route.
 pub(crate) fn configuration_with(route: (&str, &str)) -> Arc<model::config::Snapshot> {
     let routes: Vec<(&str, &str)> = ROUTES.into_iter().chain([route]).collect();
@@ -587,6 +670,16 @@
     profile: &str,
     paydesk: &str,
     routes: &[(&str, &str)],
+) -> Arc<model::config::Snapshot> {
+    build_limited(revision, profile, paydesk, r#"{"body_bytes": 200000}"#, routes)
+}
+
+fn build_limited(
+    revision: u64,
+    profile: &str,
+    paydesk: &str,
+    limits: &str,
+    routes: &[(&str, &str)],
 ) -> Arc<model::config::Snapshot> {
     let document = |(key, text): (&str, &str)| Document {
         key: key.to_owned(),
@@ -597,7 +690,7 @@
         document(("profiles/p", profile)),
         document(("services/paydesk", paydesk)),
         document(("services/nobody", r#"{"profile": "p"}"#)),
-        document(("limits", r#"{"body_bytes": 200000}"#)),
+        document(("limits", limits)),
     ];
     documents.extend(routes.iter().copied().map(document));
     let delta = Delta { revision, full: true, documents, ..Delta::default() };
