traffic: the crash of a test's upstream returns once its listener is closed

Change: the accept loop closes its socket and says so, and `crash` waits for that. The test is as it was.

--- a/crates/traffic/tests/cluster/mod.rs
+++ b/crates/traffic/tests/cluster/mod.rs
@@ -19,7 +19,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -183,6 +183,8 @@
     received: Arc<Mutex<Vec<Received>>>,
     /// Open connections; `None` after a crash.
     open: Arc<Mutex<Option<Vec<TcpStream>>>>,
+    /// Whether the listener is open.
+    listening: Arc<AtomicBool>,
     /// Number of answers without end that are being sent.
     floods: Arc<AtomicUsize>,
     /// The connection that is left open after a crash.
@@ -198,6 +200,7 @@
             extra: Arc::default(),
             received: Arc::default(),
             open: Arc::default(),
+            listening: Arc::default(),
             floods: Arc::default(),
             held: Arc::default(),
         };
@@ -222,14 +225,17 @@
     fn listen(&self, listener: TcpListener) {
         *self.open.lock().expect("the lock is not poisoned") = Some(Vec::new());
         let server = self.clone();
+        server.listening.store(true, Ordering::SeqCst);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 if !server.admit(&stream) {
-                    return;
+                    break;
                 }
                 let server = server.clone();
                 thread::spawn(move || server.handle(stream));
             }
+            drop(listener);
+            server.listening.store(false, Ordering::SeqCst);
         });
     }
 
@@ -277,8 +283,13 @@
     }
 
     fn close(&self, open: Vec<TcpStream>) {
-        // Wakes the accept loop, which then exits.
+        // Wakes the accept loop, which then exits. Until it has closed its socket, connections are accepted.
         let _ = TcpStream::connect(self.address);
+        let started = Instant::now();
+        while self.listening.load(Ordering::SeqCst) {
+            assert!(started.elapsed() < TIMEOUT, "the listener is not closed");
+            thread::sleep(Duration::from_millis(1));
+        }
         for stream in open {
             let _ = stream.shutdown(Shutdown::Both);
         }
