traffic: a planned stop waits for answers that their clients still read

Cause: a call counted as in flight until its answer was handed to the HTTP library, not until it was written.

Change: connections that are writing an answer count as calls in flight of the stop, on the listeners of callers and of other nodes. Its limit is as before, so that a client that never reads cannot hold it up.

--- a/crates/ingress/src/connection.rs
+++ b/crates/ingress/src/connection.rs
@@ -132,6 +132,10 @@
         self.lock().state.write_deadline(&self.policy.limits())
     }
 
+    pub(crate) fn is_writing(&self) -> bool {
+        self.lock().state.is_writing()
+    }
+
     pub(crate) fn replaceable(&self, now: Instant) -> Option<Rank> {
         self.lock().state.replaceable(now)
     }
--- a/crates/ingress/src/phase.rs
+++ b/crates/ingress/src/phase.rs
@@ -174,6 +174,11 @@
         self.writing_since.map(|since| since + limits.answer)
     }
 
+    /// Returns whether an answer is being written.
+    pub(crate) fn is_writing(&self) -> bool {
+        self.writing_since.is_some()
+    }
+
     /// Returns the rank if the connection waits for its client and may give way to another one.
     pub(crate) fn replaceable(&self, now: Instant) -> Option<Rank> {
         let is_waiting = match self.phase {
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -66,6 +66,11 @@
         waiting.take(count).for_each(|(_, connection)| connection.close(Reason::Replaced));
     }
 
+    /// Returns the number of connections whose clients have not read the whole of an answer yet.
+    pub fn unread_answers(&self) -> usize {
+        self.lock().values().filter(|(_, connection)| connection.is_writing()).count()
+    }
+
     /// Closes connections that hold memory and whose clients have stalled, the longest first.
     pub fn relieve(&self) {
         let now = Instant::now();
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -290,9 +290,10 @@
         self.lifecycle.is_leaving()
     }
 
-    /// Returns the number of calls in flight, as entry node and as serving node.
+    /// Returns the number of calls in flight, as entry node and as serving node, and of answers that are being
+    /// read.
     pub fn calls_in_flight(&self) -> usize {
-        self.in_flight.total()
+        self.in_flight.total() + self.ingress.unread_answers()
     }
 
     /// Returns the number of bytes that bodies, answers, heads and calls may hold together.
