policy: a bound above 128 calls a second on a cold upstream has a window

Cause: for a bound above the 128 starts that a window keeps there was no window, and without it no probe; the token bucket that took its place is switched on by the list alone.

Change: such a bound gets the window of 128. An upstream that bears more while it is cold gets less than it could until it is warm.

bounds_below_one_call_or_too_large_have_no_window asserted the fault (no window for 200 a second). It is replaced by every_bound_of_one_call_or_more_has_a_window_that_keeps_it, which asks for a window for each bound and counts its starts.

--- a/crates/policy/src/warmup.rs
+++ b/crates/policy/src/warmup.rs
@@ -83,9 +83,10 @@
     /// ```
     pub fn of_window(warm_up: WarmUp, excess: Excess, until: Time) -> Option<Limit> {
         let bound = warm_up.calls_per_s() * excess.factor + excess.slack;
-        if !(1.0..=window::MAX_STARTS as f64).contains(&bound) {
+        if bound < 1.0 {
             return None;
         }
+        let bound = bound.min(window::MAX_STARTS as f64);
         let rate = (bound * WINDOW_SHARE).floor().max(1.0);
         Some(Limit { rate, burst: (bound.floor() - rate).max(1.0), until })
     }
--- a/crates/policy/tests/cold_window.rs
+++ b/crates/policy/tests/cold_window.rs
@@ -354,10 +354,19 @@
     assert_eq!(limiter.grant_waiting(at(200)).len(), 5);
 }
 
-/// Guards against a window for bounds that it cannot keep.
+/// Guards against a window for a bound that it cannot keep, and against no window for a large one.
 #[test]
-fn bounds_below_one_call_or_too_large_have_no_window() {
+fn every_bound_of_one_call_or_more_has_a_window_that_keeps_it() {
     let bound = |slack| Limit::of_window(WARM_UP, Excess { factor: 0.0, slack }, at(0));
-    assert_eq!((bound(0.9), bound(200.0)), (None, None));
+    assert_eq!(bound(0.9), None);
     assert_eq!(bound(1.0).map(|limit| limit.rate), Some(1.0));
+    for slack in [127.0, 128.0, 129.0, 200.0, 1e6] {
+        let limit = bound(slack).expect("the bound is above one call");
+        assert!(limit.rate >= 1.0 && limit.rate + limit.burst <= slack.min(128.0), "{limit:?}");
+        let mut limiter = Limiter::new(1_000);
+        limiter.set_window(Limit { until: at(9_000), ..limit }, at(0));
+        let admit = |n| limiter.admit(Ticket(n), at(5_000), at(5_500), QUEUE) == Decision::Run;
+        let started = (0..1_000).map(admit).filter(|runs| *runs).count();
+        assert!((1..=128).contains(&started), "{started} starts at once of {slack}");
+    }
 }
