fleet: an upstream whose start time went back is recognised by its second write

Cause: every write with a start before the known one counted as a delayed write of an ended incarnation.

Change: one such write is still taken for delayed. A second with the same start, without one of the known incarnation between them, is a new incarnation. Replicas take the decision of the one that they copy from (apply_copy), since they may see only the second write.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -217,12 +217,21 @@
     started_ms: Option<u64>,
 }
 
+/// Where an update comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    Platform,
+    Replica,
+}
+
 /// One replica of the list.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<String, Entry>,
     pending: BTreeMap<String, Pending>,
     tombstones: BTreeMap<String, Tombstone>,
+    /// Start time of the latest write by id whose start is earlier than that of the known incarnation.
+    earlier: BTreeMap<String, u64>,
     orders: Orders,
     revision: u64,
     /// Lowest revision since which all removals are still held.
@@ -277,6 +286,29 @@
         update: Update,
         grace: Duration,
         now: Time,
+    ) -> Result<Vec<(Entry, Change)>, Gap> {
+        self.merge(update, Source::Platform, grace, now)
+    }
+
+    /// Like [`apply`](Directory::apply), for an update of another replica.
+    ///
+    /// It has told delayed writes from those of an incarnation whose clock was set back, of which this replica may
+    /// see only one.
+    pub fn apply_copy(
+        &mut self,
+        update: Update,
+        grace: Duration,
+        now: Time,
+    ) -> Result<Vec<(Entry, Change)>, Gap> {
+        self.merge(update, Source::Replica, grace, now)
+    }
+
+    fn merge(
+        &mut self,
+        update: Update,
+        source: Source,
+        grace: Duration,
+        now: Time,
     ) -> Result<Vec<(Entry, Change)>, Gap> {
         if update.base.is_some_and(|base| base > self.revision) {
             return Err(Gap);
@@ -302,7 +334,7 @@
             }
         }
         for entry in update.entries {
-            changes.extend(self.put(entry, now));
+            changes.extend(self.put(entry, source, now));
         }
         for removal in removed {
             changes.extend(self.remove(&removal, grace, now));
@@ -381,7 +413,7 @@
             .collect()
     }
 
-    fn put(&mut self, entry: Entry, now: Time) -> Option<(Entry, Change)> {
+    fn put(&mut self, entry: Entry, source: Source, now: Time) -> Option<(Entry, Change)> {
         let removed = self.tombstones.get(&entry.id).map(|t| t.revision);
         let pending = self.pending.get(&entry.id).map(|pending| pending.revision);
         let known = self.entries.get(&entry.id);
@@ -399,15 +431,22 @@
             // A writer that provides start times always does so. This is another writer's value, so
             // the upstream's incarnation cannot be identified.
             None if started.is_some() => return self.delete(&Removal::unusable(&entry), now),
-            // A delayed write of an earlier incarnation, which may even say that it is leaving.
-            started_ms if started_ms < started => return None,
+            // A delayed write of an earlier incarnation, which may even say that it is leaving; or, if it is
+            // not the only one, a new incarnation whose clock was set back.
+            Some(start)
+                if source == Source::Platform
+                    && self.is_first_of_earlier(&entry.id, start, started) =>
+            {
+                return None;
+            }
             _ => {}
         }
+        self.earlier.remove(&entry.id);
         let known = self.entries.get(&entry.id);
         let change = match known {
             _ if entry.standing == Standing::Leaving => Change::Leaving,
             None => Change::Listed,
-            Some(known) if known.started_ms < entry.started_ms => Change::Restarted,
+            Some(known) if known.started_ms != entry.started_ms => Change::Restarted,
             Some(_) => Change::Revised,
         };
         self.pending.remove(&entry.id);
@@ -439,6 +478,7 @@
         let Removal { id, revision, reason, .. } = removal;
         let started_ms = self.started(id).max(removal.started_ms);
         self.pending.remove(id);
+        self.earlier.remove(id);
         self.restore.forget(id, *revision);
         let fresh = Tombstone { revision: *revision, since: now, reason: *reason, started_ms };
         let tombstone = self.tombstones.entry(id.clone()).or_insert(fresh);
@@ -447,6 +487,11 @@
         self.entries.remove(id).map(|entry| (entry, Change::Gone))
     }
 
+    /// Returns whether `start` is earlier than the start of the known incarnation, and that of no write before.
+    fn is_first_of_earlier(&mut self, id: &str, start: u64, known: Option<u64>) -> bool {
+        Some(start) < known && self.earlier.insert(id.to_owned(), start) != Some(start)
+    }
+
     /// Returns the start time of the latest known incarnation of `id`.
     fn started(&self, id: &str) -> Option<u64> {
         let listed = self.entries.get(id).and_then(|entry| entry.started_ms);
--- a/crates/fleet/src/listed/updates.rs
+++ b/crates/fleet/src/listed/updates.rs
@@ -130,7 +130,11 @@
         now: Now,
     ) -> bool {
         let before = self.holdings();
-        match self.directory.apply(update, grace, now.time) {
+        let merged = match from {
+            Some(_) => self.directory.apply_copy(update, grace, now.time),
+            None => self.directory.apply(update, grace, now.time),
+        };
+        match merged {
             Ok(changes) => {
                 self.record_era(before.list, now);
                 let orders = self.directory.take_changed_orders();
--- a/crates/fleet/tests/directory.rs
+++ b/crates/fleet/tests/directory.rs
@@ -150,6 +150,28 @@
     assert_eq!(held, [(5, Some(200))]);
 }
 
+/// Guards against an upstream whose clock was set back before it restarted, and that then can never say that it leaves.
+#[test]
+fn an_earlier_start_that_is_written_again_is_a_new_incarnation() {
+    use Change::{Leaving, Listed, Restarted, Revised};
+    let ready = |revision, started| incarnation(revision, Some(started), Standing::Ready);
+    let leaving = |revision, started| incarnation(revision, Some(started), Standing::Leaving);
+    let writes = vec![ready(2, 200), ready(3, 100), ready(4, 100), ready(5, 100), leaving(6, 100)];
+    let expect = [Some(Listed), None, Some(Restarted), Some(Revised), Some(Leaving)];
+    let replica = check_incarnations(writes, &expect);
+    let held: Vec<_> = replica.entries().map(|e| (e.revision, e.started_ms)).collect();
+    assert_eq!(held, [(6, Some(100))]);
+    // A peer sees only one of the writes, by way of a replica that has seen two.
+    let mut peer = Directory::default();
+    let first = Update { entries: vec![ready(2, 200)], ..update(None, 2) };
+    peer.apply(first, NO_GRACE, at(0)).expect("a whole list leaves no gap");
+    let copied = peer.apply_copy(replica.since(Some(2), at(1)), NO_GRACE, at(1));
+    assert_eq!(copied.expect("the update follows")[0].1, Leaving);
+    // Delayed writes between those of the known incarnation are none of a new one.
+    let writes = vec![ready(2, 200), ready(3, 100), ready(4, 200), ready(5, 100), leaving(6, 200)];
+    check_incarnations(writes, &[Some(Listed), None, Some(Revised), None, Some(Leaving)]);
+}
+
 /// Guards against calls to a process that has ended.
 #[test]
 fn a_delayed_write_does_not_revive_a_removed_incarnation() {
