ingress: a body that has stalled gives its connection way; the memory of clients is a metric

Cause: an unfinished body kept its connection for the time of its route, and at the listener of other nodes for the time that its head states, up to ten minutes; a crowd of such clients could hold all places so long.

Change: when places are short, a connection whose body has made no progress for a second gives way, after those that wait with a head. An offer's body has at most upload_ms, like a caller's. The metric baobabrelay.memory shows what bodies, answers and requests hold.

Evidence: ingress phase only_connections_that_wait_for_their_client_give_way, extended by bodies. No crowd of this kind was played at the bound of ten minutes.

--- a/crates/ingress/src/phase.rs
+++ b/crates/ingress/src/phase.rs
@@ -56,8 +56,19 @@
     writing_since: Option<Instant>,
 }
 
+/// What a connection waits for from its client, in the order in which connections give way to others.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Wait {
+    /// For a request, or for its own end.
+    Head,
+    /// For the rest of a body, without progress.
+    Body,
+    /// For the next request.
+    Next,
+}
+
 /// Rank among the connections that give way to others; the smallest one gives way first.
-pub(crate) type Rank = (bool, Instant);
+pub(crate) type Rank = (Wait, Instant);
 
 impl State {
     pub(crate) fn new(now: Instant) -> Self {
@@ -181,13 +192,14 @@
 
     /// Returns the rank if the connection waits for its client and may give way to another one.
     pub(crate) fn replaceable(&self, now: Instant) -> Option<Rank> {
-        let is_waiting = match self.phase {
-            Phase::Idle | Phase::Head | Phase::Closing => self.writing_since.is_none(),
-            Phase::Request => false,
+        let (wait, since, least) = match self.phase {
+            _ if self.writing_since.is_some() => return None,
+            Phase::Idle if self.has_asked => (Wait::Next, self.since, MIN_IDLE),
+            Phase::Idle | Phase::Head | Phase::Closing => (Wait::Head, self.since, MIN_WAIT),
+            Phase::Request if self.is_receiving => (Wait::Body, self.progress, STALL_TIME),
+            Phase::Request => return None,
         };
-        let is_idle = self.phase == Phase::Idle && self.has_asked;
-        let least = if is_idle { MIN_IDLE } else { MIN_WAIT };
-        (is_waiting && now >= self.since + least).then_some((is_idle, self.since))
+        (now >= since + least).then_some((wait, since))
     }
 
     /// Returns the time of the last progress if the client holds memory and has stalled.
--- a/crates/ingress/src/phase/tests.rs
+++ b/crates/ingress/src/phase/tests.rs
@@ -84,6 +84,14 @@
     let mut kept = State::new(start);
     kept.begin_request(false, start);
     assert_eq!(kept.replaceable(later), None);
+    let mut uploading = State::new(start);
+    uploading.begin_request(true, start);
+    assert_eq!(uploading.replaceable(start + ms(900)), None);
+    assert!(uploading.replaceable(later).is_some());
+    assert_eq!(uploading.read(b"part", later), Ok(0));
+    assert_eq!(uploading.replaceable(later), None);
+    uploading.end_body();
+    assert_eq!(uploading.replaceable(later + ms(5_000)), None);
     kept.end_request(start);
     assert!(silent.replaceable(later) < kept.replaceable(later));
     assert_eq!(kept.replaceable(start + ms(500)), None);
--- a/crates/node/src/settings/fields.rs
+++ b/crates/node/src/settings/fields.rs
@@ -97,7 +97,7 @@
         "/body_bytes",
         "1024 to 17179869184 bytes",
         "134217728",
-        "limit on bytes of request bodies in memory, and on those of answers",
+        "limit on bytes of request bodies in memory, and on those of answers; both together, with heads and calls in flight, may take a quarter more",
     ),
     optional(
         "/connections",
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -193,6 +193,13 @@
     attributes: "listener",
     help: "Open connections of a listener when it last accepted one",
 };
+const MEMORY: Entry = Entry {
+    name: "baobabrelay.memory",
+    // A unit of UCUM would be appended to the name.
+    unit: "{byte}",
+    attributes: "use",
+    help: "Memory that is accounted at present, in bytes: bodies of requests (bodies), answers until they are read (answers), unfinished heads and calls in flight (requests)",
+};
 const CLOSED: Entry = Entry {
     name: "baobabrelay.connections.closed",
     unit: "{connection}",
@@ -201,7 +208,7 @@
 };
 
 /// All metrics, in the order of the reference page.
-pub const CATALOGUE: [Entry; 29] = [
+pub const CATALOGUE: [Entry; 30] = [
     CALLS,
     NOT_RUN,
     RETRIES,
@@ -230,6 +237,7 @@
     OVERTAKING,
     PROMISED_RETURNS,
     CONNECTIONS,
+    MEMORY,
     CLOSED,
 ];
 
@@ -282,6 +290,7 @@
     overtaking: Counter<u64>,
     promised_returns: Gauge<u64>,
     connections: Gauge<u64>,
+    memory: Gauge<u64>,
     closed: Counter<u64>,
 }
 
@@ -346,6 +355,7 @@
             overtaking: counter(OVERTAKING),
             promised_returns: gauge(PROMISED_RETURNS),
             connections: gauge(CONNECTIONS),
+            memory: gauge(MEMORY),
             closed: counter(CLOSED),
             registry,
             _provider: provider,
@@ -492,6 +502,11 @@
         self.connections.record(connections, &[KeyValue::new("listener", listener)]);
     }
 
+    /// Sets the memory that is accounted for one use, in bytes.
+    pub fn set_memory(&self, purpose: &'static str, bytes: u64) {
+        self.memory.record(bytes, &[KeyValue::new("use", purpose)]);
+    }
+
     /// Counts a connection that this node closed.
     pub fn count_closed_connection(&self, listener: &'static str, reason: &'static str) {
         let attributes = [KeyValue::new("listener", listener), KeyValue::new("reason", reason)];
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -33,6 +33,7 @@
     meter.set_cold(1.5);
     meter.count_probe("warm");
     meter.set_open_connections("callers", 5);
+    meter.set_memory("bodies", 4_096);
     meter.count_closed_connection("callers", "idle");
     meter
 }
--- a/crates/traffic/src/forward/receiver.rs
+++ b/crates/traffic/src/forward/receiver.rs
@@ -74,8 +74,8 @@
     let _memory = proxy.admit_request(&head.headers).ok_or(Cause::Overloaded.outcome())?;
     let mut reserved = proxy.reserve_body(body::declared_length(&head.headers));
     let reserved = reserved.as_mut().ok_or(Cause::Overloaded.outcome())?;
-    let body =
-        body::receive(incoming, limit, metadata.deadline.since(received), reserved.account(proxy));
+    let time = Duration::from_millis(profile.upload_ms).min(metadata.deadline.since(received));
+    let body = body::receive(incoming, limit, time, reserved.account(proxy));
     let body = body.await.map_err(|fault| match fault {
         body::Fault::NoMemory => Cause::Overloaded.outcome(),
         _ => Cause::BadRequest.outcome(),
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -395,6 +395,9 @@
         self.running.remove_expired(self.clock.now());
         self.transfers.remove_expired(self.clock.now());
         self.meter.set_in_flight(self.in_flight.calls() as u64);
+        self.meter.set_memory("bodies", self.in_flight.bytes() as u64);
+        self.meter.set_memory("answers", self.answers.held() as u64);
+        self.meter.set_memory("requests", self.ingress.heads.held() as u64);
         self.record_fairness();
         self.record_promises();
         self.record_warm_up();
