--- a/crates/traffic/src/wire/body.rs
+++ b/crates/traffic/src/wire/body.rs
@@ -37,7 +37,7 @@
     }
 }
 
-/// Sends a [`Content`], segment by segment.
+/// Sends a complete body, segment by segment.
 #[derive(Debug, Default)]
 pub struct Body {
     /// The segments that are left, the next one last.
