ingress, traffic: idle connections are no event; examples and words

Cause: connections that are idle for too long are closed all the time in calm, and an event a second would take the timeline's 2,000 places within the hour. The metric counts them.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -292,8 +292,8 @@
 
     /// Like [`apply`](Directory::apply), for an update of another replica.
     ///
-    /// It has told delayed writes from those of an incarnation whose clock was set back, of which this replica may
-    /// see only one.
+    /// The other replica has checked whether an earlier start is that of a new incarnation; this one may see only
+    /// one of the writes that tell.
     pub fn apply_copy(
         &mut self,
         update: Update,
--- a/crates/fleet/src/timeline.rs
+++ b/crates/fleet/src/timeline.rs
@@ -190,7 +190,7 @@
     ConnectionsClosed {
         /// The listener: `callers`, `nodes`, `calls` (of both), `ready`, `peers` or `operators`.
         listener: String,
-        /// Why: `idle`, `slow-head`, `empty-lines`, `framing`, `unread-answer`, `replaced` or `memory`.
+        /// Why: `slow-head`, `empty-lines`, `framing`, `unread-answer`, `replaced` or `memory`.
         reason: String,
         /// Number of connections.
         count: u64,
--- a/crates/ingress/src/listener.rs
+++ b/crates/ingress/src/listener.rs
@@ -8,7 +8,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{connection::Connection, limits::Policy, stream::Stream};
+use crate::{connection::Connection, limits::Policy, registry::ListenerId, stream::Stream};
 
 pub use crate::registry::Context;
 
@@ -74,7 +74,7 @@
 async fn acquire(
     places: &Arc<Semaphore>,
     context: &Context,
-    listener: u64,
+    listener: ListenerId,
 ) -> Option<OwnedSemaphorePermit> {
     loop {
         if places.available_permits() == 0 {
@@ -103,7 +103,7 @@
         socket: TcpStream,
         context: &Arc<Context>,
         policy: &Arc<dyn Policy>,
-        listener: u64,
+        listener: ListenerId,
         permit: OwnedSemaphorePermit,
     ) -> Option<Self> {
         let mut stream = Stream::new(socket).ok()?;
--- a/crates/ingress/src/memory.rs
+++ b/crates/ingress/src/memory.rs
@@ -42,6 +42,13 @@
     }
 
     /// Takes `more` bytes if all leases then hold at most `limit`; returns whether they do.
+    ///
+    /// ```
+    /// let memory = ingress::memory::Memory::default();
+    /// let mut lease = memory.lease();
+    /// assert!(lease.extend(60, 100) && !lease.extend(60, 100));
+    /// assert_eq!((lease.bytes(), memory.held()), (60, 60));
+    /// ```
     pub fn extend(&mut self, more: usize, limit: usize) -> bool {
         let add = |held: usize| held.checked_add(more).filter(|sum| *sum <= limit);
         let taken = self.memory.held.fetch_update(Ordering::SeqCst, Ordering::SeqCst, add);
--- a/crates/ingress/src/registry.rs
+++ b/crates/ingress/src/registry.rs
@@ -67,6 +67,10 @@
     }
 
     /// Returns the number of connections whose clients have not read the whole of an answer yet.
+    ///
+    /// ```
+    /// assert_eq!(ingress::listener::Context::default().unread_answers(), 0);
+    /// ```
     pub fn unread_answers(&self) -> usize {
         self.lock().values().filter(|(_, connection)| connection.is_writing()).count()
     }
--- a/crates/traffic/src/proxy.rs
+++ b/crates/traffic/src/proxy.rs
@@ -330,7 +330,10 @@
     /// Counts a connection to `listener` that was closed for `reason`.
     pub fn count_closed(&self, listener: &'static str, reason: Reason) {
         self.meter.count_closed_connection(listener, reason.name());
-        self.events.add(Event::Closed(listener, reason));
+        // Idle connections are closed all the time, and would evict other events.
+        if reason != Reason::Idle {
+            self.events.add(Event::Closed(listener, reason));
+        }
     }
 
     /// Takes the memory of a call with these headers; none if there is too little for it or for its answer.
