traffic: a test of leaving upstreams counts from the answer that says so

Cause: the test began to count once the upstream had received a call. A read is hedged; the other upstream's answer ends the exchange while that of the leaving one is on its way, so that no node has been told yet.

Change: it waits for an answer that says so.

--- a/crates/traffic/tests/leaving_answers.rs
+++ b/crates/traffic/tests/leaving_answers.rs
@@ -2,19 +2,24 @@
 
 mod cluster;
 
-use cluster::{Behaviour, Cluster, request, status};
+use cluster::{Behaviour, Cluster, header, request, status};
 use std::thread;
 
 fn read(id: &str) -> String {
     request("GET", "/read/a", "", "").replace("x-id: r1", &format!("x-id: {id}"))
 }
 
-/// Calls every node until upstream `number` has answered a call.
-fn until_answered(cluster: &Cluster, number: usize) {
+/// Calls every node until a caller has an answer that says that its upstream leaves.
+///
+/// That such an upstream has received a call is not enough: a hedged read is answered by the other one, and its
+/// own answer may be on its way.
+fn until_answered(cluster: &Cluster) {
     let mut nodes = (0..cluster.callers.len()).cycle();
-    while cluster.upstreams[number].received().is_empty() {
+    let mut is_told = false;
+    while !is_told {
         let node = nodes.next().expect("the cycle does not end");
-        cluster.exchange(node, &read("told"));
+        let answer = cluster.exchange(node, &read("told"));
+        is_told = header(&answer, "x-leaving") == Some("1");
     }
 }
 
@@ -24,7 +29,7 @@
     for nodes in [2, 24] {
         let cluster = Cluster::new(nodes, 8);
         cluster.upstreams[0].say_leaving();
-        until_answered(&cluster, 0);
+        until_answered(&cluster);
         let before = cluster.upstreams[0].received().len();
         for number in 0..20 * nodes {
             let answer = cluster.exchange(number % nodes, &read(&format!("r{number}")));
